--- /dev/null
+++ b/cmd/quetzalbend-standin/main.go
@@ -0,0 +1,4 @@
+// Command quetzalbend-standin.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/core/catalog/catalog.go
@@ -0,0 +1,56 @@
+package catalog
+
+import "quetzalbend/internal/core/schema"
+
+// Account is an account with its name and team.
+type Account struct {
+	Name string
+	Team string
+	schema.Account
+}
+
+// Workload is a workload with its name and team.
+type Workload struct {
+	Name string
+	Team string
+	schema.Workload
+}
+
+// Service is a service with its name and team.
+type Service struct {
+	Name string
+	Team string
+	schema.Service
+}
+
+// Target is a target with its name.
+type Target struct {
+	Name string
+	schema.Target
+	DomainOut bool // its failure domain is out
+}
+
+// Serving reports whether the target may get new work by the settings.
+func (t *Target) Serving() bool { return t.State != schema.Out && !t.DomainOut }
+
+// TeamName names something within a team.
+type TeamName struct {
+	Team string
+	Name string
+}
+
+// Catalog is immutable.
+type Catalog struct {
+	Offset         int64 // of the snapshot it was built from
+	Teams          map[string]schema.Team
+	Domains        map[string]schema.Domain
+	Groups         map[string]schema.Group
+	Targets        map[string]*Target
+	Workloads      map[TeamName]*Workload
+	Services       map[TeamName]*Service
+	AccountByToken map[string]*Account        // key: hex SHA-256 of the bearer token
+	ModelTargets   map[TeamName][]*Target     // by team and model, in name order
+	ServiceTargets map[TeamName][]*Target     // by team and service, in name order
+	Operators      map[string]schema.Operator // by hex SHA-256 of the token
+	Unreadable     []string                   // paths whose accepted value this version cannot read
+}
--- /dev/null
+++ b/internal/port/log.go
@@ -0,0 +1,46 @@
+package port
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrNotAppended reports that an append has certainly not taken effect and
+// never will. Any other error of Append leaves the outcome unknown.
+var ErrNotAppended = errors.New("not appended")
+
+// ErrExpired reports that the asked offset is older than the oldest record
+// that the log still keeps.
+var ErrExpired = errors.New("records expired")
+
+// Record is one record of a stream.
+type Record struct {
+	Offset int64
+	Data   []byte
+}
+
+// Page is a run of consecutive records of a stream.
+type Page struct {
+	Records []Record
+	Oldest  int64 // offset of the oldest record still kept
+	Next    int64 // offset that the next append will get
+}
+
+// Log is the platform's append-only log service.
+type Log interface {
+	// Append adds records to the end of a stream in one call, at consecutive
+	// offsets, and returns the first offset. See ErrNotAppended.
+	Append(ctx context.Context, stream string, records [][]byte) (int64, error)
+
+	// Read returns at most limit records from offset from. With no record
+	// there yet it waits up to wait for one. See ErrExpired.
+	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Page, error)
+}
+
+// Streams of the platform's log that quetzalbend uses.
+const (
+	SettingsStream = "settings"
+	// ClaimsStreamPrefix is followed by the service's name.
+	ClaimsStreamPrefix = "claims."
+)
