Add the link between processes: yamux sessions with protobuf messages

Entries and agents talk over one session for each pair of processes. A failed Open says whether anything can have reached the peer, which decides later whether a caller may be told "not run".

--- /dev/null
+++ b/internal/adapter/link/config.go
@@ -0,0 +1,53 @@
+package link
+
+import (
+	"crypto/tls"
+	"io"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// Defaults of Config.
+const (
+	DefaultDialTimeout       = 2 * time.Second
+	DefaultWriteTimeout      = 5 * time.Second
+	DefaultKeepAliveInterval = 2 * time.Second
+)
+
+const (
+	openTimeout    = 10 * time.Second // for the first message of an accepted stream
+	acceptBacklog  = 1024             // streams opened but not yet accepted
+	maxMessageSize = 16 << 20         // bytes
+	readBufferSize = 4 << 10          // bytes
+)
+
+// Config holds what both ends of a link share. Zero fields get the defaults.
+type Config struct {
+	TLS               *tls.Config   // nil for plain TCP
+	DialTimeout       time.Duration // for TCP and TLS together
+	WriteTimeout      time.Duration // of one message; also until a silent peer is given up
+	KeepAliveInterval time.Duration // between probes of an idle session
+}
+
+func (c Config) withDefaults() Config {
+	if c.DialTimeout == 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
+	if c.WriteTimeout == 0 {
+		c.WriteTimeout = DefaultWriteTimeout
+	}
+	if c.KeepAliveInterval == 0 {
+		c.KeepAliveInterval = DefaultKeepAliveInterval
+	}
+	return c
+}
+
+func (c Config) session() *yamux.Config {
+	session := yamux.DefaultConfig()
+	session.AcceptBacklog = acceptBacklog
+	session.KeepAliveInterval = c.KeepAliveInterval
+	session.ConnectionWriteTimeout = c.WriteTimeout
+	session.LogOutput = io.Discard
+	return session
+}
--- /dev/null
+++ b/internal/adapter/link/link_test.go
@@ -0,0 +1,95 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"quetzalbend/internal/wire"
+)
+
+// serve starts a server on loopback and returns its address.
+func serve(t *testing.T, handler Handler) (*Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(Config{}, handler)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return server, listener.Addr().String()
+}
+
+func call(id string) *wire.Open {
+	return &wire.Open{Purpose: &wire.Open_Call{Call: &wire.Call{RequestId: id}}}
+}
+
+func TestMessagesArriveInOrderThenEOF(t *testing.T) {
+	_, addr := serve(t, func(_ context.Context, open *wire.Open, stream *Stream) {
+		for i := range int64(100) {
+			_ = stream.Send(&wire.AnswerFrame{RequestId: open.GetCall().GetRequestId(), Sequence: i})
+		}
+	})
+	pool := NewPool(Config{})
+	defer func() { _ = pool.Close() }()
+	stream, err := pool.Open(context.Background(), addr, call("r1"))
+	assert.NilError(t, err)
+	for i := range int64(100) {
+		frame := &wire.AnswerFrame{}
+		assert.NilError(t, stream.Receive(frame))
+		assert.Equal(t, frame.GetSequence(), i)
+		assert.Equal(t, frame.GetRequestId(), "r1")
+	}
+	assert.Assert(t, errors.Is(stream.Receive(&wire.AnswerFrame{}), io.EOF))
+}
+
+func TestOpenToNobodyIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, err = NewPool(Config{}).Open(context.Background(), addr, call("r1"))
+	assert.Assert(t, IsNotSent(err), "%v", err)
+	assert.ErrorContains(t, err, addr)
+}
+
+func TestShutdownLetsRunningStreamsFinishAndTakesNoNewOnes(t *testing.T) {
+	release := make(chan struct{})
+	server, addr := serve(t, func(_ context.Context, _ *wire.Open, stream *Stream) {
+		_ = stream.Send(&wire.AnswerFrame{Sequence: 0})
+		<-release
+		_ = stream.Send(&wire.AnswerFrame{Sequence: 1})
+	})
+	pool := NewPool(Config{})
+	defer func() { _ = pool.Close() }()
+	stream, err := pool.Open(context.Background(), addr, call("r1"))
+	assert.NilError(t, err)
+	frame := &wire.AnswerFrame{}
+	assert.NilError(t, stream.Receive(frame))
+
+	stopped := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go func() { stopped <- server.Shutdown(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if server.isLeaving() {
+			return poll.Success()
+		}
+		return poll.Continue("still accepting")
+	}, poll.WithDelay(time.Millisecond))
+	_, err = net.DialTimeout("tcp", addr, time.Second)
+	assert.Assert(t, err != nil)
+	close(release)
+	assert.NilError(t, stream.Receive(frame))
+	assert.Equal(t, frame.GetSequence(), int64(1))
+	assert.NilError(t, <-stopped)
+}
--- /dev/null
+++ b/internal/adapter/link/server.go
@@ -0,0 +1,174 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/wire"
+)
+
+// Handler serves one stream, whose first message was open. The stream is
+// closed when it returns. The context ends with the session.
+type Handler func(ctx context.Context, open *wire.Open, stream *Stream)
+
+// Server accepts sessions and serves their streams.
+type Server struct {
+	config  Config
+	handler Handler
+
+	lock     sync.Mutex
+	listener net.Listener
+	sessions map[*yamux.Session]struct{}
+	leaving  bool
+	streams  sync.WaitGroup
+}
+
+// NewServer returns a server that serves each stream with handler.
+func NewServer(config Config, handler Handler) *Server {
+	return &Server{
+		config:   config.withDefaults(),
+		handler:  handler,
+		sessions: make(map[*yamux.Session]struct{}),
+	}
+}
+
+// Serve accepts sessions until Shutdown, then returns nil.
+func (s *Server) Serve(listener net.Listener) error {
+	if s.config.TLS != nil {
+		listener = tls.NewListener(listener, s.config.TLS)
+	}
+	s.lock.Lock()
+	s.listener = listener
+	leaving := s.leaving
+	s.lock.Unlock()
+	if leaving {
+		return listener.Close()
+	}
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if s.isLeaving() {
+				return nil
+			}
+			return errors.Wrapf(err, "accept on %s", listener.Addr())
+		}
+		go s.serveSession(conn)
+	}
+}
+
+// Shutdown accepts no more sessions or streams and waits for the running
+// streams until ctx ends, then closes all sessions.
+func (s *Server) Shutdown(ctx context.Context) error {
+	sessions := s.leave()
+	done := make(chan struct{})
+	go func() {
+		s.streams.Wait()
+		close(done)
+	}()
+	var err error
+	select {
+	case <-done:
+	case <-ctx.Done():
+		err = errors.Wrap(ctx.Err(), "wait for running streams")
+	}
+	for _, session := range sessions {
+		_ = session.Close()
+	}
+	return err
+}
+
+func (s *Server) leave() []*yamux.Session {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.leaving = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	sessions := make([]*yamux.Session, 0, len(s.sessions))
+	for session := range s.sessions {
+		_ = session.GoAway()
+		sessions = append(sessions, session)
+	}
+	return sessions
+}
+
+func (s *Server) isLeaving() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.leaving
+}
+
+func (s *Server) serveSession(conn net.Conn) {
+	session, err := yamux.Server(conn, s.config.session())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	if !s.add(session) {
+		_ = session.Close()
+		return
+	}
+	defer s.remove(session)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-session.CloseChan()
+		cancel()
+	}()
+	for {
+		conn, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		if !s.begin() {
+			_ = conn.Close()
+			continue
+		}
+		go s.serveStream(ctx, conn, session.RemoteAddr().String())
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, conn *yamux.Stream, peer string) {
+	defer s.streams.Done()
+	stream := newStream(conn, peer, s.config.WriteTimeout)
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetDeadline(time.Now().Add(openTimeout))
+	open := &wire.Open{}
+	if err := stream.Receive(open); err != nil {
+		return
+	}
+	_ = stream.SetDeadline(time.Time{})
+	s.handler(ctx, open, stream)
+}
+
+// begin counts a stream in, unless the server is leaving.
+func (s *Server) begin() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.leaving {
+		return false
+	}
+	s.streams.Add(1)
+	return true
+}
+
+func (s *Server) add(session *yamux.Session) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.leaving {
+		return false
+	}
+	s.sessions[session] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(session *yamux.Session) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	delete(s.sessions, session)
+}
