Serve calls on a target: thin agent with engine and service clients

The engine client takes a stream for whole only with a finish reason and [DONE]. The service client gives each call that may not be repeated a connection of its own, since net/http resends on a lost reused one.

--- /dev/null
+++ b/internal/adapter/engine/client.go
@@ -0,0 +1,169 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	maxIdleConnections = 1024
+	idleTimeout        = 30 * time.Second
+	loadTimeout        = time.Second
+	maxReportSize      = 64 << 10 // bytes
+	maxWholeAnswer     = 8 << 20  // bytes of an answer that is not streamed
+)
+
+// Errors that callers tell apart.
+var (
+	// ErrNotSent reports that nothing of the request reached the engine.
+	ErrNotSent = errors.New("engine: request not sent")
+	// ErrCut reports that an answer ended before it was whole.
+	ErrCut = errors.New("engine: answer cut off")
+	// ErrMalformed reports an answer that breaks the protocol.
+	ErrMalformed = errors.New("engine: malformed answer")
+)
+
+// Client talks to one engine.
+type Client struct {
+	base      string
+	transport *http.Transport
+}
+
+// New returns a client of the engine at the base URL.
+func New(base string) *Client {
+	return &Client{
+		base: strings.TrimSuffix(base, "/"),
+		transport: &http.Transport{
+			MaxIdleConns:        maxIdleConnections,
+			MaxIdleConnsPerHost: maxIdleConnections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Completion is one chat completion.
+type Completion struct {
+	Body       []byte // the caller's JSON body
+	Model      string
+	Version    string
+	Adapter    string
+	Priority   int32
+	ResumeFrom int64 // tokens to leave out
+	Stream     bool
+}
+
+// Complete sends a chat completion and returns once the head of the answer is
+// there. Cancelling ctx cancels the request at the engine.
+func (c *Client) Complete(ctx context.Context, completion Completion) (*Answer, error) {
+	body, err := completion.encode()
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.do(ctx, http.MethodPost, "/v1/chat/completions", body)
+	if err != nil {
+		return nil, err
+	}
+	return newAnswer(response, c.base, completion), nil
+}
+
+// encode sets the engine's own fields in the caller's body.
+func (c Completion) encode() ([]byte, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(c.Body, &fields); err != nil {
+		return nil, errors.Wrap(err, "decode chat completion")
+	}
+	set := func(name string, value any) error {
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			return errors.Wrapf(err, "encode field %s", name)
+		}
+		fields[name] = encoded
+		return nil
+	}
+	own := []struct {
+		name  string
+		value any
+		isSet bool
+	}{
+		{"model", c.Model, c.Model != ""},
+		{"version", c.Version, c.Version != ""},
+		{"adapter", c.Adapter, c.Adapter != ""},
+		{"priority", c.Priority, true},
+		{"resume_from", c.ResumeFrom, c.ResumeFrom > 0},
+		{"stream", c.Stream, true},
+	}
+	for _, field := range own {
+		if !field.isSet {
+			delete(fields, field.name)
+			continue
+		}
+		if err := set(field.name, field.value); err != nil {
+			return nil, err
+		}
+	}
+	encoded, err := json.Marshal(fields)
+	return encoded, errors.Wrap(err, "encode chat completion")
+}
+
+// do sends one request. ErrNotSent is in the chain if no connection was made.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "build request for engine %s", c.base)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.transport.RoundTrip(request)
+	if err == nil {
+		return response, nil
+	}
+	if !connected {
+		return nil, errors.Wrapf(ErrNotSent, "connect to engine %s: %v", c.base, err)
+	}
+	return nil, errors.Wrapf(err, "send %s to engine %s", path, c.base)
+}
+
+// Load is an engine's report of its load, which lags.
+type Load struct {
+	Incarnation string `json:"incarnation"`
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	Cold        bool   `json:"cold"`
+	ReportAgeMS int64  `json:"report_age_ms"`
+}
+
+// Load reads the engine's load report.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	var load Load
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	response, err := c.do(ctx, http.MethodGet, "/v1/load", nil)
+	if err != nil {
+		return load, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return load, errors.Errorf("load of engine %s: status %d", c.base, response.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxReportSize)).Decode(&load)
+	if err != nil {
+		return load, errors.Wrapf(err, "decode load of engine %s", c.base)
+	}
+	if load.Running < 0 || load.Waiting < 0 || load.ReportAgeMS < 0 {
+		return load, errors.Wrapf(ErrMalformed, "load of engine %s", c.base)
+	}
+	return load, nil
+}
--- /dev/null
+++ b/internal/app/agent/answer.go
@@ -0,0 +1,102 @@
+package agent
+
+import (
+	"net/http"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"quetzalbend/internal/wire"
+)
+
+// sender is the part of a link stream that an answer needs.
+type sender interface {
+	Send(m proto.Message) error
+}
+
+// answer writes the frames of one answer in sequence.
+type answer struct {
+	stream    sender
+	requestID string
+	load      func() *wire.Load
+	sequence  int64
+	frames    int64 // chunks sent
+	bytes     int64 // body bytes sent
+	position  int64 // tokens that the caller has
+}
+
+func (a *answer) send(frame *wire.AnswerFrame) error {
+	frame.RequestId = a.requestID
+	frame.Sequence = a.sequence
+	a.sequence++
+	return a.stream.Send(frame)
+}
+
+func (a *answer) admitted() error {
+	return a.send(&wire.AnswerFrame{
+		Body: &wire.AnswerFrame_Admitted{Admitted: &wire.Admitted{}},
+		Load: a.load(),
+	})
+}
+
+func (a *answer) refused(refusal *wire.Refused) error {
+	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Refused{Refused: refusal}, Load: a.load()})
+}
+
+func (a *answer) head(status int, header http.Header) error {
+	head := &wire.Head{Status: int32(status), Headers: wireHeaders(header)}
+	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Head{Head: head}})
+}
+
+func (a *answer) chunk(data []byte, position int64) error {
+	a.frames++
+	a.bytes += int64(len(data))
+	a.position = position
+	chunk := &wire.Chunk{Data: data, Position: position}
+	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Chunk{Chunk: chunk}})
+}
+
+func (a *answer) final(replayed bool) error {
+	final := &wire.Final{Frames: a.frames, Bytes: a.bytes, Tokens: a.position, Replayed: replayed}
+	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Final{Final: final}, Load: a.load()})
+}
+
+func (a *answer) failed(failure *wire.Failed) error {
+	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Failed{Failed: failure}, Load: a.load()})
+}
+
+// hopByHop are headers that concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection":        true,
+	"Keep-Alive":        true,
+	"Proxy-Connection":  true,
+	"Te":                true,
+	"Trailer":           true,
+	"Transfer-Encoding": true,
+	"Upgrade":           true,
+	"Content-Length":    true,
+}
+
+func wireHeaders(header http.Header) []*wire.Header {
+	var headers []*wire.Header
+	for name, values := range header {
+		if hopByHop[name] {
+			continue
+		}
+		for _, value := range values {
+			headers = append(headers, &wire.Header{Name: name, Value: value})
+		}
+	}
+	sort.SliceStable(headers, func(i, j int) bool { return headers[i].GetName() < headers[j].GetName() })
+	return headers
+}
+
+func httpHeaders(headers []*wire.Header) http.Header {
+	header := make(http.Header, len(headers))
+	for _, h := range headers {
+		if name := http.CanonicalHeaderKey(h.GetName()); !hopByHop[name] {
+			header.Add(name, h.GetValue())
+		}
+	}
+	return header
+}
