--- /dev/null
+++ b/internal/core/routing/rendezvous.go
@@ -0,0 +1,56 @@
+package routing
+
+import (
+	"sort"
+
+	"quetzalbend/internal/core/catalog"
+)
+
+// FNV-1a parameters, 64 bits.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+func hash(parts ...string) uint64 {
+	sum := uint64(fnvOffset)
+	for _, part := range parts {
+		for i := 0; i < len(part); i++ {
+			sum = (sum ^ uint64(part[i])) * fnvPrime
+		}
+		sum = (sum ^ 0xff) * fnvPrime
+	}
+	return mix(sum)
+}
+
+// mix spreads the low bits of FNV over the whole word (finalizer of MurmurHash3).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Rank orders targets by rendezvous hashing of key, the key's home first.
+func Rank(key string, targets []*catalog.Target) []*catalog.Target {
+	type weighed struct {
+		target *catalog.Target
+		weight uint64
+	}
+	all := make([]weighed, len(targets))
+	for i, target := range targets {
+		all[i] = weighed{target: target, weight: hash(key, target.Name)}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].weight != all[j].weight {
+			return all[i].weight > all[j].weight
+		}
+		return all[i].target.Name < all[j].target.Name
+	})
+	ranked := make([]*catalog.Target, len(all))
+	for i, w := range all {
+		ranked[i] = w.target
+	}
+	return ranked
+}
--- /dev/null
+++ b/internal/core/routing/strategy.go
@@ -0,0 +1,73 @@
+package routing
+
+import "sync/atomic"
+
+// affinitySlack is how far above the mean utilization the target with a warm
+// prefix may be and still be preferred.
+const affinitySlack = 0.25
+
+// LeastOutstanding picks the lesser loaded of two random members. If that one
+// is full it looks at all of them. Two choices keep entries with equally old
+// reports from all picking the same target.
+type LeastOutstanding struct{}
+
+// Pick implements Strategy.
+func (LeastOutstanding) Pick(members []*Member, query *Query) *Member {
+	count := uint64(len(members))
+	first := members[query.Random%count]
+	second := members[(query.Random>>32)%count]
+	picked := lesser(first, second, query)
+	if Utilization(picked, query) < 1 {
+		return picked
+	}
+	for _, member := range members {
+		picked = lesser(picked, member, query)
+	}
+	return picked
+}
+
+func lesser(a, b *Member, query *Query) *Member {
+	if Utilization(b, query) < Utilization(a, query) {
+		return b
+	}
+	return a
+}
+
+// RoundRobin picks the members in turn. It serves as a baseline.
+type RoundRobin struct {
+	next atomic.Uint64
+}
+
+// Pick implements Strategy.
+func (r *RoundRobin) Pick(members []*Member, _ *Query) *Member {
+	return members[(r.next.Add(1)-1)%uint64(len(members))]
+}
+
+// Affinity prefers the member that rendezvous hashing names for the prompt's
+// prefix, whose engine then has the prefix in its cache. A member that is
+// loaded well above the others is left to Fallback.
+type Affinity struct {
+	Fallback Strategy
+}
+
+// Pick implements Strategy.
+func (a Affinity) Pick(members []*Member, query *Query) *Member {
+	if query.Affinity == "" {
+		return a.Fallback.Pick(members, query)
+	}
+	home := members[0]
+	var best uint64
+	var sum float64
+	for _, member := range members {
+		sum += Utilization(member, query)
+		if weight := hash(query.Affinity, member.Target.Name); weight >= best {
+			best = weight
+			home = member
+		}
+	}
+	mean := sum / float64(len(members))
+	if Utilization(home, query) < min(1, mean+affinitySlack) {
+		return home
+	}
+	return a.Fallback.Pick(members, query)
+}
--- /dev/null
+++ b/internal/core/routing/table.go
@@ -0,0 +1,113 @@
+package routing
+
+import (
+	"sync"
+
+	"quetzalbend/internal/core/catalog"
+)
+
+// Config says from where and with what bounds an entry routes.
+type Config struct {
+	Entry         string // name of the entry
+	FailureDomain string // of the entry
+	NearSubset    int    // targets considered in the entry's own failure domain
+	FarSubset     int    // targets considered in all others together
+}
+
+// Member is a target that may be picked, with its state.
+type Member struct {
+	Target *catalog.Target
+	State  *State
+}
+
+// Pool holds the targets that an entry considers for one model or service.
+type Pool struct {
+	Near []*Member // own failure domain
+	Far  []*Member // others, in rendezvous order of the entry
+	rest []*Member // serving targets outside both subsets
+}
+
+// Table holds the pools of one catalog. Pools are built when first used.
+type Table struct {
+	cfg     Config
+	catalog *catalog.Catalog
+	states  *States
+
+	mu       sync.RWMutex
+	models   map[catalog.TeamName]*Pool
+	services map[catalog.TeamName]*Pool
+}
+
+// NewTable returns the table of a catalog.
+func NewTable(cfg Config, cat *catalog.Catalog, states *States) *Table {
+	return &Table{
+		cfg:      cfg,
+		catalog:  cat,
+		states:   states,
+		models:   make(map[catalog.TeamName]*Pool),
+		services: make(map[catalog.TeamName]*Pool),
+	}
+}
+
+// Catalog returns the catalog from which the table was made.
+func (t *Table) Catalog() *catalog.Catalog { return t.catalog }
+
+// Model returns the pool of a model.
+func (t *Table) Model(name catalog.TeamName) *Pool {
+	return t.pool(t.models, name, t.catalog.ModelTargets[name])
+}
+
+// Service returns the pool of a service.
+func (t *Table) Service(name catalog.TeamName) *Pool {
+	return t.pool(t.services, name, t.catalog.ServiceTargets[name])
+}
+
+func (t *Table) pool(pools map[catalog.TeamName]*Pool, name catalog.TeamName, targets []*catalog.Target) *Pool {
+	t.mu.RLock()
+	pool, ok := pools[name]
+	t.mu.RUnlock()
+	if ok {
+		return pool
+	}
+	pool = t.build(targets)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pools[name] = pool
+	return pool
+}
+
+func (t *Table) build(targets []*catalog.Target) *Pool {
+	pool := &Pool{}
+	for _, target := range Rank(t.cfg.Entry, targets) {
+		if !target.Serving() {
+			continue
+		}
+		member := &Member{Target: target, State: t.states.Get(target.Name)}
+		pool.add(member, t.cfg)
+	}
+	return pool
+}
+
+func (p *Pool) add(member *Member, cfg Config) {
+	near := member.Target.FailureDomain == cfg.FailureDomain
+	switch {
+	case near && len(p.Near) < cfg.NearSubset:
+		p.Near = append(p.Near, member)
+	case !near && len(p.Far) < cfg.FarSubset:
+		p.Far = append(p.Far, member)
+	default:
+		p.rest = append(p.rest, member)
+	}
+}
+
+// ForKey returns the serving targets of a service in the order in which a key
+// that may not be repeated tries them. All entries name the same order.
+func (t *Table) ForKey(name catalog.TeamName, key string) []*Member {
+	var members []*Member
+	for _, target := range Rank(key, t.catalog.ServiceTargets[name]) {
+		if target.Serving() {
+			members = append(members, &Member{Target: target, State: t.states.Get(target.Name)})
+		}
+	}
+	return members
+}
