--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"quetzalbend/internal/core/retry"
+	"quetzalbend/internal/core/routing"
+	"quetzalbend/internal/core/strike"
+	"quetzalbend/internal/wire"
+)
+
+// Config holds what a Dispatcher needs.
+type Config struct {
+	Entry        string // name of the entry
+	Links        Links
+	Strategy     routing.Strategy
+	Strikes      *strike.Table
+	Counter      Counter
+	OnStrike     func(strike.Count)  // told of each new strike; may be nil
+	FirstFrame   time.Duration       // until an agent is given up that says nothing at all
+	Stall        time.Duration       // until a streamed answer that stopped is resumed elsewhere
+	Avoid        time.Duration       // how long an unreachable target is left out
+	AnswerBytes  int                 // bound of an answer that is not streamed
+	Now          func() time.Time    // time.Now if nil
+	Random       func() uint64       // rand.Uint64 if nil
+	AskInterval  time.Duration       // between questions for an outcome
+	NoRetryCodes map[string]struct{} // refusals that hold at every target
+}
+
+// Dispatcher carries requests to targets. It is safe for concurrent use.
+type Dispatcher struct {
+	cfg    Config
+	budget retry.Budget
+}
+
+// New returns a dispatcher.
+func New(cfg Config) *Dispatcher {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Random == nil {
+		cfg.Random = rand.Uint64
+	}
+	return &Dispatcher{cfg: cfg}
+}
+
+// Do runs a request on a target of the table and returns its whole answer. A
+// streamed answer goes to out as it comes. Every error is a *Failure.
+func (d *Dispatcher) Do(ctx context.Context, table *routing.Table, req *Request, out StreamWriter) (*Answer, error) {
+	d.budget.Deposit()
+	r := &run{d: d, table: table, req: req, out: out, ran: wire.Ran_RAN_NO}
+	for {
+		answer, action, failure := r.step(ctx)
+		switch {
+		case answer != nil:
+			answer.Attempts = r.attempts
+			return answer, nil
+		case action == retry.Retry:
+			d.cfg.Counter.Count("retries")
+		case action == retry.Ask:
+			return r.ask(ctx)
+		default:
+			return nil, failure
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/failure.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/wire"
+)
+
+// Stable codes of failures that arise in this package. Others are the reasons
+// that agents give.
+const (
+	CodeNoTarget         = "no_target"             // no target serves this now
+	CodeUnreachable      = "target_unreachable"    // no agent could be reached
+	CodeDeadline         = "deadline_exceeded"     // the caller's deadline passed
+	CodeCallerGone       = "caller_gone"           // the caller went away
+	CodeIncomplete       = "answer_incomplete"     // the answer ended before it was whole
+	CodeCrashesTargets   = "request_kills_targets" // the request was in flight when targets died, repeatedly
+	CodeOutcomeUnknown   = "outcome_unknown"       // a call that may not be repeated may have run
+	CodeAnswerLost       = "answer_lost"           // it ran, but its answer is gone
+	CodeAnswerTooLarge   = "answer_too_large"      // the answer is over the bound
+	CodeRefusedByTarget  = "refused"               // the agent gave no reason
+	codeMalformedAnswer  = "malformed_answer"
+	codeConnectionBroken = "connection_broken"
+)
+
+// Failure is the error of a request that got no whole answer.
+type Failure struct {
+	Code       string
+	Ran        wire.Ran
+	RetryAfter time.Duration // zero for none
+	Streaming  bool          // the caller already has a part of the answer
+	Peer       string        // target at which it arose, if any
+	Cause      error
+}
+
+// Error names the code, the peer and the cause.
+func (f *Failure) Error() string {
+	text := f.Code
+	if f.Peer != "" {
+		text += " at " + f.Peer
+	}
+	if f.Cause != nil {
+		text += ": " + f.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// AsFailure returns the Failure in err's chain.
+func AsFailure(err error) (*Failure, bool) {
+	var failure *Failure
+	ok := errors.As(err, &failure)
+	return failure, ok
+}
+
+// worse returns the graver of two statements: yes, then unknown, then no.
+func worse(a, b wire.Ran) wire.Ran {
+	if a == wire.Ran_RAN_YES || b == wire.Ran_RAN_YES {
+		return wire.Ran_RAN_YES
+	}
+	if a == wire.Ran_RAN_UNKNOWN || b == wire.Ran_RAN_UNKNOWN {
+		return wire.Ran_RAN_UNKNOWN
+	}
+	return wire.Ran_RAN_NO
+}
--- /dev/null
+++ b/internal/dispatch/outcome.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"quetzalbend/internal/core/routing"
+	"quetzalbend/internal/wire"
+)
+
+// ask finds out what became of a call that may not be repeated and whose
+// connection broke. It asks the agents of the service, the one that had the
+// call first, until one knows or the deadline passes.
+func (r *run) ask(ctx context.Context) (*Answer, error) {
+	r.d.cfg.Counter.Count("outcome_asked")
+	for {
+		outcome, peer := r.askAll(ctx)
+		if outcome != nil && !outcome.GetRunning() {
+			return r.concluded(outcome, peer)
+		}
+		if !wait(ctx, r.d.cfg.AskInterval) {
+			return nil, &Failure{Code: CodeOutcomeUnknown, Ran: wire.Ran_RAN_UNKNOWN, Peer: r.last.Target.Name, Cause: ctx.Err()}
+		}
+	}
+}
+
+// concluded turns an outcome that will not change into an answer or a failure.
+func (r *run) concluded(outcome *wire.Outcome, peer *routing.Member) (*Answer, error) {
+	if head := outcome.GetHead(); head != nil {
+		status := int(head.GetStatus())
+		if status == 0 {
+			status = http.StatusOK
+		}
+		return &Answer{
+			Status:   status,
+			Headers:  head.GetHeaders(),
+			Body:     outcome.GetBody(),
+			Replayed: true,
+			Target:   peer.Target.Name,
+			Attempts: r.attempts,
+		}, nil
+	}
+	failure := &Failure{Code: CodeOutcomeUnknown, Ran: outcome.GetRan(), Peer: peer.Target.Name}
+	switch outcome.GetRan() {
+	case wire.Ran_RAN_YES:
+		failure.Code = CodeAnswerLost
+	case wire.Ran_RAN_NO:
+		failure.Code = CodeUnreachable
+	case wire.Ran_RAN_UNKNOWN:
+	}
+	return nil, failure
+}
+
+// askAll returns the first outcome that an agent gives, and which agent.
+func (r *run) askAll(ctx context.Context) (*wire.Outcome, *routing.Member) {
+	members := append([]*routing.Member{r.last}, r.table.ForKey(r.req.name(), r.key())...)
+	for i, member := range members {
+		if i > 0 && member.Target.Name == r.last.Target.Name {
+			continue
+		}
+		outcome, err := r.askOne(ctx, member)
+		if err == nil {
+			return outcome, member
+		}
+		if ctx.Err() != nil {
+			return nil, nil
+		}
+	}
+	return nil, nil
+}
+
+func (r *run) askOne(ctx context.Context, member *routing.Member) (*wire.Outcome, error) {
+	stream, err := r.d.cfg.Links.Open(ctx, member.Target.Agent, &wire.Open{Purpose: &wire.Open_Ask{Ask: &wire.AskOutcome{
+		Service:        r.req.Service.Service,
+		IdempotencyKey: r.req.Service.IdempotencyKey,
+		Account:        r.req.Account,
+		RequestId:      r.req.ID,
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetDeadline(r.d.cfg.Now().Add(r.d.cfg.FirstFrame))
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	outcome := &wire.Outcome{}
+	if err := stream.Receive(outcome); err != nil {
+		return nil, err
+	}
+	return outcome, nil
+}
+
+// wait waits for a while and reports whether ctx is still alive.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"time"
+
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/wire"
+)
+
+// Request is one request of a caller. Exactly one of Model and Service is set.
+type Request struct {
+	ID          string
+	Team        string
+	Account     string
+	Class       schema.Class
+	Priority    int32
+	Deadline    time.Time
+	Fingerprint string // see strike.Fingerprint
+	Affinity    string // hash of the prompt's prefix
+	Model       *wire.ModelCall
+	Service     *wire.ServiceCall
+}
+
+// repeatable reports whether the request may run more than once.
+func (r *Request) repeatable() bool { return r.Model != nil || r.Service.Idempotent }
+
+func (r *Request) streamed() bool { return r.Model != nil && r.Model.Stream }
+
+// name returns the model or service that the request needs.
+func (r *Request) name() catalog.TeamName {
+	if r.Model != nil {
+		return catalog.TeamName{Team: r.Team, Name: r.Model.Model}
+	}
+	return catalog.TeamName{Team: r.Team, Name: r.Service.Service}
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Streamed bool // passed on by the StreamWriter; Headers and Body are empty
+	Status   int
+	Headers  []*wire.Header
+	Body     []byte
+	Tokens   int64 // model calls: tokens generated
+	Replayed bool  // answer of an earlier run of the same key
+	Target   string
+	Attempts int
+}
