--- /dev/null
+++ b/internal/app/standin/engine/orders.go
@@ -0,0 +1,21 @@
+package engine
+
+// Order tells the engine to load something or to change its role.
+type Order struct {
+	Fencing int64  `json:"fencing"`
+	Kind    string `json:"kind"` // load_model, load_adapter, set_role
+	Name    string `json:"name"`
+	Version string `json:"version"`
+}
+
+// order carries out an order, or refuses it for its old fencing number.
+func (s *state) order(order Order) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.config.ChecksFencing && order.Fencing < s.highOrder {
+		return false
+	}
+	s.highOrder = max(s.highOrder, order.Fencing)
+	s.truth.Orders = append(s.truth.Orders, order)
+	return true
+}
--- /dev/null
+++ b/internal/app/standin/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve holds what the HTTP stand-ins share.
+package serve
