--- /dev/null
+++ b/internal/core/catalog/build_test.go
@@ -0,0 +1,122 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/core/settings"
+)
+
+func entry(path string, version int64, value string) settings.Entry {
+	return settings.Entry{Path: path, Version: version, Value: []byte(value)}
+}
+
+func small() []settings.Entry {
+	return []settings.Entry{
+		entry("/domains/a", 1, `{"state":"in"}`),
+		entry("/teams/red", 2, `{}`),
+		entry("/teams/red/models/m", 3, `{"versions":["1"]}`),
+		entry("/teams/red/workloads/w", 4, `{"model":"m"}`),
+		entry("/teams/red/accounts/x", 5, `{"token_sha256":"aa"}`),
+		entry("/targets/t2", 6, `{"agent":"127.0.0.1:2","failure_domain":"a","kind":"model","serves":["m"]}`),
+		entry("/targets/t1", 7, `{"agent":"127.0.0.1:1","failure_domain":"a","kind":"model","serves":["m"],"team":"red"}`),
+		entry("/teams/red/services/s", 8, `{"routes":[{"method":"GET","path_prefix":"/"}]}`),
+		entry("/targets/s1", 9, `{"agent":"127.0.0.1:3","failure_domain":"a","kind":"service","serves":["s"],"team":"red"}`),
+	}
+}
+
+func TestBuildIndexesAndFillsDefaults(t *testing.T) {
+	c := Build(settings.NewSnapshot(9, small()))
+	model := c.ModelTargets[TeamName{"red", "m"}]
+	assert.Equal(t, len(model), 2)
+	assert.Equal(t, model[0].Name, "t1")
+	assert.Equal(t, model[0].MaxLimit, schema.DefaultMaxLimit)
+	assert.Equal(t, len(c.ServiceTargets[TeamName{"red", "s"}]), 1)
+	assert.Equal(t, c.Workloads[TeamName{"red", "w"}].Class, schema.Interactive)
+	assert.Equal(t, c.Services[TeamName{"red", "s"}].Routes[0].Class, schema.Interactive)
+	assert.Equal(t, c.AccountByToken["aa"].Team, "red")
+	assert.Equal(t, len(c.Unreadable), 0)
+}
+
+func TestRebuildReusesWhatHasNotChanged(t *testing.T) {
+	first := Build(settings.NewSnapshot(9, small()))
+	entries := small()
+	entries[0] = entry("/domains/a", 10, `{"state":"out"}`)
+	second := Rebuild(first, settings.NewSnapshot(10, entries))
+
+	assert.Assert(t, first.Targets["t1"].Serving())
+	assert.Assert(t, !second.Targets["t1"].Serving())
+	assert.Assert(t, !second.ModelTargets[TeamName{"red", "m"}][0].Serving())
+	assert.Assert(t, first.AccountByToken["aa"] == second.AccountByToken["aa"])
+	assert.Assert(t, first.Workloads[TeamName{"red", "w"}] == second.Workloads[TeamName{"red", "w"}])
+
+	third := Rebuild(second, settings.NewSnapshot(11, append(small()[1:4:4], small()[5:]...)))
+	assert.Equal(t, len(third.AccountByToken), 0)
+	assert.Assert(t, third.Targets["t1"].Serving())
+}
+
+func TestRebuildKeepsWhatItHadForAnUnreadableValue(t *testing.T) {
+	first := Build(settings.NewSnapshot(9, small()))
+	entries := small()
+	entries[0] = entry("/domains/a", 10, `{"state":"draining"}`)
+	entries[4] = entry("/teams/red/accounts/x", 11, `[]`)
+	entries = append(entries, entry("/later/z", 12, `{}`))
+	second := Rebuild(first, settings.NewSnapshot(12, entries))
+	assert.DeepEqual(t, second.Unreadable, []string{"/domains/a", "/later/z", "/teams/red/accounts/x"})
+	assert.Equal(t, second.Domains["a"].State, schema.In)
+	assert.Equal(t, second.AccountByToken["aa"].Name, "x")
+}
+
+func TestFirstOfTwoAccountsKeepsTheToken(t *testing.T) {
+	c := Build(settings.NewSnapshot(2, []settings.Entry{
+		entry("/teams/b/accounts/x", 1, `{"token_sha256":"aa"}`),
+		entry("/teams/a/accounts/y", 2, `{"token_sha256":"aa"}`),
+	}))
+	assert.Equal(t, c.AccountByToken["aa"].Team, "a")
+}
+
+// large returns entries for 45,000 accounts and 3,700 targets.
+func large() []settings.Entry {
+	entries := small()
+	for i := range 45_000 {
+		hash := sha256.Sum256(fmt.Append(nil, i))
+		entries = append(entries, entry(fmt.Sprintf("/teams/red/accounts/account-%d", i), int64(i+100),
+			fmt.Sprintf(`{"token_sha256":"%s","limits":{"requests_per_second":5}}`, hex.EncodeToString(hash[:]))))
+	}
+	for i := range 3_700 {
+		entries = append(entries, entry(fmt.Sprintf("/targets/target-%d", i), int64(i+50_000),
+			fmt.Sprintf(`{"agent":"127.0.0.1:%d","failure_domain":"a","kind":"model","serves":["m"]}`, 1024+i)))
+	}
+	return entries
+}
+
+func BenchmarkBuild(b *testing.B) {
+	snapshot := settings.NewSnapshot(60_000, large())
+	b.ReportAllocs()
+	for b.Loop() {
+		Build(snapshot)
+	}
+}
+
+func BenchmarkRebuild(b *testing.B) {
+	entries := large()
+	catalog := Build(settings.NewSnapshot(60_000, entries))
+	changes := map[string]settings.Entry{
+		"account": entry("/teams/red/accounts/account-7", 60_001, `{"token_sha256":"bb"}`),
+		"target":  entry("/targets/target-7", 60_001, `{"agent":"127.0.0.1:9","failure_domain":"a","serves":["m"]}`),
+	}
+	for name, change := range changes {
+		b.Run(name, func(b *testing.B) {
+			snapshot := settings.NewSnapshot(60_001, append(entries[:len(entries):len(entries)], change))
+			b.ReportAllocs()
+			for b.Loop() {
+				Rebuild(catalog, snapshot)
+			}
+		})
+	}
+}
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -46,6 +46,7 @@
 	Domains        map[string]schema.Domain
 	Groups         map[string]schema.Group
 	Targets        map[string]*Target
+	Models         map[TeamName]schema.Model
 	Workloads      map[TeamName]*Workload
 	Services       map[TeamName]*Service
 	AccountByToken map[string]*Account        // key: hex SHA-256 of the bearer token
@@ -53,4 +54,6 @@
 	ServiceTargets map[TeamName][]*Target     // by team and service, in name order
 	Operators      map[string]schema.Operator // by hex SHA-256 of the token
 	Unreadable     []string                   // paths whose accepted value this version cannot read
+
+	items []item // of all paths, in path order
 }
--- /dev/null
+++ b/internal/core/catalog/item.go
@@ -0,0 +1,133 @@
+package catalog
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/core/settings"
+)
+
+// item is one path with its typed value. A catalog keeps its items in path
+// order, so that the next one can reuse what has not changed.
+type item struct {
+	path       string
+	version    int64
+	name       TeamName // of things within a team
+	value      any      // pointer to the typed value; nil if it could never be read
+	unreadable bool
+}
+
+// newItem reads an entry, or reuses what before holds for the same version.
+func newItem(entry settings.Entry, before *item) item {
+	if before != nil && before.version == entry.Version {
+		return *before
+	}
+	i := item{path: entry.Path, version: entry.Version}
+	path, err := schema.ParsePath(entry.Path)
+	if err == nil {
+		i.name = TeamName{Team: path.Team, Name: path.Name}
+		i.value, err = decode(path, entry.Value)
+	}
+	if err != nil {
+		i.unreadable = true
+		i.value = nil
+		if before != nil {
+			i.value = before.value
+		}
+	}
+	return i
+}
+
+// isAccount reports whether an item's value is an account.
+func isAccount(value any) bool {
+	_, ok := value.(*Account)
+	return ok
+}
+
+// decode reads the value at path. Fields that this version does not know are
+// ignored.
+func decode(path schema.Path, data []byte) (any, error) {
+	switch path.Kind {
+	case schema.KindDomain:
+		value := &schema.Domain{}
+		err := read(data, value, func() error { value.SetDefaults(); return knownState(value.State) })
+		return value, err
+	case schema.KindOperator:
+		value := &schema.Operator{}
+		return value, read(data, value, nil)
+	case schema.KindTarget:
+		value := &Target{Name: path.Name}
+		err := read(data, &value.Target, func() error { value.SetDefaults(); return knownTarget(&value.Target) })
+		return value, err
+	case schema.KindGroup:
+		value := &schema.Group{}
+		return value, read(data, value, nil)
+	case schema.KindTeam:
+		value := &schema.Team{}
+		err := read(data, value, func() error { value.SetDefaults(); return nil })
+		return value, err
+	case schema.KindAccount:
+		value := &Account{Name: path.Name, Team: path.Team}
+		err := read(data, &value.Account, func() error { return knownClass(value.Class) })
+		return value, err
+	case schema.KindModel:
+		value := &schema.Model{}
+		return value, read(data, value, nil)
+	case schema.KindWorkload:
+		value := &Workload{Name: path.Name, Team: path.Team}
+		err := read(data, &value.Workload, func() error { value.SetDefaults(); return knownClass(value.Class) })
+		return value, err
+	case schema.KindService:
+		value := &Service{Name: path.Name, Team: path.Team}
+		err := read(data, &value.Service, func() error { value.SetDefaults(); return knownRoutes(value.Routes) })
+		return value, err
+	}
+	return nil, errors.Errorf("unknown kind %q", path.Kind)
+}
+
+// read decodes data into value and then calls finish, if there is one.
+func read(data []byte, value any, finish func() error) error {
+	if err := json.Unmarshal(data, value); err != nil {
+		return errors.Wrap(err, "decode setting")
+	}
+	if finish == nil {
+		return nil
+	}
+	return finish()
+}
+
+// knownState, knownTarget, knownClass and knownRoutes refuse enumeration values
+// of a later version, which this version would otherwise misread.
+
+func knownState(state schema.Membership) error {
+	if state != schema.In && state != schema.Out {
+		return errors.Errorf("unknown state %q", state)
+	}
+	return nil
+}
+
+func knownTarget(target *schema.Target) error {
+	if target.Kind != schema.ModelTarget && target.Kind != schema.ServiceTarget {
+		return errors.Errorf("unknown kind of target %q", target.Kind)
+	}
+	return knownState(target.State)
+}
+
+func knownClass(class schema.Class) error {
+	switch class {
+	case "", schema.Certificate, schema.Interactive, schema.Batch:
+		return nil
+	}
+	return errors.Errorf("unknown class %q", class)
+}
+
+func knownRoutes(routes []schema.Route) error {
+	for _, route := range routes {
+		if err := knownClass(route.Class); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/check/decode.go
@@ -0,0 +1,158 @@
+package check
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds limit what Decode reads.
+type Bounds struct {
+	Bytes int // size of the document
+	Depth int // nesting of objects and arrays
+}
+
+// Decode reads one JSON document into a T. It refuses documents that are too
+// large, too deep, not UTF-8, not whole, with trailing data, with unknown or
+// repeated fields, or with values of the wrong type. Path names the document
+// in problems.
+func Decode[T any](path string, data []byte, bounds Bounds) (T, []Problem) {
+	var value T
+	report := NewReport(path)
+	tree, ok := parse(data, bounds, report)
+	if !ok {
+		return value, report.Problems()
+	}
+	matchType(report, "", tree, reflect.TypeFor[T]())
+	if len(report.problems) > 0 {
+		return value, report.Problems()
+	}
+	if err := json.Unmarshal(data, &value); err != nil {
+		report.Add("", nil, errors.Wrap(err, "a value of the right types").Error())
+	}
+	return value, report.Problems()
+}
+
+// parse reads the document into a tree of map[string]any, []any and scalars.
+func parse(data []byte, bounds Bounds, report *Report) (any, bool) {
+	switch {
+	case len(data) > bounds.Bytes:
+		report.Addf("", nil, "at most %d bytes", bounds.Bytes)
+		return nil, false
+	case len(bytes.TrimSpace(data)) == 0:
+		report.Add("", nil, "a JSON object; the document is empty")
+		return nil, false
+	case !utf8.Valid(data):
+		report.Add("", nil, "UTF-8 text")
+		return nil, false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	reader := treeReader{decoder: decoder, maxDepth: bounds.Depth, report: report}
+	tree, err := reader.value("", 0)
+	if err == nil {
+		err = reader.end()
+	}
+	if err != nil {
+		report.Add("", nil, describeSyntax(err, decoder.InputOffset()))
+		return nil, false
+	}
+	return tree, true
+}
+
+// describeSyntax says what is wrong with a document that is not valid JSON.
+func describeSyntax(err error, offset int64) string {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return fmt.Sprintf("whole JSON; the document is cut off at byte %d", offset)
+	}
+	return fmt.Sprintf("valid JSON; at byte %d: %v", offset, err)
+}
+
+// treeReader builds a tree from a decoder's tokens.
+type treeReader struct {
+	decoder  *json.Decoder
+	maxDepth int
+	report   *Report
+}
+
+func (r *treeReader) value(field string, depth int) (any, error) {
+	token, err := r.decoder.Token()
+	if err != nil {
+		return nil, err
+	}
+	delimiter, ok := token.(json.Delim)
+	if !ok {
+		return token, nil
+	}
+	if depth == r.maxDepth {
+		return nil, errors.Errorf("nested deeper than %d levels", r.maxDepth)
+	}
+	if delimiter == '{' {
+		return r.object(field, depth+1)
+	}
+	return r.array(field, depth+1)
+}
+
+func (r *treeReader) object(field string, depth int) (any, error) {
+	object := make(map[string]any)
+	for r.decoder.More() {
+		token, err := r.decoder.Token()
+		if err != nil {
+			return nil, err
+		}
+		name, ok := token.(string)
+		if !ok {
+			return nil, errors.Errorf("field name %v is not a string", token)
+		}
+		inner := join(field, name)
+		if _, repeated := object[name]; repeated {
+			r.report.Add(inner, nil, "each field once")
+		}
+		value, err := r.value(inner, depth)
+		if err != nil {
+			return nil, err
+		}
+		object[name] = value
+	}
+	_, err := r.decoder.Token()
+	return object, err
+}
+
+func (r *treeReader) array(field string, depth int) (any, error) {
+	var array []any
+	for r.decoder.More() {
+		value, err := r.value(index(field, len(array)), depth)
+		if err != nil {
+			return nil, err
+		}
+		array = append(array, value)
+	}
+	_, err := r.decoder.Token()
+	return array, err
+}
+
+func (r *treeReader) end() error {
+	_, err := r.decoder.Token()
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	if err == nil {
+		err = errors.New("data after the end of the document")
+	}
+	return err
+}
+
+func join(field, name string) string {
+	name = shorten(name)
+	if field == "" {
+		return name
+	}
+	return field + "." + name
+}
+
+func index(field string, i int) string { return fmt.Sprintf("%s[%d]", field, i) }
--- /dev/null
+++ b/internal/startup/doc.go
@@ -0,0 +1,2 @@
+// Package startup reads the JSON file that a program is started with.
+package startup
