--- /dev/null
+++ b/internal/adapter/callerhttp/chat.go
@@ -0,0 +1,134 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"net/http"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/strike"
+	"quetzalbend/internal/dispatch"
+	"quetzalbend/internal/wire"
+)
+
+// chatRequest is the part of a chat completion that routing needs. The body
+// goes to the engine as it came.
+type chatRequest struct {
+	Model    string        `json:"model"`
+	Stream   bool          `json:"stream"`
+	Messages []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+func (h *handler) chat(x *exchange) *failure {
+	body, failed := h.readBody(x.w, x.r)
+	if failed != nil {
+		return failed
+	}
+	chat, failed := parseChat(body)
+	if failed != nil {
+		return failed
+	}
+	workload, ok := x.catalog().Workloads[catalog.TeamName{Team: x.account.Team, Name: chat.Model}]
+	if !ok {
+		return refuse(CodeUnknownModel, "no workload "+strconv.Quote(chat.Model))
+	}
+	x.class = classFor(workload.Class, x.account.Class)
+	affinity := prefixHash(x.account.Team, chat)
+	req := h.request(x, body)
+	req.Affinity = affinity
+	req.Model = &wire.ModelCall{
+		Model:      workload.Model,
+		Adapter:    workload.Adapter,
+		Version:    workload.Version,
+		Body:       body,
+		Stream:     chat.Stream,
+		PrefixHash: affinity,
+	}
+	if chat.Stream {
+		x.stream = newSSEWriter(x, h)
+	}
+	answer, failed := h.run(x, req, milliseconds(workload.TimeoutMS), x.stream)
+	if failed != nil {
+		return failed
+	}
+	if answer.Streamed {
+		x.stream.finish()
+		return nil
+	}
+	h.writeAnswer(x, answer, "application/json")
+	return nil
+}
+
+func (h *handler) request(x *exchange, body []byte) *dispatch.Request {
+	return &dispatch.Request{
+		ID:          x.id,
+		Team:        x.account.Team,
+		Account:     x.account.Name,
+		Class:       x.class,
+		Priority:    priority(x.class),
+		Fingerprint: strike.Fingerprint(x.account.Team+"/"+x.account.Name, body),
+	}
+}
+
+func parseChat(body []byte) (*chatRequest, *failure) {
+	if !utf8.Valid(body) {
+		return nil, refuse(CodeBadRequest, "the body is not UTF-8")
+	}
+	chat := &chatRequest{}
+	if err := json.Unmarshal(body, chat); err != nil {
+		return nil, refuse(CodeBadRequest, "the body is not a chat completion: "+err.Error())
+	}
+	if chat.Model == "" {
+		return nil, refuse(CodeBadRequest, "field model: want the name of a workload")
+	}
+	if len(chat.Messages) == 0 {
+		return nil, refuse(CodeBadRequest, "field messages: want at least one message")
+	}
+	return chat, nil
+}
+
+// prefixHash identifies a conversation by the messages up to the first of the
+// user, which later requests of the same conversation repeat.
+func prefixHash(team string, chat *chatRequest) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(team))
+	_, _ = h.Write([]byte(chat.Model))
+	for _, message := range chat.Messages {
+		_, _ = h.Write([]byte(message.Role))
+		_, _ = h.Write(message.Content)
+		if message.Role == "user" {
+			break
+		}
+	}
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// writeAnswer writes a whole answer.
+func (h *handler) writeAnswer(x *exchange, answer *dispatch.Answer, contentType string) {
+	header := x.w.Header()
+	header.Set("Content-Type", contentType)
+	for _, line := range answer.Headers {
+		if forwarded(line.GetName()) {
+			header.Set(line.GetName(), line.GetValue())
+		}
+	}
+	if answer.Replayed {
+		header.Set("Idempotent-Replayed", "true")
+	}
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	control := http.NewResponseController(x.w)
+	_ = control.SetWriteDeadline(time.Now().Add(h.bounds.WriteTimeout))
+	x.w.WriteHeader(answer.Status)
+	_, _ = x.w.Write(answer.Body)
+	_ = control.SetWriteDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/class.go
@@ -0,0 +1,33 @@
+package callerhttp
+
+import "quetzalbend/internal/core/schema"
+
+// Priorities of the classes; larger is more urgent.
+const (
+	priorityBatch       = 10
+	priorityInteractive = 20
+	priorityCertificate = 30
+)
+
+func priority(class schema.Class) int32 {
+	switch class {
+	case schema.Certificate:
+		return priorityCertificate
+	case schema.Batch:
+		return priorityBatch
+	case schema.Interactive:
+	}
+	return priorityInteractive
+}
+
+// classFor returns the class of a request: that of the workload or route, but
+// none more urgent than the account may use.
+func classFor(wanted, allowed schema.Class) schema.Class {
+	if wanted == "" {
+		wanted = schema.Interactive
+	}
+	if allowed != "" && priority(allowed) < priority(wanted) {
+		return allowed
+	}
+	return wanted
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/handler.go
@@ -0,0 +1,188 @@
+package callerhttp
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/routing"
+	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/dispatch"
+)
+
+// TimeoutHeader is the request header by which a caller shortens the deadline,
+// in milliseconds.
+const TimeoutHeader = "X-Request-Timeout-Ms"
+
+// RequestIDHeader names a request in answers and problems.
+const RequestIDHeader = "X-Request-Id"
+
+type handler struct {
+	bounds     Bounds
+	tables     Tables
+	dispatcher Dispatcher
+	limiter    Limiter
+	recorder   Recorder
+}
+
+func newHandler(cfg Config) http.Handler {
+	h := &handler{
+		bounds:     cfg.Bounds,
+		tables:     cfg.Tables,
+		dispatcher: cfg.Dispatcher,
+		limiter:    cfg.Limiter,
+		recorder:   cfg.Recorder,
+	}
+	if h.limiter == nil {
+		h.limiter = noLimits{}
+	}
+	if h.recorder == nil {
+		h.recorder = noRecorder{}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", h.serve(h.chat))
+	mux.HandleFunc("GET /v1/models", h.serve(h.models))
+	mux.HandleFunc("/v1/services/{service}/{path...}", h.serve(h.service))
+	mux.HandleFunc("/", h.serve(h.notFound))
+	return mux
+}
+
+// exchange is one request with its answer.
+type exchange struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	start   time.Time
+	table   *routing.Table
+	account *catalog.Account
+	class   schema.Class
+	stream  *sseWriter // of a streamed answer
+	tokens  int64
+}
+
+// catalog returns the settings that the request uses for its whole life.
+func (x *exchange) catalog() *catalog.Catalog { return x.table.Catalog() }
+
+// serve wraps an endpoint: authentication, the request id, problems, metrics.
+func (h *handler) serve(endpoint func(*exchange) *failure) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{w: w, r: r, start: time.Now(), id: newRequestID(), table: h.tables.Table()}
+		w.Header().Set(RequestIDHeader, x.id)
+		failed := h.authenticate(x)
+		if failed == nil {
+			failed = endpoint(x)
+		}
+		h.record(x, failed)
+		if failed == nil {
+			return
+		}
+		if failed.streaming {
+			x.stream.fail(failed.problem(x.id))
+		}
+		failed.write(w, x.id)
+	}
+}
+
+func newRequestID() string {
+	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
+}
+
+func (h *handler) authenticate(x *exchange) *failure {
+	if x.table == nil {
+		failed := refuse(CodeNotReady, "")
+		failed.retryAfter = time.Second
+		return failed
+	}
+	scheme, token, _ := strings.Cut(x.r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return refuse(CodeUnauthorized, "a bearer token is required")
+	}
+	sum := sha256.Sum256([]byte(token))
+	account, ok := x.catalog().AccountByToken[hex.EncodeToString(sum[:])]
+	if !ok {
+		return refuse(CodeUnauthorized, "the token is not known")
+	}
+	x.account = account
+	return nil
+}
+
+func (h *handler) record(x *exchange, failed *failure) {
+	observation := Observation{
+		Class:   x.class,
+		Code:    CodeOK,
+		Latency: time.Since(x.start),
+		Tokens:  x.tokens,
+	}
+	if x.account != nil {
+		observation.Team, observation.Account = x.account.Team, x.account.Name
+	}
+	if failed != nil {
+		observation.Code = failed.code
+	}
+	if x.stream != nil && x.stream.started {
+		observation.FirstToken = x.stream.first.Sub(x.start)
+	}
+	h.recorder.Finished(observation)
+}
+
+// run sends a request to a target within limits and the deadline.
+func (h *handler) run(x *exchange, req *dispatch.Request, timeout time.Duration, out dispatch.StreamWriter) (*dispatch.Answer, *failure) {
+	timeout, failed := callerTimeout(x.r, timeout)
+	if failed != nil {
+		return nil, failed
+	}
+	release, refusal := h.limiter.Admit(x.account, x.class)
+	if refusal != nil {
+		return nil, limited(refusal)
+	}
+	defer func() { release(x.tokens) }()
+	req.Deadline = x.start.Add(timeout)
+	ctx, cancel := context.WithDeadline(x.r.Context(), req.Deadline)
+	defer cancel()
+	answer, err := h.dispatcher.Do(ctx, x.table, req, out)
+	if err != nil {
+		return nil, fromDispatch(err)
+	}
+	x.tokens = answer.Tokens
+	return answer, nil
+}
+
+func limited(refusal *Refusal) *failure {
+	failed := refuse(refusal.Code, "")
+	failed.status = http.StatusTooManyRequests
+	failed.retryAfter = refusal.RetryAfter
+	return failed
+}
+
+// callerTimeout returns the lesser of the settings' and the caller's timeout.
+func callerTimeout(r *http.Request, timeout time.Duration) (time.Duration, *failure) {
+	text := r.Header.Get(TimeoutHeader)
+	if text == "" {
+		return timeout, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, refuse(CodeBadRequest, TimeoutHeader+" must be a whole number of milliseconds above 0")
+	}
+	return min(timeout, time.Duration(ms)*time.Millisecond), nil
+}
+
+func (h *handler) notFound(*exchange) *failure { return refuse(CodeNotFound, "") }
+
+type noLimits struct{}
+
+func (noLimits) Admit(*catalog.Account, schema.Class) (func(int64), *Refusal) {
+	return func(int64) {}, nil
+}
+
+type noRecorder struct{}
+
+func (noRecorder) Finished(Observation)                              {}
+func (noRecorder) BetweenTokens(string, schema.Class, time.Duration) {}
--- /dev/null
+++ b/internal/adapter/callerhttp/problem.go
@@ -0,0 +1,152 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"quetzalbend/internal/dispatch"
+	"quetzalbend/internal/wire"
+)
+
+// Stable codes of failures that arise here.
+const (
+	CodeUnauthorized      = "unauthorized"
+	CodeNotReady          = "not_ready"
+	CodeBadRequest        = "bad_request"
+	CodeBodyTooLarge      = "body_too_large"
+	CodeBodyTimeout       = "body_timeout"
+	CodeUnknownModel      = "unknown_model"
+	CodeUnknownService    = "unknown_service"
+	CodeNoRoute           = "no_route"
+	CodeKeyRequired       = "idempotency_key_required"
+	CodeInvalidKey        = "invalid_idempotency_key"
+	CodeNotFound          = "not_found"
+	problemContentType    = "application/problem+json"
+	statusCallerGone      = 499 // never seen by the caller, who is gone
+	problemTypeURNPrefix  = "urn:quetzalbend:problem:"
+	minRetryAfterInHeader = time.Second
+)
+
+// Problem is the body of a failed request (RFC 9457).
+type Problem struct {
+	Type      string `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Code      string `json:"code"`
+	Ran       string `json:"ran"` // "no", "yes" or "unknown"
+	Detail    string `json:"detail,omitempty"`
+	RequestID string `json:"request_id,omitempty"`
+}
+
+var statusByCode = map[string]int{
+	CodeUnauthorized:            http.StatusUnauthorized,
+	CodeNotReady:                http.StatusServiceUnavailable,
+	CodeBadRequest:              http.StatusBadRequest,
+	CodeBodyTooLarge:            http.StatusRequestEntityTooLarge,
+	CodeBodyTimeout:             http.StatusRequestTimeout,
+	CodeUnknownModel:            http.StatusNotFound,
+	CodeUnknownService:          http.StatusNotFound,
+	CodeNoRoute:                 http.StatusNotFound,
+	CodeNotFound:                http.StatusNotFound,
+	CodeKeyRequired:             http.StatusBadRequest,
+	CodeInvalidKey:              http.StatusBadRequest,
+	dispatch.CodeDeadline:       http.StatusGatewayTimeout,
+	dispatch.CodeCallerGone:     statusCallerGone,
+	dispatch.CodeIncomplete:     http.StatusBadGateway,
+	dispatch.CodeCrashesTargets: http.StatusUnprocessableEntity,
+	dispatch.CodeOutcomeUnknown: http.StatusBadGateway,
+	dispatch.CodeAnswerLost:     http.StatusBadGateway,
+	dispatch.CodeAnswerTooLarge: http.StatusBadGateway,
+}
+
+// failure is a request that is refused before it reaches the dispatcher, or
+// one that the dispatcher failed.
+type failure struct {
+	code       string
+	status     int // 0: by code
+	ran        wire.Ran
+	retryAfter time.Duration
+	detail     string
+	streaming  bool
+}
+
+func refuse(code, detail string) *failure {
+	return &failure{code: code, ran: wire.Ran_RAN_NO, detail: detail}
+}
+
+func fromDispatch(err error) *failure {
+	cause, ok := dispatch.AsFailure(err)
+	if !ok {
+		return &failure{code: dispatch.CodeOutcomeUnknown, detail: err.Error()}
+	}
+	failed := &failure{
+		code:       cause.Code,
+		ran:        cause.Ran,
+		retryAfter: cause.RetryAfter,
+		streaming:  cause.Streaming,
+	}
+	if cause.Cause != nil {
+		failed.detail = cause.Cause.Error()
+	}
+	return failed
+}
+
+func (f *failure) httpStatus() int {
+	if f.status != 0 {
+		return f.status
+	}
+	if status, ok := statusByCode[f.code]; ok {
+		return status
+	}
+	if f.ran == wire.Ran_RAN_NO {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+func (f *failure) problem(requestID string) Problem {
+	status := f.httpStatus()
+	return Problem{
+		Type:      problemTypeURNPrefix + f.code,
+		Title:     http.StatusText(status),
+		Status:    status,
+		Code:      f.code,
+		Ran:       ranText(f.ran),
+		Detail:    f.detail,
+		RequestID: requestID,
+	}
+}
+
+func ranText(ran wire.Ran) string {
+	switch ran {
+	case wire.Ran_RAN_NO:
+		return "no"
+	case wire.Ran_RAN_YES:
+		return "yes"
+	case wire.Ran_RAN_UNKNOWN:
+	}
+	return "unknown"
+}
+
+func (f *failure) write(w http.ResponseWriter, requestID string) {
+	problem := f.problem(requestID)
+	body, err := json.Marshal(problem)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header := w.Header()
+	header.Set("Content-Type", problemContentType)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if f.code == CodeUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	if f.retryAfter > 0 {
+		seconds := math.Ceil(max(f.retryAfter, minRetryAfterInHeader).Seconds())
+		header.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(problem.Status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/server.go
@@ -0,0 +1,79 @@
+package callerhttp
+
+import (
+	"crypto/tls"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// NewServer returns the HTTP server for callers: HTTP/1.1 and HTTP/2, the
+// latter also without TLS. TLS may be nil.
+func NewServer(cfg Config, secure *tls.Config) *http.Server {
+	cfg.Bounds = cfg.Bounds.withDefaults()
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           newHandler(cfg),
+		Protocols:         protocols,
+		TLSConfig:         secure,
+		MaxHeaderBytes:    cfg.Bounds.HeaderBytes,
+		ReadHeaderTimeout: cfg.Bounds.HeaderTimeout,
+		IdleTimeout:       cfg.Bounds.IdleTimeout,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+}
+
+// LimitListener returns a listener that holds at most limit connections at
+// once; further ones wait to be accepted.
+func LimitListener(inner net.Listener, limit int) net.Listener {
+	if limit == 0 {
+		limit = DefaultConnections
+	}
+	return &limitListener{Listener: inner, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+type limitListener struct {
+	net.Listener
+	slots     chan struct{}
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// Accept waits for a free slot and then for a connection.
+func (l *limitListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
+}
+
+// Close closes the inner listener and ends a waiting Accept.
+func (l *limitListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close frees the connection's slot.
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -45,6 +45,9 @@
 // budget: the others did not add load, or the load they added is gone.
 func Decide(a Attempt, budget *Budget) Action {
 	mayHaveRun := a.Outcome != NotSent && a.Outcome != NotRun
+	if a.Outcome == Failed && !a.Repeatable {
+		return GiveUp // the agent has said all it knows
+	}
 	if mayHaveRun && !a.Repeatable {
 		return Ask
 	}
