--- /dev/null
+++ b/cmd/quetzalbend-load/main.go
@@ -0,0 +1,39 @@
+// Command quetzalbend-load generates load and runs experiments, one subcommand
+// for each.
+package main
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/program"
+)
+
+// experiments add their subcommands to the parser.
+var experiments []func(parser *flags.Parser) error
+
+func main() {
+	parser := flags.NewNamedParser("quetzalbend-load", flags.Default)
+	for _, register := range experiments {
+		if err := register(parser); err != nil {
+			os.Exit(int(program.ExitFailed))
+		}
+	}
+	_, err := parser.Parse()
+	os.Exit(int(exitCode(err)))
+}
+
+func exitCode(err error) program.ExitCode {
+	var flagsError *flags.Error
+	switch {
+	case err == nil:
+		return program.ExitOK
+	case errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp:
+		return program.ExitOK
+	case errors.As(err, &flagsError):
+		return program.ExitUsage
+	}
+	return program.ExitFailed
+}
--- a/cmd/quetzalbend-standin/main.go
+++ b/cmd/quetzalbend-standin/main.go
@@ -1,4 +1,43 @@
-// Command quetzalbend-standin.
+// Command quetzalbend-standin plays the platform, an engine or a plain service
+// in tests and in the demo.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"quetzalbend/internal/app/standin/engine"
+	"quetzalbend/internal/app/standin/service"
+	"quetzalbend/internal/program"
+)
+
+const name = "quetzalbend-standin"
+
+var subcommands = map[string]func(name string, args []string) program.ExitCode{
+	"engine": func(name string, args []string) program.ExitCode {
+		return program.Main(name, args, nil, engine.Run)
+	},
+	"service": func(name string, args []string) program.ExitCode {
+		return program.Main(name, args, nil, service.Run)
+	},
+}
+
+func main() {
+	if len(os.Args) < 2 {
+		usage()
+	}
+	run, ok := subcommands[os.Args[1]]
+	if !ok {
+		usage()
+	}
+	os.Exit(int(run(name+" "+os.Args[1], os.Args[2:])))
+}
+
+func usage() {
+	names := slices.Sorted(maps.Keys(subcommands))
+	fmt.Fprintf(os.Stderr, "usage: %s %s [OPTIONS]\n", name, strings.Join(names, "|"))
+	os.Exit(int(program.ExitUsage))
+}
--- a/internal/adapter/link/config.go
+++ b/internal/adapter/link/config.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"io"
+	"net"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -28,6 +29,7 @@
 	DialTimeout       time.Duration // for TCP and TLS together
 	WriteTimeout      time.Duration // of one message; also until a silent peer is given up
 	KeepAliveInterval time.Duration // between probes of an idle session
+	LocalIP           net.IP        // to dial from; nil for the system's choice
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/adapter/link/pool.go
+++ b/internal/adapter/link/pool.go
@@ -105,7 +105,10 @@
 func (p *Pool) dial(ctx context.Context, addr string) (*yamux.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
 	defer cancel()
-	var dialer net.Dialer
+	dialer := net.Dialer{}
+	if p.config.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: p.config.LocalIP}
+	}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
