--- /dev/null
+++ b/internal/adapter/platform/client.go
@@ -0,0 +1,202 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/port"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	maxAnswerBytes = 64 << 20
+	maxIdleConns   = 4
+)
+
+// Config of a Client.
+type Config struct {
+	BaseURL string        // such as http://127.0.0.1:7000
+	Node    string        // name of this node, sent with each request
+	Timeout time.Duration // of one request, on top of a read's wait; default 2 s
+}
+
+// Client talks to the platform. It implements port.Log and port.VMList.
+type Client struct {
+	base    string
+	node    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// NewClient returns a client. It dials on first use.
+func NewClient(cfg Config) *Client {
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	dialer := &net.Dialer{Timeout: cfg.Timeout}
+	return &Client{
+		base:    strings.TrimSuffix(cfg.BaseURL, "/"),
+		node:    cfg.Node,
+		timeout: cfg.Timeout,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     time.Minute,
+		}},
+	}
+}
+
+// Append adds records to a stream. A refusal by the platform and a failed dial
+// are reported as port.ErrNotAppended; after any other error the records may
+// be in the stream or get there later.
+func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	body, err := json.Marshal(AppendRequest{Records: records})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode append")
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.do(ctx, http.MethodPost, recordsPath(stream), body)
+	if err != nil {
+		return 0, c.appendError(stream, err)
+	}
+	defer drain(response)
+	if response.StatusCode != http.StatusOK {
+		return 0, c.appendRefused(stream, response.StatusCode)
+	}
+	var answer AppendAnswer
+	if err := decode(response, &answer); err != nil {
+		return 0, errors.Wrapf(err, "append to %s at %s", stream, c.base)
+	}
+	return answer.FirstOffset, nil
+}
+
+// appendError tells an append that was never sent from one that may have been.
+func (c *Client) appendError(stream string, err error) error {
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
+		return errors.Wrapf(port.ErrNotAppended, "append to %s at %s: %v", stream, c.base, err)
+	}
+	return errors.Wrapf(err, "append to %s at %s", stream, c.base)
+}
+
+// appendRefused returns the error for a status other than 200. Only statuses
+// that promise that nothing was appended count as port.ErrNotAppended.
+func (c *Client) appendRefused(stream string, status int) error {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable,
+		http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge:
+		return errors.Wrapf(port.ErrNotAppended, "append to %s at %s: status %d", stream, c.base, status)
+	default:
+		return errors.Errorf("append to %s at %s: status %d", stream, c.base, status)
+	}
+}
+
+// Read returns records of a stream, see port.Log. With port.ErrExpired the
+// page still tells the oldest and the next offset.
+func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (port.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	query := url.Values{
+		"from":    {strconv.FormatInt(from, 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	response, err := c.do(ctx, http.MethodGet, recordsPath(stream)+"?"+query.Encode(), nil)
+	if err != nil {
+		return port.Page{}, errors.Wrapf(err, "read %s at %s", stream, c.base)
+	}
+	defer drain(response)
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusGone {
+		return port.Page{}, errors.Errorf("read %s at %s: status %d", stream, c.base, response.StatusCode)
+	}
+	var answer ReadAnswer
+	if err := decode(response, &answer); err != nil {
+		return port.Page{}, errors.Wrapf(err, "read %s at %s", stream, c.base)
+	}
+	page := port.Page{Oldest: answer.Oldest, Next: answer.Next}
+	if response.StatusCode == http.StatusGone {
+		return page, errors.Wrapf(port.ErrExpired, "read %s at %s", stream, c.base)
+	}
+	for i, record := range answer.Records {
+		if record.Offset != from+int64(i) {
+			return port.Page{}, errors.Errorf("read %s at %s: got offset %d for %d", stream, c.base, record.Offset, from+int64(i))
+		}
+		page.Records = append(page.Records, port.Record{Offset: record.Offset, Data: record.Data})
+	}
+	return page, nil
+}
+
+// VMs returns the platform's list of VMs.
+func (c *Client) VMs(ctx context.Context) ([]port.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.do(ctx, http.MethodGet, "/v1/vms", nil)
+	if err != nil {
+		return nil, errors.Wrapf(err, "list VMs at %s", c.base)
+	}
+	defer drain(response)
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("list VMs at %s: status %d", c.base, response.StatusCode)
+	}
+	var answer VMsAnswer
+	if err := decode(response, &answer); err != nil {
+		return nil, errors.Wrapf(err, "list VMs at %s", c.base)
+	}
+	return answer.VMs, nil
+}
+
+// Weights streams a file of the weight store into w and returns its size. The
+// caller bounds the time by ctx.
+func (c *Client) Weights(ctx context.Context, name string, w io.Writer) (int64, error) {
+	response, err := c.do(ctx, http.MethodGet, "/v1/weights/"+url.PathEscape(name), nil)
+	if err != nil {
+		return 0, errors.Wrapf(err, "load weights %s from %s", name, c.base)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return 0, errors.Errorf("load weights %s from %s: status %d", name, c.base, response.StatusCode)
+	}
+	size, err := io.Copy(w, response.Body)
+	return size, errors.Wrapf(err, "load weights %s from %s", name, c.base)
+}
+
+// do sends one request in the name of the node.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	request.Header.Set(NodeHeader, c.node)
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	return c.http.Do(request)
+}
+
+func recordsPath(stream string) string {
+	return fmt.Sprintf("/v1/streams/%s/records", url.PathEscape(stream))
+}
+
+// decode parses the JSON body of an answer.
+func decode(response *http.Response, into any) error {
+	reader := io.LimitReader(response.Body, maxAnswerBytes)
+	return errors.Wrap(json.NewDecoder(reader).Decode(into), "decode answer")
+}
+
+// drain reads the rest of a short body so that the connection can be reused.
+func drain(response *http.Response) {
+	_, _ = io.CopyN(io.Discard, response.Body, 4<<10)
+	_ = response.Body.Close()
+}
--- /dev/null
+++ b/internal/adapter/platform/messages.go
@@ -0,0 +1,35 @@
+package platform
+
+import "quetzalbend/internal/port"
+
+// NodeHeader names the caller in each request to the platform.
+const NodeHeader = "X-Node"
+
+// AppendRequest is the body of an append.
+type AppendRequest struct {
+	Records [][]byte `json:"records"`
+}
+
+// AppendAnswer answers an append.
+type AppendAnswer struct {
+	FirstOffset int64 `json:"first_offset"`
+}
+
+// RecordAnswer is one record of a ReadAnswer.
+type RecordAnswer struct {
+	Offset int64  `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// ReadAnswer answers a read. Records is empty in the answer to a read of
+// expired records.
+type ReadAnswer struct {
+	Records []RecordAnswer `json:"records,omitempty"`
+	Oldest  int64          `json:"oldest"`
+	Next    int64          `json:"next"`
+}
+
+// VMsAnswer answers a request for the list of VMs.
+type VMsAnswer struct {
+	VMs []port.VM `json:"vms"`
+}
--- /dev/null
+++ b/internal/app/standin/platform/handler.go
@@ -0,0 +1,222 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	client "quetzalbend/internal/adapter/platform"
+	"quetzalbend/internal/port"
+)
+
+const (
+	maxBodyBytes   = 16 << 20
+	maxReadRecords = 1000
+	maxPageBytes   = 8 << 20
+	maxWait        = 30 * time.Second
+	weightPiece    = 64 << 10
+)
+
+// Handler returns the HTTP interface of docs/STANDINS.md.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/records", p.faulty(p.handleAppend))
+	mux.HandleFunc("GET /v1/streams/{stream}/records", p.faulty(p.handleRead))
+	mux.HandleFunc("GET /v1/vms", p.faulty(p.handleVMs))
+	mux.HandleFunc("GET /v1/weights/{name}", p.faulty(p.handleWeights))
+	mux.HandleFunc("GET /standin/truth", p.handleTruth)
+	mux.HandleFunc("POST /standin/fault", p.handleFault)
+	return mux
+}
+
+// faulty plays the faults that every call meets before it takes effect.
+func (p *Platform) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		faults, _ := p.currentFaults()
+		if faults.delay > 0 && !pause(r.Context(), faults.delay) {
+			return
+		}
+		faults, _ = p.currentFaults()
+		if !answerable(faults, w, r) {
+			return
+		}
+		next(w, r)
+	}
+}
+
+// answerable refuses a call while the platform is down and breaks the
+// connection of a node that is cut off.
+func answerable(faults faultState, w http.ResponseWriter, r *http.Request) bool {
+	if slices.Contains(faults.cut, r.Header.Get(client.NodeHeader)) {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+func (p *Platform) handleAppend(w http.ResponseWriter, r *http.Request) {
+	var request client.AppendRequest
+	body := http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	if err := json.NewDecoder(body).Decode(&request); err != nil || len(request.Records) == 0 {
+		http.Error(w, "want {\"records\":[…]}", http.StatusBadRequest)
+		return
+	}
+	if !p.appends.take(time.Now()) {
+		http.Error(w, "append rate exceeded", http.StatusTooManyRequests)
+		return
+	}
+	stream := r.PathValue("stream")
+	faults, _ := p.currentFaults()
+	if faults.lateAppend > 0 {
+		time.AfterFunc(faults.lateAppend, func() {
+			_, _ = p.log.Append(context.Background(), stream, request.Records)
+		})
+		http.Error(w, "timeout", http.StatusGatewayTimeout)
+		return
+	}
+	first, err := p.log.Append(r.Context(), stream, request.Records)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if p.takeLostAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, client.AppendAnswer{FirstOffset: first})
+}
+
+func (p *Platform) handleRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil || from < 0 {
+		http.Error(w, "from: want an offset", http.StatusBadRequest)
+		return
+	}
+	limit := queryNumber(r, "limit", maxReadRecords)
+	if limit <= 0 || limit > maxReadRecords {
+		limit = maxReadRecords
+	}
+	wait := min(time.Duration(queryNumber(r, "wait_ms", 0))*time.Millisecond, maxWait)
+	page, err := p.readUnlessCut(r, from, limit, wait)
+	faults, _ := p.currentFaults()
+	if !answerable(faults, w, r) {
+		return
+	}
+	answer := client.ReadAnswer{Oldest: page.Oldest, Next: page.Next}
+	if errors.Is(err, port.ErrExpired) {
+		writeJSON(w, http.StatusGone, answer)
+		return
+	}
+	size := 0
+	for _, record := range page.Records {
+		size += len(record.Data)
+		if size > maxPageBytes && len(answer.Records) > 0 {
+			break
+		}
+		answer.Records = append(answer.Records, client.RecordAnswer{Offset: record.Offset, Data: record.Data})
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// readUnlessCut reads a page and gives up waiting when the faults change so
+// that the call can no longer be answered.
+func (p *Platform) readUnlessCut(r *http.Request, from int64, limit int, wait time.Duration) (port.Page, error) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	go func() {
+		for {
+			faults, changed := p.currentFaults()
+			if faults.down || slices.Contains(faults.cut, r.Header.Get(client.NodeHeader)) {
+				cancel()
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return p.log.Read(ctx, r.PathValue("stream"), from, limit, wait)
+}
+
+func (p *Platform) handleVMs(w http.ResponseWriter, _ *http.Request) {
+	vms := p.listedVMs(time.Now())
+	if vms == nil {
+		vms = []port.VM{}
+	}
+	writeJSON(w, http.StatusOK, client.VMsAnswer{VMs: vms})
+}
+
+func (p *Platform) handleWeights(w http.ResponseWriter, r *http.Request) {
+	size, ok := p.sizes[r.PathValue("name")]
+	if !ok {
+		http.Error(w, "no such weights", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	piece := make([]byte, weightPiece)
+	for size > 0 {
+		part := min(size, weightPiece)
+		if !pause(r.Context(), p.weights.reserve(time.Now(), float64(part))) {
+			return
+		}
+		if _, err := w.Write(piece[:part]); err != nil {
+			return
+		}
+		size -= part
+	}
+}
+
+func (p *Platform) handleTruth(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, Truth{Streams: p.log.Totals()})
+}
+
+func (p *Platform) handleFault(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// pause waits for a duration and reports false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// queryNumber returns a whole number of the query, or otherwise a default.
+func queryNumber(r *http.Request, name string, otherwise int) int {
+	number, err := strconv.Atoi(r.URL.Query().Get(name))
+	if err != nil {
+		return otherwise
+	}
+	return number
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/app/standin/platform/platform.go
@@ -0,0 +1,189 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/adapter/memorylog"
+	"quetzalbend/internal/port"
+)
+
+const (
+	defaultAppendsPerSecond     = 400
+	defaultWeightBytesPerSecond = 64 << 20
+	readHeaderTimeout           = 5 * time.Second
+	shutdownTimeout             = 2 * time.Second
+)
+
+// Config of the stand-in.
+type Config struct {
+	Listen               string           `json:"listen"`                  // IP address and port
+	AppendsPerSecond     float64          `json:"appends_per_second"`      // append calls, default 400
+	RetentionMS          int64            `json:"retention_ms"`            // 0: records never expire by age
+	RetentionRecords     int              `json:"retention_records"`       // 0: records never expire by count
+	VMs                  []port.VM        `json:"vms"`                     // at the start
+	VMListLagMS          int64            `json:"vm_list_lag_ms"`          // until a change shows in the list
+	WeightBytesPerSecond float64          `json:"weight_bytes_per_second"` // for the whole store, default 64 MiB
+	Weights              map[string]int64 `json:"weights"`                 // size of each file, in bytes
+}
+
+// Faults that the stand-in plays. Fields that are nil are left as they are.
+type Faults struct {
+	Down         *bool            `json:"down,omitempty"`
+	LoseAnswers  *int             `json:"lose_answers,omitempty"`
+	LateAppendMS *int64           `json:"late_appends_ms,omitempty"`
+	DelayMS      *int64           `json:"delay_ms,omitempty"`
+	Cut          *[]string        `json:"cut,omitempty"`
+	VMs          *[]port.VM       `json:"vms,omitempty"`
+	ExpireBefore map[string]int64 `json:"expire_before,omitempty"`
+}
+
+// Truth is what really happened.
+type Truth struct {
+	Streams map[string]memorylog.Totals `json:"streams"`
+}
+
+// Platform is the stand-in's state.
+type Platform struct {
+	log     *memorylog.Log
+	appends *bucket
+	weights *bucket
+	sizes   map[string]int64
+	lag     time.Duration
+
+	mu      sync.Mutex
+	faults  faultState
+	changed chan struct{} // closed and replaced at each change of the faults
+	vms     []vmList      // lists with the time from which each shows
+}
+
+// faultState is the set of faults in force.
+type faultState struct {
+	down        bool
+	loseAnswers int
+	lateAppend  time.Duration
+	delay       time.Duration
+	cut         []string
+}
+
+// vmList is a list of VMs that shows from a time on.
+type vmList struct {
+	from time.Time
+	vms  []port.VM
+}
+
+// New returns a platform without faults.
+func New(cfg Config) *Platform {
+	if cfg.AppendsPerSecond <= 0 {
+		cfg.AppendsPerSecond = defaultAppendsPerSecond
+	}
+	if cfg.WeightBytesPerSecond <= 0 {
+		cfg.WeightBytesPerSecond = defaultWeightBytesPerSecond
+	}
+	return &Platform{
+		log: memorylog.New(memorylog.Retention{
+			Age:     time.Duration(cfg.RetentionMS) * time.Millisecond,
+			Records: cfg.RetentionRecords,
+		}),
+		appends: newBucket(cfg.AppendsPerSecond, cfg.AppendsPerSecond),
+		weights: newBucket(cfg.WeightBytesPerSecond, cfg.WeightBytesPerSecond/10),
+		sizes:   cfg.Weights,
+		lag:     time.Duration(cfg.VMListLagMS) * time.Millisecond,
+		changed: make(chan struct{}),
+		vms:     []vmList{{vms: cfg.VMs}},
+	}
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, cfg Config) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", cfg.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "platform stand-in: listen on %s", cfg.Listen)
+	}
+	server := &http.Server{
+		Handler:           New(cfg).Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	log.WithField("listen", listener.Addr().String()).Info("platform stand-in serves")
+	stop := context.AfterFunc(ctx, func() {
+		shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if server.Shutdown(shutdown) != nil {
+			_ = server.Close()
+		}
+	})
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "platform stand-in: serve on %s", cfg.Listen)
+	}
+	return nil
+}
+
+// Log returns the log without faults.
+func (p *Platform) Log() *memorylog.Log { return p.log }
+
+// SetFaults changes the faults that are not nil.
+func (p *Platform) SetFaults(faults Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if faults.Down != nil {
+		p.faults.down = *faults.Down
+	}
+	if faults.LoseAnswers != nil {
+		p.faults.loseAnswers = *faults.LoseAnswers
+	}
+	if faults.LateAppendMS != nil {
+		p.faults.lateAppend = time.Duration(*faults.LateAppendMS) * time.Millisecond
+	}
+	if faults.DelayMS != nil {
+		p.faults.delay = time.Duration(*faults.DelayMS) * time.Millisecond
+	}
+	if faults.Cut != nil {
+		p.faults.cut = slices.Clone(*faults.Cut)
+	}
+	if faults.VMs != nil {
+		p.vms = append(p.vms, vmList{from: time.Now().Add(p.lag), vms: slices.Clone(*faults.VMs)})
+	}
+	for stream, offset := range faults.ExpireBefore {
+		p.log.ExpireBefore(stream, offset)
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// currentFaults returns the faults in force and the channel that closes at
+// their next change.
+func (p *Platform) currentFaults() (faultState, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults, p.changed
+}
+
+// takeLostAnswer reports whether the answer to this append is to be lost.
+func (p *Platform) takeLostAnswer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.loseAnswers <= 0 {
+		return false
+	}
+	p.faults.loseAnswers--
+	return true
+}
+
+// listedVMs returns the list that shows at a time.
+func (p *Platform) listedVMs(now time.Time) []port.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.vms) > 1 && !now.Before(p.vms[1].from) {
+		p.vms = p.vms[1:]
+	}
+	return p.vms[0].vms
+}
--- /dev/null
+++ b/internal/core/settings/delta.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"sort"
+
+	"github.com/pkg/errors"
+)
+
+// Delta brings a state from one offset to a later one without the records in
+// between. The result is exactly the state that folding them gives.
+type Delta struct {
+	From    int64 // NoOffset: Entries hold the whole state
+	To      int64
+	Entries []CheckpointEntry
+}
+
+// DeltaFrom returns what a reader at an offset lacks. It falls back to the
+// whole state where remembered deletions do not reach back far enough.
+func (s *State) DeltaFrom(offset int64) Delta {
+	if offset < NoOffset || s.Offset()-offset > s.window {
+		offset = NoOffset
+	}
+	return Delta{From: offset, To: s.Offset(), Entries: s.entriesSince(offset)}
+}
+
+// Advance returns the state that a delta leads to. It fails, and the state
+// stays as it is, if the delta starts elsewhere or leads to no later offset.
+func (s *State) Advance(delta Delta) (*State, error) {
+	if delta.To <= s.Offset() {
+		return nil, errors.Errorf("advance settings: offset %d is not above %d", delta.To, s.Offset())
+	}
+	if delta.From == NoOffset {
+		return fromEntries(s.window, delta.To, delta.Entries), nil
+	}
+	if delta.From != s.Offset() {
+		return nil, errors.Errorf("advance settings: delta from offset %d at offset %d", delta.From, s.Offset())
+	}
+	next := s.clone()
+	entries := append([]CheckpointEntry(nil), delta.Entries...)
+	sort.SliceStable(entries, func(i, j int) bool { return entries[i].Version < entries[j].Version })
+	for _, entry := range entries {
+		next.set(entry.Version, Write{
+			Path: entry.Path, Value: entry.Value, Deleted: entry.Deleted, Author: entry.Author,
+		})
+	}
+	next.snapshot = next.snapshot.at(delta.To)
+	next.forget()
+	return next, nil
+}
+
+// clone returns an independent copy.
+func (s *State) clone() *State {
+	next := newState(s.window)
+	next.snapshot = s.snapshot
+	next.tombstones = append([]tombstone(nil), s.tombstones...)
+	for path, version := range s.deleted {
+		next.deleted[path] = version
+	}
+	return next
+}
