--- a/cmd/quetzalbend-standin/main.go
+++ b/cmd/quetzalbend-standin/main.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"quetzalbend/internal/app/standin/engine"
+	"quetzalbend/internal/app/standin/platform"
 	"quetzalbend/internal/app/standin/service"
 	"quetzalbend/internal/program"
 )
@@ -20,6 +21,9 @@
 	"engine": func(name string, args []string) program.ExitCode {
 		return program.Main(name, args, nil, engine.Run)
 	},
+	"platform": func(name string, args []string) program.ExitCode {
+		return program.Main(name, args, nil, platform.Run)
+	},
 	"service": func(name string, args []string) program.ExitCode {
 		return program.Main(name, args, nil, service.Run)
 	},
