Ping a new session before its first call; share dials of one peer

Cause: a process that is stopped (SIGSTOP) or behind a cut still accepts connections in its kernel, so a call to it counted as sent and its outcome as unknown, though nothing had run. Callers of one dead peer also queued behind each other's dial timeouts.

Before: TestOpenToAStoppedProcessIsNotSent fails. After: it passes; callers share one dial (singleflight) and wait no longer than their own context.

--- a/internal/adapter/link/link_test.go
+++ b/internal/adapter/link/link_test.go
@@ -29,8 +29,8 @@
 	return server, listener.Addr().String()
 }
 
-func call(id string) *wire.Open {
-	return &wire.Open{Purpose: &wire.Open_Call{Call: &wire.Call{RequestId: id}}}
+func call() *wire.Open {
+	return &wire.Open{Purpose: &wire.Open_Call{Call: &wire.Call{RequestId: "r1"}}}
 }
 
 func TestMessagesArriveInOrderThenEOF(t *testing.T) {
@@ -41,7 +41,7 @@
 	})
 	pool := NewPool(Config{})
 	defer func() { _ = pool.Close() }()
-	stream, err := pool.Open(context.Background(), addr, call("r1"))
+	stream, err := pool.Open(context.Background(), addr, call())
 	assert.NilError(t, err)
 	for i := range int64(100) {
 		frame := &wire.AnswerFrame{}
@@ -57,11 +57,21 @@
 	assert.NilError(t, err)
 	addr := listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	_, err = NewPool(Config{}).Open(context.Background(), addr, call("r1"))
+	_, err = NewPool(Config{}).Open(context.Background(), addr, call())
 	assert.Assert(t, IsNotSent(err), "%v", err)
 	assert.ErrorContains(t, err, addr)
 }
 
+// A stopped process: the kernel accepts connections, nobody answers.
+func TestOpenToAStoppedProcessIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	pool := NewPool(Config{DialTimeout: 50 * time.Millisecond})
+	_, err = pool.Open(context.Background(), listener.Addr().String(), call())
+	assert.Assert(t, IsNotSent(err), "%v", err)
+}
+
 func TestShutdownLetsRunningStreamsFinishAndTakesNoNewOnes(t *testing.T) {
 	release := make(chan struct{})
 	server, addr := serve(t, func(_ context.Context, _ *wire.Open, stream *Stream) {
@@ -71,7 +81,7 @@
 	})
 	pool := NewPool(Config{})
 	defer func() { _ = pool.Close() }()
-	stream, err := pool.Open(context.Background(), addr, call("r1"))
+	stream, err := pool.Open(context.Background(), addr, call())
 	assert.NilError(t, err)
 	frame := &wire.AnswerFrame{}
 	assert.NilError(t, stream.Receive(frame))
--- a/internal/adapter/link/pool.go
+++ b/internal/adapter/link/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 
 	"quetzalbend/internal/wire"
 )
@@ -15,22 +16,16 @@
 // Pool keeps one session for each peer address and redials it when needed.
 type Pool struct {
 	config Config
+	dials  singleflight.Group // by address, so that callers of one peer share a dial
 
-	lock   sync.Mutex
-	peers  map[string]*peer
-	closed bool
-}
-
-// peer is the session to one address; its lock is held while dialling, so that
-// callers of other peers go on.
-type peer struct {
-	lock    sync.Mutex
-	session *yamux.Session
+	lock     sync.Mutex
+	sessions map[string]*yamux.Session // by address
+	closed   bool
 }
 
 // NewPool returns a pool without sessions.
 func NewPool(config Config) *Pool {
-	return &Pool{config: config.withDefaults(), peers: make(map[string]*peer)}
+	return &Pool{config: config.withDefaults(), sessions: make(map[string]*yamux.Session)}
 }
 
 // Open starts a stream to the peer at addr with the given first message. See
@@ -51,59 +46,90 @@
 // Close ends all sessions and their streams.
 func (p *Pool) Close() error {
 	p.lock.Lock()
+	defer p.lock.Unlock()
 	p.closed = true
-	peers := p.peers
-	p.peers = nil
-	p.lock.Unlock()
-	for _, peer := range peers {
-		peer.lock.Lock()
-		if peer.session != nil {
-			_ = peer.session.Close()
-		}
-		peer.lock.Unlock()
+	for _, session := range p.sessions {
+		_ = session.Close()
 	}
+	clear(p.sessions)
 	return nil
 }
 
 func (p *Pool) openStream(ctx context.Context, addr string) (*yamux.Stream, error) {
-	peer, err := p.peer(addr)
-	if err != nil {
-		return nil, err
-	}
-	peer.lock.Lock()
-	defer peer.lock.Unlock()
-	if peer.session != nil && !peer.session.IsClosed() {
-		conn, err := peer.session.OpenStream()
+	if session := p.session(addr); session != nil {
+		conn, err := session.OpenStream()
 		if err == nil {
 			return conn, nil
 		}
 		// The peer goes away or the session is dead: running streams keep the
 		// old session, new ones get another.
+		p.forget(addr, session)
 	}
-	session, err := p.dial(ctx, addr)
+	session, err := p.connect(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	peer.session = session
 	return session.OpenStream()
 }
 
-func (p *Pool) peer(addr string) (*peer, error) {
+// session returns the usable session to addr, or nil.
+func (p *Pool) session(addr string) *yamux.Session {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	if p.closed {
-		return nil, net.ErrClosed
+	session := p.sessions[addr]
+	if session == nil || session.IsClosed() {
+		return nil
+	}
+	return session
+}
+
+func (p *Pool) forget(addr string, session *yamux.Session) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.sessions[addr] == session {
+		delete(p.sessions, addr)
+	}
+}
+
+// connect dials addr, or shares the dial that runs already. It does not wait
+// longer than ctx.
+func (p *Pool) connect(ctx context.Context, addr string) (*yamux.Session, error) {
+	dialled := p.dials.DoChan(addr, func() (any, error) {
+		if session := p.session(addr); session != nil {
+			return session, nil
+		}
+		session, err := p.dial(addr)
+		if err != nil {
+			return nil, err
+		}
+		return session, p.keep(addr, session)
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case result := <-dialled:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.(*yamux.Session), nil
 	}
-	known, ok := p.peers[addr]
-	if !ok {
-		known = &peer{}
-		p.peers[addr] = known
+}
+
+func (p *Pool) keep(addr string, session *yamux.Session) error {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.closed {
+		_ = session.Close()
+		return net.ErrClosed
 	}
-	return known, nil
+	p.sessions[addr] = session
+	return nil
 }
 
-func (p *Pool) dial(ctx context.Context, addr string) (*yamux.Session, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
+// dial connects to addr and pings the peer: a stopped process still accepts
+// connections in its kernel, and a call must not count as sent to it.
+func (p *Pool) dial(addr string) (*yamux.Session, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.config.DialTimeout)
 	defer cancel()
 	dialer := net.Dialer{}
 	if p.config.LocalIP != nil {
@@ -124,6 +150,12 @@
 		_ = conn.Close()
 		return nil, err
 	}
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	if _, err := session.Ping(); err != nil {
+		_ = session.Close()
+		return nil, errors.Wrap(err, "ping")
+	}
 	return session, nil
 }
 
