--- a/internal/adapter/callerhttp/config.go
+++ b/internal/adapter/callerhttp/config.go
@@ -46,6 +46,7 @@
 	Bounds     Bounds
 	Tables     Tables
 	Dispatcher Dispatcher
-	Limiter    Limiter  // nil: no limits
-	Recorder   Recorder // nil: nothing is measured
+	Limiter    Limiter     // nil: no limits
+	Recorder   Recorder    // nil: nothing is measured
+	Leaving    func() bool // whether callers should connect elsewhere; nil: never
 }
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -30,6 +30,7 @@
 	dispatcher Dispatcher
 	limiter    Limiter
 	recorder   Recorder
+	leaving    func() bool
 }
 
 func newHandler(cfg Config) http.Handler {
@@ -39,6 +40,10 @@
 		dispatcher: cfg.Dispatcher,
 		limiter:    cfg.Limiter,
 		recorder:   cfg.Recorder,
+		leaving:    cfg.Leaving,
+	}
+	if h.leaving == nil {
+		h.leaving = func() bool { return false }
 	}
 	if h.limiter == nil {
 		h.limiter = noLimits{}
@@ -75,6 +80,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{w: w, r: r, start: time.Now(), id: newRequestID(), table: h.tables.Table()}
 		w.Header().Set(RequestIDHeader, x.id)
+		if h.leaving() {
+			w.Header().Set("Connection", "close")
+		}
 		failed := h.authenticate(x)
 		if failed == nil {
 			failed = endpoint(x)
@@ -178,11 +186,15 @@
 
 type noLimits struct{}
 
+// Admit implements Limiter.
 func (noLimits) Admit(*catalog.Account, schema.Class) (func(int64), *Refusal) {
 	return func(int64) {}, nil
 }
 
 type noRecorder struct{}
 
-func (noRecorder) Finished(Observation)                              {}
+// Finished implements Recorder.
+func (noRecorder) Finished(Observation) {}
+
+// BetweenTokens implements Recorder.
 func (noRecorder) BetweenTokens(string, schema.Class, time.Duration) {}
--- /dev/null
+++ b/internal/app/entry/config.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"quetzalbend/internal/adapter/callerhttp"
+	"quetzalbend/internal/core/check"
+)
+
+// Config is the start-up file of an entry.
+type Config struct {
+	Name                         string   `json:"name"`
+	FailureDomain                string   `json:"failure_domain"`
+	Region                       string   `json:"region,omitempty"`
+	CallersListen                string   `json:"callers_listen"`   // IP address and port
+	OperatorsListen              string   `json:"operators_listen"` // IP address and port
+	PeersListen                  string   `json:"peers_listen"`     // IP address and port; links from other entries
+	Peers                        []string `json:"peers,omitempty"`  // peers_listen of other entries
+	Platform                     string   `json:"platform"`         // base URL
+	BootstrapOperatorTokenSHA256 string   `json:"bootstrap_operator_token_sha256,omitempty"`
+	Bounds                       Bounds   `json:"bounds"`
+	Routing                      Routing  `json:"routing"`
+	NoticeMS                     int64    `json:"notice_ms,omitempty"` // between failing /readyz and refusing connections, default 5000
+	GraceMS                      int64    `json:"grace_ms,omitempty"`  // for running requests after that, default 610000
+}
+
+// Bounds bound what one caller may send and hold. Zero means the default.
+type Bounds struct {
+	HeaderBytes     int64 `json:"header_bytes,omitempty"`      // default 32768
+	BodyBytes       int64 `json:"body_bytes,omitempty"`        // default 1048576
+	HeaderTimeoutMS int64 `json:"header_timeout_ms,omitempty"` // default 5000
+	BodyTimeoutMS   int64 `json:"body_timeout_ms,omitempty"`   // default 10000
+	WriteTimeoutMS  int64 `json:"write_timeout_ms,omitempty"`  // default 15000
+	IdleTimeoutMS   int64 `json:"idle_timeout_ms,omitempty"`   // default 60000
+	Connections     int64 `json:"connections,omitempty"`       // default 10000
+	AnswerBytes     int64 `json:"answer_bytes,omitempty"`      // of an answer that is not streamed, default 16777216
+}
+
+// Routing shapes the choice of targets. Zero means the default.
+type Routing struct {
+	Strategy     string `json:"strategy,omitempty"`       // affinity (default), least_outstanding or round_robin
+	NearSubset   int64  `json:"near_subset,omitempty"`    // targets considered in the own failure domain, default 16
+	FarSubset    int64  `json:"far_subset,omitempty"`     // targets considered in all others, default 8
+	FirstFrameMS int64  `json:"first_frame_ms,omitempty"` // until a silent agent is given up, default 2000
+	StallMS      int64  `json:"stall_ms,omitempty"`       // until a stopped stream is resumed elsewhere, default 5000
+	AvoidMS      int64  `json:"avoid_ms,omitempty"`       // how long an unreachable target is left out, default 1000
+}
+
+// Names of strategies.
+const (
+	StrategyAffinity         = "affinity"
+	StrategyLeastOutstanding = "least_outstanding"
+	StrategyRoundRobin       = "round_robin"
+)
+
+// Defaults of Config.
+const (
+	defaultNotice      = 5000
+	defaultGrace       = 610000 // longer than the longest timeout of a workload
+	defaultNearSubset  = 16
+	defaultFarSubset   = 8
+	defaultFirstFrame  = 2000
+	defaultStall       = 5000
+	defaultAvoid       = 1000
+	defaultAnswerBytes = 16 << 20
+	hourInMS           = 3600000
+	maxBytesSetting    = 64 << 20
+)
+
+// Check fills in defaults and returns what is wrong.
+func Check(c *Config) []check.Problem {
+	report := check.NewReport("")
+	required(report, "name", c.Name)
+	required(report, "failure_domain", c.FailureDomain)
+	address(report, "callers_listen", c.CallersListen)
+	address(report, "operators_listen", c.OperatorsListen)
+	address(report, "peers_listen", c.PeersListen)
+	for i, peer := range c.Peers {
+		address(report, "peers["+strconv.Itoa(i)+"]", peer)
+	}
+	platform, err := url.Parse(c.Platform)
+	if err != nil || platform.Scheme != "http" && platform.Scheme != "https" || platform.Host == "" {
+		report.Add("platform", c.Platform, "a base URL such as http://10.0.0.1:7000")
+	}
+	c.checkNumbers(report)
+	switch c.Routing.Strategy {
+	case "":
+		c.Routing.Strategy = StrategyAffinity
+	case StrategyAffinity, StrategyLeastOutstanding, StrategyRoundRobin:
+	default:
+		report.Add("routing.strategy", c.Routing.Strategy, "affinity, least_outstanding or round_robin")
+	}
+	return report.Problems()
+}
+
+func (c *Config) checkNumbers(report *check.Report) {
+	b, r := &c.Bounds, &c.Routing
+	for _, number := range []struct {
+		field          string
+		value          *int64
+		low, high, def int64
+		unit           string
+	}{
+		{"notice_ms", &c.NoticeMS, 1, hourInMS, defaultNotice, "milliseconds"},
+		{"grace_ms", &c.GraceMS, 1, hourInMS, defaultGrace, "milliseconds"},
+		{"bounds.header_bytes", &b.HeaderBytes, 1024, maxBytesSetting, callerhttp.DefaultHeaderBytes, "bytes"},
+		{"bounds.body_bytes", &b.BodyBytes, 1024, maxBytesSetting, callerhttp.DefaultBodyBytes, "bytes"},
+		{"bounds.header_timeout_ms", &b.HeaderTimeoutMS, 1, hourInMS, callerhttp.DefaultHeaderTimeout.Milliseconds(), "milliseconds"},
+		{"bounds.body_timeout_ms", &b.BodyTimeoutMS, 1, hourInMS, callerhttp.DefaultBodyTimeout.Milliseconds(), "milliseconds"},
+		{"bounds.write_timeout_ms", &b.WriteTimeoutMS, 1, hourInMS, callerhttp.DefaultWriteTimeout.Milliseconds(), "milliseconds"},
+		{"bounds.idle_timeout_ms", &b.IdleTimeoutMS, 1, hourInMS, callerhttp.DefaultIdleTimeout.Milliseconds(), "milliseconds"},
+		{"bounds.connections", &b.Connections, 1, 1000000, callerhttp.DefaultConnections, ""},
+		{"bounds.answer_bytes", &b.AnswerBytes, 1024, maxBytesSetting, defaultAnswerBytes, "bytes"},
+		{"routing.near_subset", &r.NearSubset, 1, 1000, defaultNearSubset, ""},
+		{"routing.far_subset", &r.FarSubset, 1, 1000, defaultFarSubset, ""},
+		{"routing.first_frame_ms", &r.FirstFrameMS, 10, hourInMS, defaultFirstFrame, "milliseconds"},
+		{"routing.stall_ms", &r.StallMS, 10, hourInMS, defaultStall, "milliseconds"},
+		{"routing.avoid_ms", &r.AvoidMS, 1, hourInMS, defaultAvoid, "milliseconds"},
+	} {
+		if *number.value == 0 {
+			*number.value = number.def
+		}
+		report.Range(number.field, *number.value, number.low, number.high, number.unit)
+	}
+}
+
+func required(report *check.Report, field, value string) {
+	if value == "" {
+		report.Add(field, value, "a name")
+	}
+}
+
+func address(report *check.Report, field, value string) {
+	host, port, err := net.SplitHostPort(value)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || portErr != nil || number > 65535 || net.ParseIP(host) == nil {
+		report.Add(field, value, "an IP address and port such as 10.0.0.1:8080")
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/app/entry/operators.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"quetzalbend/internal/metrics"
+)
+
+const operatorsHeaderTimeout = 5 * time.Second
+
+// health tells the platform's balancer whether the entry serves.
+type health struct {
+	tables  *tables
+	leaving atomic.Bool
+}
+
+func (h *health) ready(w http.ResponseWriter, _ *http.Request) {
+	obstacle := h.tables.obstacle()
+	if h.leaving.Load() {
+		obstacle = "leaving"
+	}
+	if obstacle != "" {
+		http.Error(w, obstacle, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ok")
+}
+
+func (h *health) alive(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintln(w, "ok")
+}
+
+// newOperatorsServer returns the operators' HTTP server.
+func newOperatorsServer(h *health, registry *metrics.Registry) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", h.alive)
+	mux.HandleFunc("GET /readyz", h.ready)
+	mux.Handle("GET /metrics", registry.Handler())
+	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorsHeaderTimeout}
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -45,7 +45,7 @@
 	defer member.State.End()
 	stream, err := r.d.cfg.Links.Open(ctx, member.Target.Agent, r.open(suspect))
 	if err != nil {
-		return r.openFailed(ctx, err)
+		return r.openFailed(err)
 	}
 	defer func() { _ = stream.Close() }()
 	a := &attempt{
@@ -62,7 +62,7 @@
 	return a.receive()
 }
 
-func (r *run) openFailed(ctx context.Context, err error) result {
+func (r *run) openFailed(err error) result {
 	failed := result{outcome: retry.NotSent, code: CodeUnreachable, err: err}
 	if !r.d.cfg.Links.NotSent(err) {
 		failed = result{outcome: retry.Broken, code: codeConnectionBroken, err: err}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"quetzalbend/internal/core/retry"
@@ -157,7 +158,7 @@
 // interrupted is the failure of a request whose deadline passed or whose
 // caller went away.
 func (r *run) interrupted(ctx context.Context) *Failure {
-	if ctx.Err() == context.DeadlineExceeded { //nolint:errorlint // Err returns it bare
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return r.failure(CodeDeadline, nil)
 	}
 	return r.failure(CodeCallerGone, nil)
