Check frames of streams strictly; test the dispatcher

Cause: the fuzz target (a lying agent) found a streamed answer shown as whole with a token missing ("acdef"): a token left out with the later frames renumbered was noticed only at the final mark, by the totals, and the stream was then resumed after text that was already wrong. Ruled out: the sequence check, which works but sees no gap in renumbered frames.

Change: each chunk of a stream holds at most one token and its position must be the next one; what follows the last token is held back until the final mark is verified; an attempt that breaks the protocol after passing tokens on fails as answer_incomplete and is not resumed. Position must not go back in answers that are not streamed either. The contract (quetzalbend.proto) says so for agents.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,10 @@
 	"quetzalbend/internal/wire"
 )
 
+// lastWordWait is how long an agent may take, after the caller's deadline, to
+// say whether a call ran.
+const lastWordWait = 200 * time.Millisecond
+
 // result is how one attempt ended: with an answer, or with an outcome.
 type result struct {
 	answer     *Answer
@@ -35,9 +40,12 @@
 	stream   Stream
 	check    frameCheck
 	admitted bool
-	passOn   bool // chunks go to the caller as they come
+	passOn   bool   // chunks go to the caller as they come
+	held     []byte // what follows the last token, until the answer is known to be whole
 	answer   Answer
 	bounded  time.Time // when the deadline of the stream was last set
+
+	cancelled sync.Once
 }
 
 func (r *run) attempt(ctx context.Context, member *routing.Member, suspect bool) result {
@@ -53,11 +61,11 @@
 		ctx:    ctx,
 		member: member,
 		stream: stream,
-		check:  frameCheck{requestID: r.req.ID, position: r.position},
+		check:  frameCheck{requestID: r.req.ID, streamed: r.req.streamed(), position: r.position},
 		passOn: r.req.streamed(),
 		answer: Answer{Status: http.StatusOK, Target: member.Target.Name},
 	}
-	stop := context.AfterFunc(ctx, a.cancel)
+	stop := context.AfterFunc(ctx, a.interrupt)
 	defer stop()
 	return a.receive()
 }
@@ -92,10 +100,23 @@
 	return &wire.Open{Purpose: &wire.Open_Call{Call: call}}
 }
 
-// cancel tells the agent that nobody waits for the answer, and wakes receive.
+// cancel tells the agent that nobody waits for the answer any more.
 func (a *attempt) cancel() {
-	_ = a.stream.Send(&wire.CallerFrame{Cancel: true})
-	_ = a.stream.SetDeadline(time.Unix(1, 0))
+	a.cancelled.Do(func() { _ = a.stream.Send(&wire.CallerFrame{Cancel: true}) })
+}
+
+// interrupt cancels the call when its context ends. After a passed deadline the
+// agent gets a moment to say whether the call ran: its caller still listens.
+func (a *attempt) interrupt() {
+	a.cancel()
+	_ = a.stream.SetDeadline(a.lastWord())
+}
+
+func (a *attempt) lastWord() time.Time {
+	if errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
+		return a.run.req.Deadline.Add(lastWordWait)
+	}
+	return time.Unix(1, 0)
 }
 
 func (a *attempt) receive() result {
@@ -127,13 +148,13 @@
 		return
 	}
 	a.bounded = now
-	until := a.run.req.Deadline
+	until := a.run.req.Deadline.Add(lastWordWait)
 	if a.check.next == 0 || a.passOn {
 		until = now.Add(limit)
 	}
 	_ = a.stream.SetDeadline(until)
-	if a.ctx.Err() != nil {
-		_ = a.stream.SetDeadline(time.Unix(1, 0))
+	if a.ctx.Err() != nil { // interrupt may have come before
+		_ = a.stream.SetDeadline(a.lastWord())
 	}
 }
 
@@ -185,18 +206,33 @@
 		a.answer.Body = append(a.answer.Body, chunk.GetData()...)
 		return result{}, false
 	}
+	if chunk.GetPosition() == a.run.position && a.run.position > 0 {
+		a.held = append(a.held, chunk.GetData()...)
+		return result{}, false
+	}
+	a.held = nil // a resumed stream may begin with a chunk that the caller has had
+	a.run.position = chunk.GetPosition()
+	return a.write(chunk.GetData())
+}
+
+// write passes a piece of a streamed answer on to the caller.
+func (a *attempt) write(data []byte) (result, bool) {
 	a.run.started = true
-	if err := a.run.out.Write(chunk.GetData()); err != nil {
+	if err := a.run.out.Write(data); err != nil {
 		a.cancel()
 		return result{outcome: retry.Failed, code: CodeCallerGone, ran: wire.Ran_RAN_YES, callerGone: true, err: err}, true
 	}
-	a.run.position = chunk.GetPosition()
 	return result{}, false
 }
 
 func (a *attempt) final(final *wire.Final) result {
+	if len(a.held) > 0 {
+		if ended, failed := a.write(a.held); failed {
+			return ended
+		}
+	}
 	a.answer.Streamed = a.passOn
-	a.answer.Tokens = a.check.position
+	a.answer.Tokens = max(a.check.position, final.GetTokens())
 	a.answer.Replayed = final.GetReplayed()
 	return result{answer: &a.answer}
 }
@@ -230,11 +266,12 @@
 // lost is the result of a stream that ended without its last frame.
 func (a *attempt) lost(err error) result {
 	if a.ctx.Err() != nil {
+		a.cancel()
 		interrupted := a.run.interrupted(a.ctx)
 		return result{
 			outcome:    retry.Broken,
 			code:       interrupted.Code,
-			callerGone: a.run.req.repeatable() || interrupted.Code == CodeDeadline,
+			callerGone: true,
 			err:        err,
 		}
 	}
@@ -252,7 +289,12 @@
 func (a *attempt) broken(code string, err error) result {
 	ended := result{outcome: retry.Broken, code: code, err: err}
 	if code == codeMalformedAnswer {
+		// What the caller already has of this attempt may be wrong, too.
 		ended.outcome = retry.Malformed
+		ended.final = a.passOn && a.check.tokens
+		if ended.final {
+			ended.code = CodeIncomplete
+		}
 	}
 	return ended
 }
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/wire"
+)
+
+func TestWholeAnswer(t *testing.T) {
+	f := newFixture(t, whole("abc"))
+	answer, _, failure := f.do(modelRequest(false))
+	assert.Assert(t, failure == nil, "%v", failure)
+	assert.Equal(t, string(answer.Body), "abc")
+	assert.Equal(t, answer.Tokens, int64(3))
+}
+
+func TestBrokenStreamResumesElsewhereWithEachTokenOnce(t *testing.T) {
+	broken := func(open *wire.Open) ([]proto.Message, error) {
+		return frames(generation("abcdef", open.GetCall().GetModel().GetResumePosition(), 2)...), io.ErrUnexpectedEOF
+	}
+	f := newFixture(t, broken, whole("abcdef"))
+	f.avoid(1)
+	answer, text, failure := f.do(modelRequest(true))
+	assert.Assert(t, failure == nil, "%v", failure)
+	assert.Equal(t, text, "abcdef")
+	assert.Equal(t, answer.Attempts, 2)
+	assert.Equal(t, f.links.calls[1].GetModel().GetResumePosition(), int64(2))
+}
+
+// avoid makes the first pick fall on another target than number i.
+func (f *fixture) avoid(i int) {
+	pool := f.table.Model(modelRequest(false).name())
+	for _, member := range pool.Near {
+		if member.Target.Agent == "a"+string(rune('0'+i)) {
+			member.State.Begin()
+		}
+	}
+	f.dispatcher.cfg.Random = func() uint64 { return 1 << 32 }
+}
+
+func TestStalledStreamResumesElsewhere(t *testing.T) {
+	stalled := func(*wire.Open) ([]proto.Message, error) { return frames(generation("abcdef", 0, 3)...), nil }
+	f := newFixture(t, stalled, whole("abcdef"))
+	f.dispatcher.cfg.Stall = 20 * time.Millisecond
+	f.dispatcher.cfg.FirstFrame = 20 * time.Millisecond
+	f.avoid(1)
+	_, text, failure := f.do(modelRequest(true))
+	assert.Assert(t, failure == nil, "%v", failure)
+	assert.Equal(t, text, "abcdef")
+}
+
+func TestUnreachableTargetIsNotChargedToTheBudget(t *testing.T) {
+	f := newFixture(t, nil, nil, whole("abc"))
+	_, _, failure := f.do(modelRequest(false))
+	assert.Assert(t, failure == nil, "%v", failure)
+}
+
+func TestNoAgentReachableIsNotRun(t *testing.T) {
+	f := newFixture(t, nil, nil)
+	_, _, failure := f.do(modelRequest(false))
+	assert.Equal(t, failure.Code, CodeUnreachable)
+	assert.Equal(t, failure.Ran, wire.Ran_RAN_NO)
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	f := newFixture(t, refuses, refuses, refuses, refuses)
+	const requests = 500
+	for range requests {
+		_, _, failure := f.do(modelRequest(false))
+		assert.Equal(t, failure.Code, "full")
+		assert.Equal(t, failure.Ran, wire.Ran_RAN_NO)
+		assert.Equal(t, failure.RetryAfter, 1500*time.Millisecond)
+	}
+	assert.Assert(t, len(f.links.calls) <= requests*11/10, "%d attempts", len(f.links.calls))
+	assert.Assert(t, len(f.links.calls) > requests, "%d attempts", len(f.links.calls))
+}
+
+func TestCallThatMayNotBeRepeatedIsSentOnceAndAskedAfter(t *testing.T) {
+	asked := 0
+	broken := func(open *wire.Open) ([]proto.Message, error) {
+		if open.GetCall() != nil {
+			return frames(&wire.Admitted{}), io.EOF
+		}
+		asked++
+		if asked == 1 {
+			return []proto.Message{&wire.Outcome{Running: true}}, io.EOF
+		}
+		return []proto.Message{&wire.Outcome{Ran: wire.Ran_RAN_YES, Head: &wire.Head{Status: 201}, Body: []byte("done")}}, io.EOF
+	}
+	f := newFixture(t, broken, broken, broken)
+	answer, _, failure := f.do(confirmRequest())
+	assert.Assert(t, failure == nil, "%v", failure)
+	assert.Equal(t, answer.Status, 201)
+	assert.Equal(t, string(answer.Body), "done")
+	assert.Equal(t, len(f.links.calls), 1)
+}
+
+func TestCallThatMayNotBeRepeatedIsUnknownAfterASilentBreak(t *testing.T) {
+	silent := func(open *wire.Open) ([]proto.Message, error) { return nil, io.EOF }
+	f := newFixture(t, silent, silent)
+	_, _, failure := f.doWithin(confirmRequest(), 30*time.Millisecond)
+	assert.Equal(t, failure.Code, CodeOutcomeUnknown)
+	assert.Equal(t, failure.Ran, wire.Ran_RAN_UNKNOWN)
+	assert.Equal(t, len(f.links.calls), 1)
+}
+
+func TestCallThatMayNotBeRepeatedIsNotRepeatedAfterAFailure(t *testing.T) {
+	fails := answers(&wire.Admitted{}, &wire.Failed{Ran: wire.Ran_RAN_YES, Reason: "answer_lost", TargetDied: true})
+	f := newFixture(t, fails, fails)
+	_, _, failure := f.do(confirmRequest())
+	assert.Equal(t, failure.Code, "answer_lost")
+	assert.Equal(t, failure.Ran, wire.Ran_RAN_YES)
+	assert.Equal(t, len(f.links.calls), 1)
+}
+
+func TestRequestThatKillsTargetsIsRefusedAfterTwo(t *testing.T) {
+	dies := answers(&wire.Admitted{}, &wire.Failed{Reason: "target_died", TargetDied: true})
+	f := newFixture(t, dies, dies, dies, dies)
+	_, _, failure := f.do(modelRequest(false))
+	assert.Equal(t, failure.Code, CodeCrashesTargets)
+	assert.Equal(t, len(f.links.calls), 2)
+	assert.Equal(t, f.links.calls[0].GetSuspect(), false)
+	assert.Equal(t, f.links.calls[1].GetSuspect(), true)
+
+	_, _, failure = f.do(modelRequest(false))
+	assert.Equal(t, failure.Code, CodeCrashesTargets)
+	assert.Equal(t, failure.Ran, wire.Ran_RAN_NO)
+	assert.Equal(t, len(f.links.calls), 2)
+}
+
+func TestInnocentRunsAloneOnceAndIsClear(t *testing.T) {
+	f := newFixture(t, whole("abc"))
+	f.strikes.Strike("print", 2, time.Now())
+	for i, suspect := range []bool{true, false} {
+		_, _, failure := f.do(modelRequest(false))
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Equal(t, f.links.calls[i].GetSuspect(), suspect)
+	}
+}
+
+func TestDeadlineCancelsAtTheAgent(t *testing.T) {
+	silent := func(*wire.Open) ([]proto.Message, error) { return frames(&wire.Admitted{}), nil }
+	f := newFixture(t, silent)
+	_, _, failure := f.doWithin(modelRequest(false), 10*time.Millisecond)
+	assert.Equal(t, failure.Code, CodeDeadline)
+	assert.Equal(t, failure.Ran, wire.Ran_RAN_UNKNOWN)
+	assert.Equal(t, f.links.sent[0].(*wire.CallerFrame).GetCancel(), true)
+}
+
+func TestCallerGoneCancelsAtTheAgent(t *testing.T) {
+	silent := func(*wire.Open) ([]proto.Message, error) { return frames(&wire.Admitted{}), nil }
+	f := newFixture(t, silent)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	req := modelRequest(true)
+	req.Deadline = time.Now().Add(time.Minute)
+	_, err := f.dispatcher.Do(ctx, f.table, req, &collect{})
+	failure, _ := AsFailure(err)
+	assert.Equal(t, failure.Code, CodeCallerGone)
+	assert.Equal(t, f.links.sent[0].(*wire.CallerFrame).GetCancel(), true)
+}
--- a/internal/dispatch/frames.go
+++ b/internal/dispatch/frames.go
@@ -8,12 +8,18 @@
 
 // frameCheck checks the frames of one attempt in order. An answer is whole
 // only if every frame passed and the last one was a Final with the right totals.
+//
+// Of a streamed answer each chunk holds one token, or none: before the first
+// token and after the last one.
 type frameCheck struct {
 	requestID string
+	streamed  bool
 	next      int64 // sequence of the next frame
 	position  int64 // tokens of the answer so far, those of earlier attempts included
 	chunks    int64
 	bytes     int64
+	tokens    bool // a token came in this attempt
+	closing   bool // a chunk without a token came after a token
 	ended     bool
 }
 
@@ -60,12 +66,36 @@
 	if chunk.GetPosition() < c.position {
 		return errors.Errorf("position %d after %d", chunk.GetPosition(), c.position)
 	}
+	if c.streamed {
+		if err := c.token(chunk); err != nil {
+			return err
+		}
+	}
 	c.position = chunk.GetPosition()
 	c.chunks++
 	c.bytes += int64(len(chunk.GetData()))
 	return nil
 }
 
+// token checks that a chunk of a streamed answer continues the text.
+func (c *frameCheck) token(chunk *wire.Chunk) error {
+	switch chunk.GetPosition() - c.position {
+	case 0:
+		c.closing = c.tokens
+		return nil
+	case 1:
+		c.tokens = true
+		if c.closing {
+			return errors.New("token after the closing chunk")
+		}
+		if len(chunk.GetData()) == 0 {
+			return errors.New("token without text")
+		}
+		return nil
+	}
+	return errors.Errorf("position %d after %d", chunk.GetPosition(), c.position)
+}
+
 func (c *frameCheck) final(final *wire.Final) error {
 	c.ended = true
 	if final.GetFrames() != c.chunks || final.GetBytes() != c.bytes {
--- /dev/null
+++ b/internal/dispatch/fuzz_test.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"quetzalbend/internal/wire"
+)
+
+// FuzzLyingAgent lets an agent send frames that are changed by ops. An answer
+// may count as whole only if it is the text that the totals of an honest agent
+// tell, with every token once.
+func FuzzLyingAgent(f *testing.F) {
+	f.Add(true, []byte{})
+	for op := range byte(lies) {
+		f.Add(true, []byte{op, 3})
+		f.Add(false, []byte{op, 4, op, 2})
+	}
+	f.Fuzz(func(t *testing.T, stream bool, ops []byte) {
+		const text = "abcdef"
+		liar := func(open *wire.Open) ([]proto.Message, error) {
+			from := open.GetCall().GetModel().GetResumePosition()
+			return corrupt(frames(generation(text, from, int64(len(text)))...), ops), io.EOF
+		}
+		fixture := newFixture(t, liar, liar)
+		answer, passed, failure := fixture.doWithin(modelRequest(stream), time.Minute)
+		if answer == nil {
+			if failure == nil {
+				t.Fatal("neither an answer nor a failure")
+			}
+			return
+		}
+		if !answer.Streamed {
+			passed = string(answer.Body)
+		}
+		if passed != text {
+			t.Fatalf("whole answer %q", passed)
+		}
+	})
+}
+
+const lies = 8
+
+// corrupt changes frames: each pair of bytes names a lie and the frame it is
+// about.
+func corrupt(frames []proto.Message, ops []byte) []proto.Message {
+	for i := 0; i+1 < len(ops) && len(frames) > 1; i += 2 {
+		at := int(ops[i+1]) % len(frames)
+		frame := frames[at].(*wire.AnswerFrame)
+		switch ops[i] % lies {
+		case 0: // cut off
+			frames = frames[:at]
+		case 1: // left out
+			frames = append(frames[:at:at], frames[at+1:]...)
+		case 2: // sent twice
+			frames = append(frames[:at+1:at+1], frames[at:]...)
+		case 3: // out of order
+			frames[at], frames[0] = frames[0], frames[at]
+		case 4: // of another request
+			frame.RequestId = "other"
+		case 5: // left out, and the gap closed
+			frames = append(frames[:at:at], closeGap(frames[at+1:])...)
+		case 6: // shortened
+			if chunk := frame.GetChunk(); chunk != nil {
+				chunk.Data = nil
+			}
+		case 7: // position moved back
+			if chunk := frame.GetChunk(); chunk != nil {
+				chunk.Position -= 2
+			}
+		}
+	}
+	return frames
+}
+
+// closeGap returns copies of frames, each with the sequence before its own.
+func closeGap(frames []proto.Message) []proto.Message {
+	closed := make([]proto.Message, len(frames))
+	for i, frame := range frames {
+		moved := proto.Clone(frame).(*wire.AnswerFrame)
+		moved.Sequence--
+		closed[i] = moved
+	}
+	return closed
+}
