--- /dev/null
+++ b/scenarios/processes_test.go
@@ -0,0 +1,131 @@
+//go:build scenarios
+
+package scenarios
+
+import (
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// process is one program of the project's that a scenario has started.
+type process struct {
+	command *exec.Cmd
+	ended   chan struct{} // closed when it has ended
+}
+
+// processes are those of one scenario, by name.
+type processes struct {
+	binaries string // folder of the programs
+	logs     string // folder of their standard error
+
+	lock   sync.Mutex
+	byName map[string]*process
+}
+
+func newProcesses(binaries, logs string) *processes {
+	return &processes{binaries: binaries, logs: logs, byName: make(map[string]*process)}
+}
+
+// start runs a program under a name. A name may be started again after its
+// process has ended.
+func (p *processes) start(name, program string, args ...string) error {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if old := p.byName[name]; old != nil && old.running() {
+		return errors.Errorf("%s runs already", name)
+	}
+	log, err := os.OpenFile(filepath.Join(p.logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	command := exec.Command(filepath.Join(p.binaries, program), args...)
+	command.Stdout = log
+	command.Stderr = log
+	if err := command.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	started := &process{command: command, ended: make(chan struct{})}
+	p.byName[name] = started
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(started.ended)
+	}()
+	return nil
+}
+
+func (p *processes) get(name string) (*process, error) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	found, ok := p.byName[name]
+	if !ok {
+		return nil, errors.Errorf("no process %s", name)
+	}
+	return found, nil
+}
+
+// signal sends a signal to a process started here.
+func (p *processes) signal(name string, signal syscall.Signal) error {
+	found, err := p.get(name)
+	if err != nil {
+		return err
+	}
+	if !found.running() {
+		return errors.Errorf("%s has ended", name)
+	}
+	return found.command.Process.Signal(signal)
+}
+
+// wait waits for the end of a process and returns its exit code, -1 if a
+// signal ended it.
+func (p *processes) wait(name string) (int, error) {
+	found, err := p.get(name)
+	if err != nil {
+		return 0, err
+	}
+	<-found.ended
+	return found.command.ProcessState.ExitCode(), nil
+}
+
+// endAll kills what still runs and waits for it.
+func (p *processes) endAll() {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	for _, running := range p.byName {
+		if running.running() {
+			_ = running.command.Process.Kill()
+		}
+		<-running.ended
+	}
+}
+
+// copyLogs writes the end of each process's log to w.
+func (p *processes) copyLogs(w io.Writer) {
+	const tail = 2000 // bytes
+	files, _ := filepath.Glob(filepath.Join(p.logs, "*.log"))
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil || len(data) == 0 {
+			continue
+		}
+		if len(data) > tail {
+			data = data[len(data)-tail:]
+		}
+		_, _ = io.WriteString(w, "-- "+filepath.Base(file)+"\n"+string(data)+"\n")
+	}
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
