Follow, write and checkpoint the settings on an entry

The chunks of a checkpoint go to a stream of their own; only the record that closes it stands in the settings stream. Followers then never read chunks.

--- a/internal/core/settings/checkpoint.go
+++ b/internal/core/settings/checkpoint.go
@@ -36,7 +36,11 @@
 	Checkpoint string `json:"checkpoint"`
 	Base       int64  `json:"base"`
 	Chunks     int    `json:"chunks"`
-	Hash       string `json:"hash"` // hex, see State.Hash
+	Hash       string `json:"hash"`             // hex, see State.Hash
+	First      int64  `json:"first"`            // offset in the stream of chunks from which to read them
+	End        int64  `json:"end"`              // offset behind the last chunk
+	UnixMS     int64  `json:"unix_ms"`          // author's time, for the pace of checkpoints only
+	Author     string `json:"author,omitempty"` // node
 }
 
 // Entries returns the exact state in canonical order: live paths in path
@@ -97,21 +101,21 @@
 	digest.Write([]byte(text))
 }
 
-// Checkpoint returns the records of a checkpoint of the state under an id. The
-// last record closes it.
-func (s *State) Checkpoint(id string) []Record {
+// Checkpoint returns the chunks of a checkpoint of the state under an id, and
+// the record that closes it. The caller fills in where the chunks landed.
+func (s *State) Checkpoint(id string) ([]Chunk, Close) {
 	entries := s.Entries()
-	end := &Close{Checkpoint: id, Base: s.Offset(), Hash: hashEntries(s.Offset(), entries)}
-	var records []Record
+	var chunks []Chunk
 	for first := 0; first < len(entries); {
 		next := chunkEnd(entries, first)
-		records = append(records, Record{Chunk: &Chunk{
-			Checkpoint: id, Base: s.Offset(), Index: end.Chunks, Entries: entries[first:next],
-		}})
-		end.Chunks++
+		chunks = append(chunks, Chunk{
+			Checkpoint: id, Base: s.Offset(), Index: len(chunks), Entries: entries[first:next],
+		})
 		first = next
 	}
-	return append(records, Record{Close: end})
+	return chunks, Close{
+		Checkpoint: id, Base: s.Offset(), Chunks: len(chunks), Hash: hashEntries(s.Offset(), entries),
+	}
 }
 
 // chunkEnd returns the end of the chunk that starts at an index.
@@ -128,12 +132,12 @@
 
 // Restore returns the state that a checkpoint holds. The chunks may come in
 // any order and more than once. It fails if one is missing or the hash differs.
-func Restore(end *Close, chunks []*Chunk) (*State, error) {
+func Restore(end *Close, chunks []Chunk) (*State, error) {
 	return restore(Window, end, chunks)
 }
 
-func restore(window int64, end *Close, chunks []*Chunk) (*State, error) {
-	byIndex := make(map[int]*Chunk, len(chunks))
+func restore(window int64, end *Close, chunks []Chunk) (*State, error) {
+	byIndex := make(map[int]Chunk, len(chunks))
 	for _, chunk := range chunks {
 		if chunk.Checkpoint == end.Checkpoint && chunk.Base == end.Base {
 			byIndex[chunk.Index] = chunk
--- a/internal/core/settings/delta.go
+++ b/internal/core/settings/delta.go
@@ -35,7 +35,7 @@
 	if delta.From != s.Offset() {
 		return nil, errors.Errorf("advance settings: delta from offset %d at offset %d", delta.From, s.Offset())
 	}
-	next := s.clone()
+	next := s.Clone()
 	entries := append([]CheckpointEntry(nil), delta.Entries...)
 	sort.SliceStable(entries, func(i, j int) bool { return entries[i].Version < entries[j].Version })
 	for _, entry := range entries {
@@ -48,8 +48,8 @@
 	return next, nil
 }
 
-// clone returns an independent copy.
-func (s *State) clone() *State {
+// Clone returns an independent copy, which shares what does not change.
+func (s *State) Clone() *State {
 	next := newState(s.window)
 	next.snapshot = s.snapshot
 	next.tombstones = append([]tombstone(nil), s.tombstones...)
--- a/internal/core/settings/fold.go
+++ b/internal/core/settings/fold.go
@@ -155,3 +155,21 @@
 	}
 	s.tombstones = s.tombstones[dropped:]
 }
+
+// CheckWrite reports what is wrong with a write before it is appended.
+func CheckWrite(write *Write) error {
+	switch {
+	case !ValidPath(write.Path):
+		return errors.Errorf("path %.80q: want /name/name/… of at most %d bytes", write.Path, MaxPathBytes)
+	case write.Deleted && len(write.Value) > 0:
+		return errors.Errorf("path %s: a deletion carries no value", write.Path)
+	case !write.Deleted && len(write.Value) == 0:
+		return errors.Errorf("path %s: no value", write.Path)
+	case len(write.Value) > MaxValueBytes:
+		return errors.Errorf("path %s: value of %d bytes, want at most %d", write.Path, len(write.Value), MaxValueBytes)
+	case !wellFormed(write.AsOf+1, write):
+		return errors.Errorf("path %s: operation or author is empty or too long", write.Path)
+	default:
+		return nil
+	}
+}
--- a/internal/port/log.go
+++ b/internal/port/log.go
@@ -41,6 +41,8 @@
 // Streams of the platform's log that quetzalbend uses.
 const (
 	SettingsStream = "settings"
+	// CheckpointStream holds the chunks of checkpoints of the settings.
+	CheckpointStream = "settings.checkpoint"
 	// ClaimsStreamPrefix is followed by the service's name.
 	ClaimsStreamPrefix = "claims."
 )
--- /dev/null
+++ b/internal/settingssync/node.go
@@ -0,0 +1,151 @@
+package settingssync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"quetzalbend/internal/core/settings"
+	"quetzalbend/internal/port"
+)
+
+// Defaults of Config.
+const (
+	DefaultReadWait           = 2 * time.Second
+	DefaultRetryDelay         = 200 * time.Millisecond
+	DefaultCheckpointInterval = 6 * time.Hour
+	DefaultPeerInterval       = 2 * time.Second
+)
+
+// Peer is another entry.
+type Peer struct {
+	Name          string `json:"name"`
+	Addr          string `json:"addr"` // IP address and port
+	FailureDomain string `json:"failure_domain"`
+}
+
+// Config of a Node. Zero durations mean the default.
+type Config struct {
+	Name               string
+	Incarnation        string
+	FailureDomain      string
+	Log                port.Log
+	Dial               Dialer // to peers and agents; nil for none
+	Peers              []Peer // other entries of all failure domains
+	Registry           metrics.Registry
+	ReadWait           time.Duration // of one read of the log
+	RetryDelay         time.Duration // after a failed read or append
+	CheckpointInterval time.Duration // between checkpoints; well below the log's retention
+	PeerInterval       time.Duration // between exchanges with peers
+}
+
+// Node keeps the settings of one entry.
+type Node struct {
+	cfg     Config
+	store   *store
+	counts  counters
+	ready   chan struct{}
+	isReady sync.Once
+	look    chan struct{} // wakes the author of checkpoints
+
+	mu         sync.Mutex
+	logHealthy bool
+	lag        lag
+	checkpoint checkpointView
+}
+
+// counters of a Node.
+type counters struct {
+	accepted    metrics.Counter
+	rejected    metrics.Counter
+	undecodable metrics.Counter
+	logErrors   metrics.Counter
+	expired     metrics.Counter
+	checkpoints metrics.Counter
+	peerUpdates metrics.Counter
+	offset      metrics.Gauge
+}
+
+func newCounters(registry metrics.Registry) counters {
+	return counters{
+		accepted:    metrics.GetOrRegisterCounter("settings.writes.accepted", registry),
+		rejected:    metrics.GetOrRegisterCounter("settings.writes.rejected", registry),
+		undecodable: metrics.GetOrRegisterCounter("settings.records.undecodable", registry),
+		logErrors:   metrics.GetOrRegisterCounter("settings.log.errors", registry),
+		expired:     metrics.GetOrRegisterCounter("settings.log.expired", registry),
+		checkpoints: metrics.GetOrRegisterCounter("settings.checkpoints.written", registry),
+		peerUpdates: metrics.GetOrRegisterCounter("settings.peers.updates", registry),
+		offset:      metrics.GetOrRegisterGauge("settings.offset", registry),
+	}
+}
+
+// NewNode returns a node without settings. Run fills it.
+func NewNode(cfg Config) *Node {
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
+	setDefault(&cfg.ReadWait, DefaultReadWait)
+	setDefault(&cfg.RetryDelay, DefaultRetryDelay)
+	setDefault(&cfg.CheckpointInterval, DefaultCheckpointInterval)
+	setDefault(&cfg.PeerInterval, DefaultPeerInterval)
+	return &Node{
+		cfg:    cfg,
+		store:  newStore(),
+		counts: newCounters(cfg.Registry),
+		ready:  make(chan struct{}),
+		look:   make(chan struct{}, 1),
+	}
+}
+
+func setDefault(d *time.Duration, otherwise time.Duration) {
+	if *d <= 0 {
+		*d = otherwise
+	}
+}
+
+// Run follows the log and the peers until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.follow(ctx) })
+	group.Go(func() error { return n.authorCheckpoints(ctx) })
+	return group.Wait()
+}
+
+// Ready is closed once the node has settings.
+func (n *Node) Ready() <-chan struct{} { return n.ready }
+
+// Snapshot returns the newest settings, nil before the node is ready.
+func (n *Node) Snapshot() *settings.Snapshot { return n.store.snapshot.Load() }
+
+// Changed returns a channel that closes at the next new snapshot. Take the
+// channel first and the snapshot after it, so that no change is missed.
+func (n *Node) Changed() <-chan struct{} { return n.store.changes() }
+
+// History returns the last writes of a path, accepted or not, oldest first.
+func (n *Node) History(path string) []settings.Judged { return n.store.history(path) }
+
+// noteReady marks the node as ready.
+func (n *Node) noteReady() {
+	n.isReady.Do(func() { close(n.ready) })
+}
+
+// pause waits for about a duration and reports false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(jitter(d))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// jitter returns a random duration between three and five quarters of d.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + rand.Float64()/2))
+}
--- /dev/null
+++ b/internal/settingssync/node_test.go
@@ -0,0 +1,209 @@
+package settingssync
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	client "quetzalbend/internal/adapter/platform"
+	"quetzalbend/internal/app/standin/platform"
+	"quetzalbend/internal/core/settings"
+	"quetzalbend/internal/port"
+)
+
+const patience = 20 * time.Second
+
+func of[T any](value T) *T { return &value }
+
+// bench is a platform stand-in with nodes that follow it.
+type bench struct {
+	t        *testing.T
+	platform *platform.Platform
+	url      string
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	p := platform.New(platform.Config{AppendsPerSecond: 100_000})
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(server.Close)
+	return &bench{t: t, platform: p, url: server.URL}
+}
+
+// config returns the settings of a node with short times.
+func (b *bench) config(name string) Config {
+	return Config{
+		Name:         name,
+		Incarnation:  name + "-1",
+		Log:          client.NewClient(client.Config{BaseURL: b.url, Node: name, Timeout: 5 * time.Second}),
+		ReadWait:     100 * time.Millisecond,
+		RetryDelay:   10 * time.Millisecond,
+		PeerInterval: 20 * time.Millisecond,
+	}
+}
+
+// run starts a node and returns it with a function that stops it.
+func (b *bench) run(cfg Config) (*Node, func()) {
+	b.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	node := NewNode(cfg)
+	var done sync.WaitGroup
+	done.Go(func() { _ = node.Run(ctx) })
+	stop := func() { cancel(); done.Wait() }
+	b.t.Cleanup(stop)
+	return node, stop
+}
+
+// ready starts a node and waits until it has settings.
+func (b *bench) ready(cfg Config) (*Node, func()) {
+	b.t.Helper()
+	node, stop := b.run(cfg)
+	<-node.Ready()
+	return node, stop
+}
+
+// put writes a path and returns the result.
+func (b *bench) put(node *Node, request WriteRequest) Result {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	result, err := node.Put(ctx, request)
+	assert.NilError(b.t, err)
+	return result
+}
+
+func set(path, value string) WriteRequest {
+	return WriteRequest{Path: path, Value: []byte(value), Author: "op"}
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(patience), poll.WithDelay(5*time.Millisecond))
+}
+
+// holds reports whether a node has a value at a path.
+func holds(node *Node, path, value string) func() bool {
+	return func() bool {
+		snapshot := node.Snapshot()
+		if snapshot == nil {
+			return false
+		}
+		entry, ok := snapshot.Get(path)
+		return ok && string(entry.Value) == value
+	}
+}
+
+func TestAnAcceptedWriteIsInForceAtEveryNode(t *testing.T) {
+	b := newBench(t)
+	first, _ := b.ready(b.config("e1"))
+	second, _ := b.ready(b.config("e2"))
+	result := b.put(first, set("/a", `{"x": 1}`))
+	assert.Equal(t, result.Status, Accepted)
+	assert.Equal(t, result.Offset, int64(0))
+	eventually(t, "e2 follows", holds(second, "/a", `{"x":1}`))
+}
+
+func TestOfRacingWritersOnOneVersionExactlyOneWins(t *testing.T) {
+	b := newBench(t)
+	first, _ := b.ready(b.config("e1"))
+	second, _ := b.ready(b.config("e2"))
+	base := b.put(first, set("/a", `0`))
+	var results [2]Result
+	var group sync.WaitGroup
+	for i, node := range []*Node{first, second} {
+		group.Go(func() {
+			request := set("/a", fmt.Sprint(i+1))
+			request.IfVersion = of(base.Offset)
+			results[i], _ = node.Put(context.Background(), request)
+		})
+	}
+	group.Wait()
+	won := 0
+	for _, result := range results {
+		if result.Status == Accepted {
+			won++
+		} else {
+			assert.Equal(t, result.Verdict, settings.StaleVersion)
+		}
+	}
+	assert.Equal(t, won, 1)
+}
+
+func TestALostAnswerIsFoundInTheLog(t *testing.T) {
+	b := newBench(t)
+	node, _ := b.ready(b.config("e1"))
+	b.platform.SetFaults(platform.Faults{LoseAnswers: of(1)})
+	result := b.put(node, set("/a", `1`))
+	assert.Equal(t, result.Status, Accepted)
+	assert.Equal(t, b.platform.Log().Totals()[port.SettingsStream].Appends, int64(1))
+}
+
+func TestALateRepeatDoesNotPutAnOldValueBack(t *testing.T) {
+	b := newBench(t)
+	node, _ := b.ready(b.config("e1"))
+	b.platform.SetFaults(platform.Faults{LateAppendMS: of(int64(700))})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	result, err := node.Put(ctx, set("/a", `"old"`))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Status, Unknown)
+	b.platform.SetFaults(platform.Faults{LateAppendMS: of(int64(0))})
+	assert.Equal(t, b.put(node, set("/a", `"new"`)).Status, Accepted)
+	eventually(t, "the late record lands", func() bool {
+		outcome, err := node.Outcome(t.Context(), result.Operation)
+		return err == nil && outcome.Verdict == settings.StaleVersion
+	})
+	assert.Assert(t, holds(node, "/a", `"new"`)())
+}
+
+func TestWithThePlatformDownNothingIsAccepted(t *testing.T) {
+	b := newBench(t)
+	node, _ := b.ready(b.config("e1"))
+	b.platform.SetFaults(platform.Faults{Down: of(true)})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	result, err := node.Put(ctx, set("/a", `1`))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Status, NotAccepted)
+	assert.Equal(t, node.Snapshot().Len(), 0)
+}
+
+func TestAFreshNodeLoadsACheckpoint(t *testing.T) {
+	b := newBench(t)
+	cfg := b.config("e1")
+	old, stop := b.ready(cfg)
+	for i := range 20 {
+		b.put(old, set(fmt.Sprintf("/p/%d", i%7), fmt.Sprint(i)))
+	}
+	b.put(old, WriteRequest{Path: "/p/3", Delete: true})
+	assert.NilError(t, old.writeCheckpoint(t.Context()))
+	last := b.put(old, set("/q", `1`))
+	b.platform.Log().ExpireBefore(port.SettingsStream, 21)
+	stop()
+	fresh, _ := b.ready(b.config("e2"))
+	assert.Equal(t, fresh.Snapshot().Offset(), last.Offset)
+	assert.Equal(t, fresh.store.copy().Hash(), old.store.copy().Hash())
+}
+
+func TestACheckpointIsWrittenAtOnceWhenTheLogHasNone(t *testing.T) {
+	b := newBench(t)
+	node, _ := b.ready(b.config("e1"))
+	b.put(node, set("/a", `1`))
+	b.put(node, set("/b", `1`))
+	b.platform.Log().ExpireBefore(port.SettingsStream, 2)
+	eventually(t, "a checkpoint", func() bool { return node.counts.checkpoints.Count() > 0 })
+	fresh, _ := b.ready(b.config("e2"))
+	assert.Assert(t, holds(fresh, "/a", `1`)())
+}
