--- /dev/null
+++ b/internal/core/catalog/view.go
@@ -0,0 +1,152 @@
+package catalog
+
+import (
+	"slices"
+	"strings"
+
+	"quetzalbend/internal/core/schema"
+)
+
+// View returns the settings of the catalog as the schema's checks see them.
+func (c *Catalog) View() schema.View { return view{c} }
+
+// view implements schema.View. Its methods search, since writes are rare.
+type view struct{ catalog *Catalog }
+
+// Domain implements schema.View.
+func (v view) Domain(name string) bool {
+	_, ok := v.catalog.Domains[name]
+	return ok
+}
+
+// Team implements schema.View.
+func (v view) Team(name string) (schema.Team, bool) {
+	team, ok := v.catalog.Teams[name]
+	return team, ok
+}
+
+// Target implements schema.View.
+func (v view) Target(name string) (schema.Target, bool) {
+	target, ok := v.catalog.Targets[name]
+	if !ok {
+		return schema.Target{}, false
+	}
+	return target.Target, true
+}
+
+// Group implements schema.View.
+func (v view) Group(name string) (schema.Group, bool) {
+	group, ok := v.catalog.Groups[name]
+	return group, ok
+}
+
+// Model implements schema.View.
+func (v view) Model(team, name string) (schema.Model, bool) {
+	model, ok := v.catalog.Models[TeamName{team, name}]
+	return model, ok
+}
+
+// Declared implements schema.View.
+func (v view) Declared(kind schema.TargetKind, team, name string) bool {
+	if kind == schema.ServiceTarget {
+		return declared(v.catalog.Services, team, name)
+	}
+	return declared(v.catalog.Models, team, name)
+}
+
+func declared[T any](declared map[TeamName]T, team, name string) bool {
+	if team != "" {
+		_, ok := declared[TeamName{team, name}]
+		return ok
+	}
+	for key := range declared {
+		if key.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Served implements schema.View.
+func (v view) Served(kind schema.TargetKind, team, name string) bool {
+	wantTeam := func(t *Target) bool { return t.Team == "" || t.Team == team }
+	for _, target := range v.catalog.Targets {
+		if target.Kind == kind && wantTeam(target) && slices.Contains(target.Serves, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// TokenOwner implements schema.View.
+func (v view) TokenOwner(tokenSHA256 string) (string, bool) {
+	if account, ok := v.catalog.AccountByToken[tokenSHA256]; ok {
+		return "/teams/" + account.Team + "/accounts/" + account.Name, true
+	}
+	if _, ok := v.catalog.Operators[tokenSHA256]; !ok {
+		return "", false
+	}
+	for _, item := range v.catalog.items {
+		if operator, ok := item.value.(*schema.Operator); ok && operator.TokenSHA256 == tokenSHA256 {
+			return item.path, true
+		}
+	}
+	return "", false
+}
+
+// AgentOwner implements schema.View.
+func (v view) AgentOwner(address string) (string, bool) {
+	for _, item := range v.catalog.items {
+		if target, ok := item.value.(*Target); ok && target.Agent == address {
+			return item.path, true
+		}
+	}
+	return "", false
+}
+
+// Users implements schema.View.
+func (v view) Users(path schema.Path) []string {
+	var users []string
+	for _, item := range v.catalog.items {
+		if uses(item, path) {
+			users = append(users, item.path)
+		}
+	}
+	return users
+}
+
+// uses reports whether an item refers to path or stands below it.
+func uses(i item, path schema.Path) bool {
+	switch value := i.value.(type) {
+	case *Target:
+		return targetUses(value, path)
+	case *schema.Group:
+		return path.Kind == schema.KindTarget && slices.Contains(value.Ranks, path.Name)
+	case *schema.Operator:
+		return path.Kind == schema.KindTeam && value.Subtree == "/teams/"+path.Name
+	case *Workload:
+		if path.Kind == schema.KindModel && value.Team == path.Team && value.Model == path.Name {
+			return true
+		}
+		if path.Kind == schema.KindGroup && value.Group == path.Name {
+			return true
+		}
+	}
+	return path.Kind == schema.KindTeam && strings.HasPrefix(i.path, "/teams/"+path.Name+"/")
+}
+
+// targetUses reports whether a target refers to path. A target without a team
+// does not pin any team's model or service.
+func targetUses(target *Target, path schema.Path) bool {
+	switch path.Kind {
+	case schema.KindDomain:
+		return target.FailureDomain == path.Name
+	case schema.KindTeam:
+		return target.Team == path.Name
+	case schema.KindModel:
+		return target.Kind == schema.ModelTarget && target.Team == path.Team && slices.Contains(target.Serves, path.Name)
+	case schema.KindService:
+		return target.Kind == schema.ServiceTarget && target.Team == path.Team && slices.Contains(target.Serves, path.Name)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/schema/view.go
@@ -0,0 +1,21 @@
+package schema
+
+// View gives the settings that a value may refer to. An empty team in Declared
+// stands for any team.
+type View interface {
+	Domain(name string) bool
+	Team(name string) (Team, bool)
+	Target(name string) (Target, bool)
+	Group(name string) (Group, bool)
+	Model(team, name string) (Model, bool)
+	// Declared reports whether the team declares a model or service.
+	Declared(kind TargetKind, team, name string) bool
+	// Served reports whether any target serves the team's model or service.
+	Served(kind TargetKind, team, name string) bool
+	// TokenOwner returns the path of the account or operator with this token.
+	TokenOwner(tokenSHA256 string) (path string, ok bool)
+	// AgentOwner returns the path of the target with this agent address.
+	AgentOwner(address string) (path string, ok bool)
+	// Users returns the paths that refer to a path or stand below it.
+	Users(path Path) []string
+}
