--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,64 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestWhatMayHaveRunIsRetriedOnlyIfRepeatable(t *testing.T) {
+	now := time.Unix(1, 0)
+	for _, c := range []struct {
+		outcome    Outcome
+		repeatable bool
+		want       Action
+	}{
+		{NotSent, false, Retry},
+		{NotRun, false, Retry},
+		{Failed, false, GiveUp},
+		{Broken, false, Ask},
+		{Malformed, false, Ask},
+		{NotSent, true, Retry},
+		{NotRun, true, Retry},
+		{Failed, true, Retry},
+		{Broken, true, Retry},
+		{Malformed, true, Retry},
+	} {
+		budget := &Budget{}
+		budget.balance.Store(balanceLimit)
+		got := Decide(Attempt{Outcome: c.outcome, Repeatable: c.repeatable, Number: 1, Now: now, Deadline: now.Add(time.Second)}, budget)
+		assert.Equal(t, got, c.want, "outcome %d, repeatable %t", c.outcome, c.repeatable)
+	}
+}
+
+func TestNoRetryWithoutTimeAttemptsOrBudget(t *testing.T) {
+	now := time.Unix(1, 0)
+	for what, attempt := range map[string]Attempt{
+		"deadline": {Outcome: NotSent, Repeatable: true, Number: 1, Now: now, Deadline: now.Add(time.Millisecond)},
+		"attempts": {Outcome: NotSent, Repeatable: true, Number: maxAttempts, Now: now, Deadline: now.Add(time.Hour)},
+		"breaks":   {Outcome: Broken, Repeatable: true, Number: 4, Breaks: maxBreaks, Now: now, Deadline: now.Add(time.Hour)},
+		"budget":   {Outcome: NotRun, Repeatable: true, Number: 1, Now: now, Deadline: now.Add(time.Hour)},
+	} {
+		assert.Equal(t, Decide(attempt, &Budget{}), GiveUp, what)
+	}
+}
+
+func TestBudgetNeverExceedsATenthOfTheRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := &Budget{}
+		requests, retries := 0, 0
+		for _, request := range rapid.SliceOfN(rapid.Bool(), 1, 5000).Draw(t, "requests") {
+			if request {
+				budget.Deposit()
+				requests++
+			} else if budget.Withdraw() {
+				retries++
+			}
+		}
+		if 10*retries > requests {
+			t.Fatalf("%d retries for %d requests", retries, requests)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/strike/table_test.go
@@ -0,0 +1,98 @@
+package strike
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestVerdictsFollowTheStrikes(t *testing.T) {
+	table := NewTable("a")
+	assert.Equal(t, table.Judge("f", start), Clear)
+	table.Strike("f", TargetDied, start)
+	assert.Equal(t, table.Judge("f", start), Suspect)
+	table.Strike("f", TargetDied, start)
+	assert.Equal(t, table.Judge("f", start), Refused)
+	assert.Equal(t, table.Judge("other", start), Clear)
+}
+
+func TestLostConnectionsAloneMakeNoSuspectAtOnce(t *testing.T) {
+	table := NewTable("a")
+	table.Strike("f", ConnectionLost, start)
+	assert.Equal(t, table.Judge("f", start), Clear)
+	table.Strike("f", ConnectionLost, start)
+	assert.Equal(t, table.Judge("f", start), Suspect)
+}
+
+func TestStrikesOfAllNodesCount(t *testing.T) {
+	a, b := NewTable("a"), NewTable("b")
+	a.Strike("f", TargetDied, start)
+	b.Strike("f", TargetDied, start)
+	for range 3 {
+		a.Merge(b.Counts(start), start)
+		b.Merge(a.Counts(start), start)
+	}
+	assert.Equal(t, a.Judge("f", start), Refused)
+	assert.Equal(t, b.Judge("f", start), Refused)
+}
+
+func TestExoneratedRequestIsClearEverywhere(t *testing.T) {
+	a, b := NewTable("a"), NewTable("b")
+	a.Strike("f", TargetDied, start)
+	b.Merge(a.Counts(start), start)
+	b.Exonerate("f")
+	a.Merge(b.Counts(start), start)
+	assert.Equal(t, a.Judge("f", start), Clear)
+	a.Strike("f", TargetDied, start)
+	assert.Equal(t, a.Judge("f", start), Suspect)
+}
+
+func TestStrikesExpire(t *testing.T) {
+	table := NewTable("a")
+	table.Strike("f", 2*TargetDied, start)
+	later := start.Add(Lifetime + time.Second)
+	assert.Equal(t, table.Judge("f", later), Clear)
+	assert.Equal(t, len(table.Counts(later)), 0)
+}
+
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable("a")
+	for i := range 3 * shards * maxPerShard {
+		table.Strike(fmt.Sprint(i), TargetDied, start.Add(time.Duration(i)))
+	}
+	assert.Assert(t, len(table.Counts(start)) <= shards*maxPerShard)
+}
+
+// Nodes that have exchanged their counts in any order agree.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{NewTable("a"), NewTable("b"), NewTable("c")}
+		for _, step := range rapid.SliceOf(rapid.IntRange(0, 11)).Draw(t, "steps") {
+			table, other := tables[step%3], tables[(step+1)%3]
+			switch step / 3 {
+			case 0, 1:
+				table.Strike("f", 1+step/3, start)
+			case 2:
+				table.Merge(other.Counts(start), start)
+			case 3:
+				table.Exonerate("f")
+			}
+		}
+		for range 2 {
+			for i, table := range tables {
+				table.Merge(tables[(i+1)%3].Counts(start), start)
+				table.Merge(tables[(i+2)%3].Counts(start), start)
+			}
+		}
+		for _, table := range tables[1:] {
+			if table.Judge("f", start) != tables[0].Judge("f", start) {
+				t.Fatal("verdicts differ")
+			}
+		}
+	})
+}
