Exchange settings with peers and feed agents

Entries exchange offsets with a few partners each; a node that the log serves takes a peer's update only after it has lagged for a while, since only records carry the verdicts that its writers wait for. Agents are fed by the first two live entries of their failure domain.

--- a/internal/core/settings/delta.go
+++ b/internal/core/settings/delta.go
@@ -23,8 +23,14 @@
 	return Delta{From: offset, To: s.Offset(), Entries: s.entriesSince(offset)}
 }
 
+// FromDelta returns the state of a delta that holds the whole state.
+func FromDelta(delta Delta) *State {
+	return fromEntries(Window, delta.To, delta.Entries)
+}
+
 // Advance returns the state that a delta leads to. It fails, and the state
-// stays as it is, if the delta starts elsewhere or leads to no later offset.
+// stays as it is, if the delta starts later or leads to no later offset. A
+// delta that starts earlier repeats only what the state holds already.
 func (s *State) Advance(delta Delta) (*State, error) {
 	if delta.To <= s.Offset() {
 		return nil, errors.Errorf("advance settings: offset %d is not above %d", delta.To, s.Offset())
@@ -32,13 +38,16 @@
 	if delta.From == NoOffset {
 		return fromEntries(s.window, delta.To, delta.Entries), nil
 	}
-	if delta.From != s.Offset() {
+	if delta.From > s.Offset() {
 		return nil, errors.Errorf("advance settings: delta from offset %d at offset %d", delta.From, s.Offset())
 	}
 	next := s.Clone()
 	entries := append([]CheckpointEntry(nil), delta.Entries...)
 	sort.SliceStable(entries, func(i, j int) bool { return entries[i].Version < entries[j].Version })
 	for _, entry := range entries {
+		if entry.Version <= s.Offset() {
+			continue
+		}
 		next.set(entry.Version, Write{
 			Path: entry.Path, Value: entry.Value, Deleted: entry.Deleted, Author: entry.Author,
 		})
--- /dev/null
+++ b/internal/settingssync/agents.go
@@ -0,0 +1,61 @@
+package settingssync
+
+import (
+	"slices"
+
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/schema"
+)
+
+// AgentsOf returns the agents of all targets in name order, each with the
+// subtrees that it needs: its target and failure domain, its groups with the
+// targets of their ranks, and the services that it serves.
+func AgentsOf(c *catalog.Catalog) []Agent {
+	groups := groupsByTarget(c.Groups)
+	services := make(map[string][]string)
+	for name := range c.Services {
+		services[name.Name] = append(services[name.Name], "/teams/"+name.Team+"/services/"+name.Name)
+	}
+	agents := make([]Agent, 0, len(c.Targets))
+	for name, target := range c.Targets {
+		agents = append(agents, Agent{
+			Name: name, Addr: target.Agent, FailureDomain: target.FailureDomain,
+			Subtrees: subtreesOf(c, target, groups[name], services),
+		})
+	}
+	slices.SortFunc(agents, func(a, b Agent) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return agents
+}
+
+func groupsByTarget(groups map[string]schema.Group) map[string][]string {
+	byTarget := make(map[string][]string)
+	for name, group := range groups {
+		for _, target := range group.Ranks {
+			byTarget[target] = append(byTarget[target], name)
+		}
+	}
+	return byTarget
+}
+
+// subtreesOf returns the sorted subtrees that one target's agent needs.
+func subtreesOf(c *catalog.Catalog, target *catalog.Target, groups []string, services map[string][]string) []string {
+	subtrees := []string{"/domains/" + target.FailureDomain, "/targets/" + target.Name}
+	for _, group := range groups {
+		subtrees = append(subtrees, "/groups/"+group)
+		for _, rank := range c.Groups[group].Ranks {
+			subtrees = append(subtrees, "/targets/"+rank)
+		}
+	}
+	if target.Kind == schema.ServiceTarget {
+		for _, served := range target.Serves {
+			subtrees = append(subtrees, services[served]...)
+		}
+	}
+	slices.Sort(subtrees)
+	return slices.Compact(subtrees)
+}
--- /dev/null
+++ b/internal/settingssync/feed.go
@@ -0,0 +1,350 @@
+package settingssync
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/adapter/link"
+	"quetzalbend/internal/core/settings"
+	"quetzalbend/internal/wire"
+)
+
+const (
+	feedersPerAgent = 2 // entries that feed each agent
+	feedRetryDelay  = time.Second
+	ackTimeout      = 5 * time.Second
+	reviewEvery     = 5 * time.Second // between two looks at which agents to feed
+)
+
+// Agent is an agent that needs settings.
+type Agent struct {
+	Name          string // of its target
+	Addr          string // IP address and port
+	FailureDomain string
+	Subtrees      []string // paths that it needs, each with all below
+}
+
+// Feeder sends agents the settings that they need. Each agent is fed by the
+// entries that rendezvous hashing names for it.
+type Feeder struct {
+	node   *Node
+	dial   Dialer
+	agents func(*settings.Snapshot) []Agent
+
+	mu   sync.Mutex
+	fed  map[string]context.CancelFunc // by address
+	acks map[string]ack                // by agent
+	want map[string]Agent              // by address
+}
+
+// ack is what an agent last said to be in force.
+type ack struct {
+	offset      int64
+	incarnation string
+	at          time.Time
+}
+
+// NewFeeder returns a feeder for the agents that a snapshot names.
+func NewFeeder(node *Node, dial Dialer, agents func(*settings.Snapshot) []Agent) *Feeder {
+	f := &Feeder{
+		node: node, dial: dial, agents: agents,
+		fed: map[string]context.CancelFunc{}, acks: map[string]ack{}, want: map[string]Agent{},
+	}
+	node.mu.Lock()
+	node.feeder = f
+	node.mu.Unlock()
+	return f
+}
+
+// Run feeds the agents until ctx ends.
+func (f *Feeder) Run(ctx context.Context) error {
+	select {
+	case <-f.node.Ready():
+	case <-ctx.Done():
+		return nil
+	}
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for ctx.Err() == nil {
+		changed := f.node.Changed()
+		f.review(ctx, &streams)
+		timer := time.NewTimer(jitter(reviewEvery))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// review starts and stops feeding so that it matches the settings and the
+// entries that are live.
+func (f *Feeder) review(ctx context.Context, streams *sync.WaitGroup) {
+	want := map[string]Agent{}
+	rivals := f.liveEntries(time.Now())
+	for _, agent := range f.agents(f.node.Snapshot()) {
+		if agent.Addr != "" && f.responsible(agent, rivals) {
+			want[agent.Addr] = agent
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for addr, cancel := range f.fed {
+		if _, ok := want[addr]; !ok {
+			cancel()
+			delete(f.fed, addr)
+			delete(f.acks, f.want[addr].Name)
+		}
+	}
+	f.want = want
+	for addr := range want {
+		if _, ok := f.fed[addr]; !ok {
+			feedCtx, cancel := context.WithCancel(ctx)
+			f.fed[addr] = cancel
+			streams.Go(func() { f.feedUntil(feedCtx, addr) })
+		}
+	}
+}
+
+// liveEntries returns the other entries that have been heard of lately, by
+// failure domain.
+func (f *Feeder) liveEntries(now time.Time) map[string][]Peer {
+	live := map[string][]Peer{}
+	for _, peer := range f.node.cfg.Peers {
+		if f.node.table.live(peer.Name, now) {
+			live[peer.FailureDomain] = append(live[peer.FailureDomain], peer)
+		}
+	}
+	return live
+}
+
+// responsible reports whether this entry feeds an agent: it is one of the
+// first live entries for it, those of its own failure domain before others.
+func (f *Feeder) responsible(agent Agent, live map[string][]Peer) bool {
+	own := Peer{Name: f.node.cfg.Name, FailureDomain: f.node.cfg.FailureDomain}
+	near := live[agent.FailureDomain]
+	if own.FailureDomain != agent.FailureDomain && len(near) >= feedersPerAgent {
+		return false
+	}
+	better := countPreceding(near, own, agent)
+	for domain, entries := range live {
+		if better >= feedersPerAgent {
+			break
+		}
+		if domain != agent.FailureDomain && own.FailureDomain != agent.FailureDomain {
+			better += countPreceding(entries, own, agent)
+		}
+	}
+	return better < feedersPerAgent
+}
+
+// countPreceding returns how many entries come before own for an agent.
+func countPreceding(entries []Peer, own Peer, agent Agent) int {
+	count := 0
+	for _, entry := range entries {
+		if precedes(entry, own, agent) {
+			count++
+		}
+	}
+	return count
+}
+
+// precedes reports whether entry a comes before entry b for an agent.
+func precedes(a, b Peer, agent Agent) bool {
+	near, other := a.FailureDomain == agent.FailureDomain, b.FailureDomain == agent.FailureDomain
+	if near != other {
+		return near
+	}
+	return score(a.Name, agent.Name) < score(b.Name, agent.Name)
+}
+
+// feedUntil feeds the agent at an address until ctx ends.
+func (f *Feeder) feedUntil(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		if err := f.feed(ctx, addr); err != nil {
+			f.node.counts.feedErrors.Inc(1)
+		}
+		pause(ctx, feedRetryDelay)
+	}
+}
+
+// feed sends updates on one stream until it breaks.
+func (f *Feeder) feed(ctx context.Context, addr string) error {
+	hello := &wire.SettingsUpdate{FromOffset: emptyOffset, ToOffset: emptyOffset, Sender: f.node.cfg.Name}
+	stream, err := f.dial.Open(ctx, addr, &wire.Open{Purpose: &wire.Open_Settings{Settings: hello}})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	acks := f.receiveAcks(ctx, stream, addr)
+	for {
+		held, err := nextAck(ctx, acks)
+		if err != nil || held == nil {
+			return errors.Wrapf(err, "feed settings to %s", addr)
+		}
+		parts := f.awaitUpdate(ctx, addr, held, acks)
+		for _, part := range parts {
+			if err := stream.Send(part); err != nil {
+				return err
+			}
+		}
+		if len(parts) == 0 {
+			return nil // ctx has ended, or the agent has closed the stream
+		}
+	}
+}
+
+// receiveAcks passes on what an agent says to hold. The channel closes with
+// the stream.
+func (f *Feeder) receiveAcks(ctx context.Context, stream *link.Stream, addr string) <-chan *wire.SettingsAck {
+	acks := make(chan *wire.SettingsAck)
+	go func() {
+		defer close(acks)
+		for {
+			held := &wire.SettingsAck{}
+			if err := stream.Receive(held); err != nil {
+				return
+			}
+			f.noteAck(addr, held)
+			select {
+			case acks <- held:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return acks
+}
+
+// nextAck waits a bounded time for what an agent holds. It returns nil if the
+// stream or ctx has ended.
+func nextAck(ctx context.Context, acks <-chan *wire.SettingsAck) (*wire.SettingsAck, error) {
+	timer := time.NewTimer(ackTimeout)
+	defer timer.Stop()
+	select {
+	case held := <-acks:
+		return held, nil
+	case <-timer.C:
+		return nil, errors.New("no acknowledgement in time")
+	case <-ctx.Done():
+		return nil, nil
+	}
+}
+
+// awaitUpdate waits until an agent lacks something and returns that. It
+// returns nothing if the stream or ctx has ended.
+func (f *Feeder) awaitUpdate(ctx context.Context, addr string, held *wire.SettingsAck, acks <-chan *wire.SettingsAck) []*wire.SettingsUpdate {
+	for {
+		changed := f.node.Changed()
+		if parts := f.updateFor(addr, held); len(parts) > 0 {
+			return parts
+		}
+		select {
+		case <-changed:
+		case <-acks:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// updateFor returns what an agent lacks, nothing if it is up to date.
+func (f *Feeder) updateFor(addr string, held *wire.SettingsAck) []*wire.SettingsUpdate {
+	f.mu.Lock()
+	agent, ok := f.want[addr]
+	f.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	from := held.GetOffset()
+	hash := subtreesHash(agent.Subtrees)
+	if held.GetSubtreesHash() != hash {
+		from = emptyOffset
+	}
+	delta, ok := f.node.store.deltaFrom(from)
+	if !ok || delta.To < held.GetOffset() {
+		return nil
+	}
+	delta.Entries = slices.DeleteFunc(delta.Entries, func(entry settings.CheckpointEntry) bool {
+		return !within(entry.Path, agent.Subtrees) || (entry.Deleted && delta.From == settings.NoOffset)
+	})
+	first := &wire.SettingsUpdate{Sender: f.node.cfg.Name}
+	if delta.From == settings.NoOffset {
+		first.Subtrees = agent.Subtrees
+	}
+	parts := updateParts(first, delta)
+	for _, part := range parts {
+		for _, entry := range part.GetEntries() {
+			entry.Author = ""
+		}
+	}
+	return parts
+}
+
+// within reports whether a path lies in one of the subtrees.
+func within(path string, subtrees []string) bool {
+	return slices.ContainsFunc(subtrees, func(subtree string) bool { return settings.Below(path, subtree) })
+}
+
+// subtreesHash identifies a set of subtrees.
+func subtreesHash(subtrees []string) string {
+	sum := sha256.Sum256([]byte(strings.Join(subtrees, "\n")))
+	return hex.EncodeToString(sum[:8])
+}
+
+// noteAck keeps what is in force at an agent.
+func (f *Feeder) noteAck(addr string, held *wire.SettingsAck) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if agent, ok := f.want[addr]; ok {
+		f.acks[agent.Name] = ack{offset: held.GetOffset(), incarnation: held.GetIncarnation(), at: time.Now()}
+	}
+}
+
+// AgentStatus is what is in force at one agent.
+type AgentStatus struct {
+	Agent       string
+	Offset      int64 // NoOffset before the agent has said so
+	Incarnation string
+	Age         time.Duration // since the agent said so
+}
+
+// Agents returns the status of the agents that this entry feeds, in name order.
+func (f *Feeder) Agents() []AgentStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	statuses := make([]AgentStatus, 0, len(f.want))
+	for _, agent := range f.want {
+		status := AgentStatus{Agent: agent.Name, Offset: settings.NoOffset}
+		if known, ok := f.acks[agent.Name]; ok {
+			status.Offset, status.Incarnation, status.Age = known.offset, known.incarnation, now.Sub(known.at)
+		}
+		statuses = append(statuses, status)
+	}
+	slices.SortFunc(statuses, func(a, b AgentStatus) int { return strings.Compare(a.Agent, b.Agent) })
+	return statuses
+}
+
+// fillStatus sums up the agents in the entry's own row.
+func (f *Feeder) fillStatus(status *NodeStatus) {
+	for _, agent := range f.Agents() {
+		status.Agents++
+		status.AgentsOffset = min(status.AgentsOffset, agent.Offset)
+		if agent.Offset < status.Offset && len(status.AgentsBehind) < namesPerRow {
+			status.AgentsBehind = append(status.AgentsBehind, agent.Agent)
+		}
+	}
+}
--- a/internal/settingssync/follow.go
+++ b/internal/settingssync/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
@@ -86,12 +85,11 @@
 	if err != nil {
 		n.counts.logErrors.Inc(1)
 	}
-	if offset, ok := n.store.offset(); ok {
-		n.counts.offset.Update(offset)
-	}
+	n.noteMoved()
 	n.mu.Lock()
 	before := n.logHealthy
 	n.logHealthy = err == nil
+	n.logTried = true
 	n.mu.Unlock()
 	switch {
 	case before && err != nil:
@@ -101,14 +99,16 @@
 	}
 }
 
+// noteMoved keeps the offset as a metric.
+func (n *Node) noteMoved() {
+	if offset, ok := n.store.offset(); ok {
+		n.counts.offset.Update(offset)
+	}
+}
+
 // LogHealthy reports whether the last read of the log succeeded.
 func (n *Node) LogHealthy() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.logHealthy
 }
-
-// lag tells since when a peer has been known to hold later settings.
-type lag struct {
-	since time.Time // zero if none is known
-}
--- a/internal/settingssync/node.go
+++ b/internal/settingssync/node.go
@@ -11,6 +11,7 @@
 
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/port"
+	"quetzalbend/internal/wire"
 )
 
 // Defaults of Config.
@@ -34,13 +35,19 @@
 	Incarnation        string
 	FailureDomain      string
 	Log                port.Log
-	Dial               Dialer // to peers and agents; nil for none
-	Peers              []Peer // other entries of all failure domains
+	Dial               Dialer      // to a few peers; nil for none
+	NewPool            func() Pool // for asking all peers at the start; nil: Dial
+	Peers              []Peer      // other entries of all failure domains
 	Registry           metrics.Registry
 	ReadWait           time.Duration // of one read of the log
 	RetryDelay         time.Duration // after a failed read or append
 	CheckpointInterval time.Duration // between checkpoints; well below the log's retention
 	PeerInterval       time.Duration // between exchanges with peers
+
+	// FillPeerSync and TakePeerSync add to and read the messages between
+	// peers; nil for neither.
+	FillPeerSync func(*wire.PeerSync)
+	TakePeerSync func(*wire.PeerSync)
 }
 
 // Node keeps the settings of one entry.
@@ -48,14 +55,21 @@
 	cfg     Config
 	store   *store
 	counts  counters
+	table   *table
 	ready   chan struct{}
 	isReady sync.Once
 	look    chan struct{} // wakes the author of checkpoints
 
 	mu         sync.Mutex
 	logHealthy bool
-	lag        lag
+	logTried   bool // a first read of the log has ended, well or not
 	checkpoint checkpointView
+	feeder     *Feeder
+
+	// Since behindSince a peer has been known to hold settings above behindAt,
+	// which was then this node's offset.
+	behindSince time.Time
+	behindAt    int64
 }
 
 // counters of a Node.
@@ -67,6 +81,8 @@
 	expired     metrics.Counter
 	checkpoints metrics.Counter
 	peerUpdates metrics.Counter
+	peerErrors  metrics.Counter
+	feedErrors  metrics.Counter
 	offset      metrics.Gauge
 }
 
@@ -79,6 +95,8 @@
 		expired:     metrics.GetOrRegisterCounter("settings.log.expired", registry),
 		checkpoints: metrics.GetOrRegisterCounter("settings.checkpoints.written", registry),
 		peerUpdates: metrics.GetOrRegisterCounter("settings.peers.updates", registry),
+		peerErrors:  metrics.GetOrRegisterCounter("settings.peers.errors", registry),
+		feedErrors:  metrics.GetOrRegisterCounter("settings.feed.errors", registry),
 		offset:      metrics.GetOrRegisterGauge("settings.offset", registry),
 	}
 }
@@ -92,13 +110,15 @@
 	setDefault(&cfg.RetryDelay, DefaultRetryDelay)
 	setDefault(&cfg.CheckpointInterval, DefaultCheckpointInterval)
 	setDefault(&cfg.PeerInterval, DefaultPeerInterval)
-	return &Node{
+	n := &Node{
 		cfg:    cfg,
 		store:  newStore(),
 		counts: newCounters(cfg.Registry),
 		ready:  make(chan struct{}),
 		look:   make(chan struct{}, 1),
 	}
+	n.table = newTable(n.ownStatus)
+	return n
 }
 
 func setDefault(d *time.Duration, otherwise time.Duration) {
@@ -111,6 +131,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.follow(ctx) })
+	group.Go(func() error { return n.gossip(ctx) })
 	group.Go(func() error { return n.authorCheckpoints(ctx) })
 	return group.Wait()
 }
--- a/internal/settingssync/store.go
+++ b/internal/settingssync/store.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
+
 	"quetzalbend/internal/core/settings"
 )
 
@@ -102,18 +104,20 @@
 func (s *store) advance(delta settings.Delta) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := s.state
-	if state == nil {
-		state = settings.NewState()
-	} else if delta.To <= state.Offset() {
+	if s.state == nil {
+		if delta.From != settings.NoOffset {
+			return false, errors.Errorf("no settings to apply a delta from offset %d to", delta.From)
+		}
+		s.state = settings.FromDelta(delta)
+		s.publish()
+		return true, nil
+	}
+	if delta.To <= s.state.Offset() {
 		return false, nil
 	}
-	if s.state != nil || delta.To > state.Offset() {
-		next, err := state.Advance(delta)
-		if err != nil {
-			return false, err
-		}
-		state = next
+	state, err := s.state.Advance(delta)
+	if err != nil {
+		return false, err
 	}
 	s.state = state
 	s.publish()
