Hold limits of teams and accounts over all entries by shares

Each entry divides a limit by the demands that entries report to each other and counts its own demand only as far as all peers hold it. On a cut both sides keep to their part of the limit; shares shrink before others grow.

--- /dev/null
+++ b/internal/core/limits/bucket.go
@@ -0,0 +1,41 @@
+package limits
+
+import (
+	"math"
+	"time"
+)
+
+// bucket is a token bucket whose rate may change. Its balance may become
+// negative, where the cost is known only afterwards.
+type bucket struct {
+	balance float64
+	updated time.Time
+}
+
+// refill adds what has accrued at rate a second, up to depth.
+func (b *bucket) refill(rate, depth float64, now time.Time) {
+	if b.updated.IsZero() {
+		b.balance = depth
+		b.updated = now
+		return
+	}
+	if elapsed := now.Sub(b.updated); elapsed > 0 {
+		b.balance += rate * elapsed.Seconds()
+		b.updated = now
+	}
+	b.balance = min(b.balance, depth)
+}
+
+// wait returns how long the balance takes to reach need at rate a second, at
+// most maxRetryAfter.
+func (b *bucket) wait(need, rate float64) time.Duration {
+	missing := need - b.balance
+	if missing <= 0 {
+		return 0
+	}
+	seconds := missing / rate
+	if math.IsNaN(seconds) || seconds > maxRetryAfter.Seconds() {
+		return maxRetryAfter
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/core/limits/limiter.go
@@ -0,0 +1,257 @@
+package limits
+
+import (
+	"cmp"
+	"hash/maphash"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultShards     = 64
+	DefaultStaleAfter = 6 * time.Second
+	DefaultGuard      = 4 * time.Second
+	DefaultMaxReport  = 512
+)
+
+// Config of a Limiter. Zero fields mean the default.
+type Config struct {
+	Shards     int
+	StaleAfter time.Duration // silence after which a peer is absent
+	Guard      time.Duration // longest time between two reports, and then some
+	MaxReport  int           // subjects in one report
+}
+
+// Refusal says why a request is refused.
+type Refusal struct {
+	Subject    string
+	Code       Code
+	RetryAfter time.Duration
+}
+
+// Usage is the demand of one subject at one entry.
+type Usage struct {
+	Subject string
+	Demand  Amounts
+}
+
+// Report is what an entry tells its peers.
+type Report struct {
+	Number uint64
+	Usage  []Usage
+}
+
+// Limiter holds the limits of all teams and accounts at one entry. Its methods
+// may be called from several goroutines.
+type Limiter struct {
+	cfg    Config
+	seed   maphash.Seed
+	shards []shard
+	peers  peers
+	newest atomic.Uint64 // number of the last report
+	view   atomic.Pointer[view]
+}
+
+// shard is a part of the subjects under its own lock.
+type shard struct {
+	mu       sync.Mutex
+	subjects map[string]*subject
+}
+
+// New returns a limiter of an entry without peers.
+func New(cfg Config) *Limiter {
+	cfg.Shards = cmp.Or(cfg.Shards, DefaultShards)
+	cfg.StaleAfter = cmp.Or(cfg.StaleAfter, DefaultStaleAfter)
+	cfg.Guard = cmp.Or(cfg.Guard, DefaultGuard)
+	cfg.MaxReport = cmp.Or(cfg.MaxReport, DefaultMaxReport)
+	l := &Limiter{cfg: cfg, seed: maphash.MakeSeed(), shards: make([]shard, cfg.Shards)}
+	l.peers = peers{staleAfter: cfg.StaleAfter, guard: cfg.Guard, byName: make(map[string]*peer)}
+	for i := range l.shards {
+		l.shards[i].subjects = make(map[string]*subject)
+	}
+	l.view.Store(&view{total: 1})
+	return l
+}
+
+// SetPeers names the other entries, whether they can be reached or not.
+func (l *Limiter) SetPeers(now time.Time, names []string) {
+	l.peers.set(names)
+	l.look(now)
+}
+
+// look renews the view of the peers.
+func (l *Limiter) look(now time.Time) {
+	l.view.Store(l.peers.at(now, l.newest.Load()))
+}
+
+// Grant is an admitted request.
+type Grant struct {
+	limiter  *Limiter
+	subjects [2]string
+	count    int
+}
+
+// Admit counts a request in under its team and account, or returns why not.
+// Every grant must be released once.
+func (l *Limiter) Admit(now time.Time, team, account Subject) (*Grant, *Refusal) {
+	grant := &Grant{limiter: l}
+	for _, wanted := range []Subject{account, team} {
+		if !wanted.Limited() {
+			continue
+		}
+		if refusal := l.admit(now, wanted); refusal != nil {
+			grant.undo()
+			return nil, refusal
+		}
+		grant.subjects[grant.count] = wanted.Name
+		grant.count++
+	}
+	return grant, nil
+}
+
+func (l *Limiter) admit(now time.Time, wanted Subject) *Refusal {
+	shard := l.shardOf(wanted.Name)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	s := shard.get(wanted, now)
+	if v := l.view.Load(); s.viewed != v {
+		s.computeShares(v, l.newest.Load())
+	}
+	refusal := s.admit(now)
+	if refusal != nil {
+		refusal.Subject = wanted.Name
+	}
+	return refusal
+}
+
+// undo takes back the admissions of a request that is refused after all.
+func (g *Grant) undo() {
+	for _, name := range g.subjects[:g.count] {
+		g.limiter.with(name, (*subject).undo)
+	}
+}
+
+// Release counts the request out with the tokens that it generated.
+func (g *Grant) Release(now time.Time, tokens int64) {
+	for _, name := range g.subjects[:g.count] {
+		g.limiter.with(name, func(s *subject) { s.release(float64(tokens), now) })
+	}
+}
+
+// Report returns the demands to tell all peers, the largest in relation to
+// their limits first, and starts a new interval. Call it at a steady interval
+// of less than Config.Guard.
+func (l *Limiter) Report(now time.Time) Report {
+	l.look(now)
+	number := l.newest.Load() + 1
+	total := l.view.Load().total
+	report := Report{Number: number}
+	weights := make(map[string]float64)
+	l.each(now, func(name string, s *subject) {
+		s.measure(now)
+		weight := s.weight(total)
+		if weight > assumedPart {
+			report.Usage = append(report.Usage, Usage{Subject: name, Demand: s.demand})
+			weights[name] = weight
+		}
+	})
+	slices.SortFunc(report.Usage, func(a, b Usage) int {
+		return cmp.Or(cmp.Compare(weights[b.Subject], weights[a.Subject]), cmp.Compare(a.Subject, b.Subject))
+	})
+	report.Usage = report.Usage[:min(len(report.Usage), l.cfg.MaxReport)]
+	for _, usage := range report.Usage {
+		l.with(usage.Subject, func(s *subject) { s.publish(number, usage.Demand) })
+	}
+	l.newest.Store(number)
+	l.look(now)
+	return report
+}
+
+// weight returns the largest demand in relation to an equal share.
+func (s *subject) weight(total int) float64 {
+	var weight float64
+	for r, limit := range s.limits {
+		if limit > 0 {
+			weight = max(weight, s.demand[r]*float64(total)/limit)
+		}
+	}
+	return weight
+}
+
+// Delivered notes that a peer has received the report with this number.
+func (l *Limiter) Delivered(now time.Time, peer string, number uint64) {
+	l.peers.reach(peer, number, now)
+	l.look(now)
+}
+
+// Receive takes in a whole report of a peer.
+func (l *Limiter) Receive(now time.Time, peer string, usage []Usage) {
+	number := l.peers.hear(peer, now)
+	if number == 0 {
+		return
+	}
+	for _, reported := range usage {
+		l.hear(now, peer, number, reported)
+	}
+	l.look(now)
+}
+
+func (l *Limiter) hear(now time.Time, peer string, number uint64, usage Usage) {
+	shard := l.shardOf(usage.Subject)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	s := shard.get(Subject{Name: usage.Subject}, now)
+	s.used = now
+	if s.others == nil {
+		s.others = make(map[string]reported)
+	}
+	s.others[peer] = reported{number: number, demand: usage.Demand}
+}
+
+func (l *Limiter) shardOf(name string) *shard {
+	return &l.shards[maphash.String(l.seed, name)%uint64(len(l.shards))]
+}
+
+// with calls change on a subject that exists.
+func (l *Limiter) with(name string, change func(*subject)) {
+	shard := l.shardOf(name)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if s := shard.subjects[name]; s != nil {
+		change(s)
+	}
+}
+
+// each visits all subjects and forgets those that are idle.
+func (l *Limiter) each(now time.Time, visit func(name string, s *subject)) {
+	for i := range l.shards {
+		shard := &l.shards[i]
+		shard.mu.Lock()
+		for name, s := range shard.subjects {
+			if s.idle(now) {
+				delete(shard.subjects, name)
+				continue
+			}
+			visit(name, s)
+		}
+		shard.mu.Unlock()
+	}
+}
+
+// get returns a subject, new if need be. Limits are taken over when they change;
+// a report of a peer names none.
+func (s *shard) get(wanted Subject, now time.Time) *subject {
+	found := s.subjects[wanted.Name]
+	if found == nil {
+		found = &subject{used: now, measured: now}
+		s.subjects[wanted.Name] = found
+	}
+	if wanted.Limited() && found.limits != wanted.Limits {
+		found.limits = wanted.Limits
+		found.viewed = nil
+	}
+	return found
+}
--- /dev/null
+++ b/internal/core/limits/limiter_test.go
@@ -0,0 +1,248 @@
+package limits
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quetzalbend/internal/core/schema"
+)
+
+// interval is the time between two rounds of reports in these tests.
+const interval = time.Second
+
+func TestSharesAddUpToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 100), 1, 8).Draw(t, "demands")
+		limit := rapid.Float64Range(0.1, 200).Draw(t, "limit")
+		var sum float64
+		for i := range demands {
+			others := append(append([]float64(nil), demands[:i]...), demands[i+1:]...)
+			share := Share(limit, demands[i], others)
+			sum += share
+			equal := limit / float64(len(demands))
+			if share < min(demands[i], equal)-1e-9 {
+				t.Fatalf("share %g of %g for demand %g", share, limit, demands[i])
+			}
+			if more := Share(limit, demands[i]+1, others); more < share-1e-9 {
+				t.Fatalf("share fell from %g to %g with more demand", share, more)
+			}
+		}
+		if math.Abs(sum-limit) > 1e-6 {
+			t.Fatalf("shares of %v add up to %g of %g", demands, sum, limit)
+		}
+	})
+}
+
+// cluster is a set of entries that exchange reports once an interval.
+type cluster struct {
+	now      time.Time
+	limiters []*Limiter
+	cut      func(from, to int) bool
+	account  Subject
+}
+
+func newCluster(entries int, limits schema.Limits) *cluster {
+	c := &cluster{now: time.Unix(1000, 0), cut: func(int, int) bool { return false }}
+	c.account = AccountSubject("team", "account", limits)
+	for i := range entries {
+		l := New(Config{StaleAfter: 4 * interval, Guard: 3 * interval})
+		var peers []string
+		for j := range entries {
+			if j != i {
+				peers = append(peers, fmt.Sprint(j))
+			}
+		}
+		l.SetPeers(c.now, peers)
+		c.limiters = append(c.limiters, l)
+	}
+	return c
+}
+
+// report delivers a report of entry i to all others that it can reach.
+func (c *cluster) report(i int) {
+	from := c.limiters[i]
+	report := from.Report(c.now)
+	for j, to := range c.limiters {
+		if i != j && !c.cut(i, j) {
+			to.Receive(c.now, fmt.Sprint(i), report.Usage)
+			from.Delivered(c.now, fmt.Sprint(j), report.Number)
+		}
+	}
+}
+
+// run offers rate[i] requests a second to entry i for some intervals and
+// returns how many were admitted in each interval. The entries report one after
+// the other, spread over the interval.
+func (c *cluster) run(intervals int, rate []int) []int {
+	admitted := make([]int, intervals)
+	for n := range admitted {
+		const steps = 120
+		for step := range steps {
+			c.now = c.now.Add(interval / steps)
+			for i, l := range c.limiters {
+				due := (step+1)*rate[i]/steps - step*rate[i]/steps
+				for range due {
+					if grant, _ := l.Admit(c.now, Subject{}, c.account); grant != nil {
+						grant.Release(c.now, 0)
+						admitted[n]++
+					}
+				}
+				if step == i*steps/len(c.limiters) {
+					c.report(i)
+				}
+			}
+		}
+	}
+	return admitted
+}
+
+// assertEach checks that no interval admits more than limit. Slack stands for
+// what buckets had saved up.
+func assertEach(t *testing.T, admitted []int, limit, slack int) {
+	t.Helper()
+	for n, count := range admitted {
+		assert.Assert(t, count <= limit+slack, "%d admitted in interval %d: %v", count, n, admitted)
+	}
+}
+
+func total(counts []int) int {
+	var sum int
+	for _, count := range counts {
+		sum += count
+	}
+	return sum
+}
+
+func TestLimitHoldsOverAllEntries(t *testing.T) {
+	c := newCluster(6, schema.Limits{RequestsPerSecond: 60})
+	for _, rate := range [][]int{{20, 20, 20, 20, 20, 20}, {200, 0, 0, 0, 0, 0}, {5, 5, 200, 200, 0, 1}} {
+		c.run(10, rate)
+		admitted := c.run(20, rate)
+		sum := total(admitted)
+		assert.Assert(t, sum <= 20*60+60, "rates %v: %d admitted in 20 s", rate, sum)
+		assert.Assert(t, sum >= 20*60*8/10, "rates %v: %d admitted in 20 s", rate, sum)
+	}
+}
+
+func TestLimitHoldsWhenDemandMoves(t *testing.T) {
+	c := newCluster(3, schema.Limits{RequestsPerSecond: 90})
+	c.run(10, []int{300, 0, 0})
+	assertEach(t, c.run(10, []int{300, 300, 300}), 90, 9)
+}
+
+func TestDemandThatAPeerHasNotHeardOfIsNotServed(t *testing.T) {
+	c := newCluster(2, schema.Limits{RequestsPerSecond: 100})
+	c.run(10, []int{500, 0})
+	c.cut = func(from, _ int) bool { return from == 1 }
+	assertEach(t, c.run(3, []int{500, 500}), 100, 10)
+}
+
+func TestLimitHoldsAcrossACut(t *testing.T) {
+	const limit, slack = 60, 15
+	c := newCluster(6, schema.Limits{RequestsPerSecond: limit})
+	c.run(20, []int{200, 0, 0, 0, 0, 0})
+	c.cut = func(from, to int) bool { return (from < 3) != (to < 3) }
+	rate := []int{200, 0, 0, 0, 200, 200}
+	admitted := c.run(20, rate)
+	assertEach(t, admitted, limit, slack)
+	assert.Assert(t, total(admitted[10:]) >= 10*limit*8/10, "%v", admitted)
+
+	c.cut = func(int, int) bool { return false }
+	rate = []int{200, 200, 200, 0, 0, 0}
+	admitted = c.run(20, rate)
+	assertEach(t, admitted, limit, slack)
+	assert.Assert(t, total(admitted[10:]) >= 10*limit*8/10, "%v", admitted)
+}
+
+// The two entries notice the cut half an interval apart.
+func TestSharesGrowOnlyOnceTheOtherSideHasShrunk(t *testing.T) {
+	c := newCluster(2, schema.Limits{RequestsPerSecond: 100})
+	c.run(10, []int{500, 0})
+	c.cut = func(int, int) bool { return true }
+	assertEach(t, c.run(20, []int{500, 500}), 100, 10)
+}
+
+func TestOneWayCutCountsAsCut(t *testing.T) {
+	for cutFrom := range 2 {
+		c := newCluster(2, schema.Limits{RequestsPerSecond: 100})
+		c.run(10, []int{500, 0})
+		c.cut = func(from, _ int) bool { return from == cutFrom }
+		assertEach(t, c.run(20, []int{500, 500}), 100, 10)
+	}
+}
+
+func TestConcurrencyAndTokensAreHeld(t *testing.T) {
+	l := New(Config{})
+	now := time.Unix(1000, 0)
+	account := AccountSubject("team", "account", schema.Limits{Concurrent: 2, TokensPerSecond: 100})
+	first, _ := l.Admit(now, Subject{}, account)
+	second, _ := l.Admit(now, Subject{}, account)
+	_, refusal := l.Admit(now, Subject{}, account)
+	assert.Equal(t, refusal.Code, CodeConcurrency)
+	first.Release(now, 400)
+	second.Release(now, 0)
+	_, refusal = l.Admit(now, Subject{}, account)
+	assert.Equal(t, refusal.Code, CodeTokenRate)
+	assert.Equal(t, refusal.RetryAfter, 3*time.Second)
+	now = now.Add(refusal.RetryAfter)
+	third, refusal := l.Admit(now, Subject{}, account)
+	assert.Assert(t, refusal == nil)
+	third.Release(now, 0)
+}
+
+func TestRefusalByTheTeamDoesNotChargeTheAccount(t *testing.T) {
+	l := New(Config{})
+	now := time.Unix(1000, 0)
+	team := TeamSubject("team", schema.Limits{RequestsPerSecond: 1})
+	account := AccountSubject("team", "account", schema.Limits{RequestsPerSecond: 2, Concurrent: 1})
+	grant, _ := l.Admit(now, team, account)
+	grant.Release(now, 0)
+	for range 10 {
+		_, refusal := l.Admit(now, team, account)
+		assert.Equal(t, refusal.Subject, "team")
+	}
+	grant, refusal := l.Admit(now, Subject{}, account)
+	assert.Assert(t, refusal == nil)
+	grant.Release(now, 0)
+}
+
+func TestIdleSubjectsAreForgotten(t *testing.T) {
+	l := New(Config{})
+	now := time.Unix(1000, 0)
+	for i := range 45_000 {
+		grant, _ := l.Admit(now, Subject{}, AccountSubject("team", fmt.Sprint(i), schema.Limits{RequestsPerSecond: 5}))
+		grant.Release(now, 1)
+	}
+	now = now.Add(interval)
+	assert.Assert(t, len(l.Report(now).Usage) <= DefaultMaxReport)
+	l.Report(now.Add(2 * idleAfter))
+	var left int
+	for i := range l.shards {
+		left += len(l.shards[i].subjects)
+	}
+	assert.Equal(t, left, 0)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	l := New(Config{})
+	now := time.Unix(1000, 0)
+	team := TeamSubject("team", schema.Limits{Concurrent: 1000})
+	subjects := make([]Subject, 45_000)
+	for i := range subjects {
+		subjects[i] = AccountSubject("team", fmt.Sprint(i), schema.Limits{RequestsPerSecond: 1e6})
+	}
+	b.ReportAllocs()
+	var i int
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		if grant, _ := l.Admit(now, team, subjects[i%len(subjects)]); grant != nil {
+			grant.Release(now, 10)
+		}
+		i++
+	}
+}
--- /dev/null
+++ b/internal/core/limits/resource.go
@@ -0,0 +1,52 @@
+package limits
+
+import "quetzalbend/internal/core/schema"
+
+// Resource is what a limit bounds.
+type Resource int
+
+// Resources.
+const (
+	Requests   Resource = iota // requests a second
+	Tokens                     // generated tokens a second
+	Concurrent                 // requests that run at once
+	resources
+)
+
+// Amounts holds one amount of each resource.
+type Amounts [resources]float64
+
+// Subject is a team or an account with its limits. Zero is no limit.
+type Subject struct {
+	Name   string // "TEAM" or "TEAM/ACCOUNT"
+	Limits Amounts
+}
+
+// TeamSubject returns the subject for a team.
+func TeamSubject(team string, limits schema.Limits) Subject {
+	return Subject{Name: team, Limits: amounts(limits)}
+}
+
+// AccountSubject returns the subject for an account of a team.
+func AccountSubject(team, account string, limits schema.Limits) Subject {
+	return Subject{Name: team + "/" + account, Limits: amounts(limits)}
+}
+
+// Limited reports whether the subject has any limit.
+func (s Subject) Limited() bool { return s.Limits != Amounts{} }
+
+func amounts(limits schema.Limits) Amounts {
+	return Amounts{limits.RequestsPerSecond, limits.TokensPerSecond, float64(limits.Concurrent)}
+}
+
+// Code is a stable code of a refusal.
+type Code string
+
+// Codes of refusals.
+const (
+	CodeRequestRate Code = "request_rate_limit"
+	CodeTokenRate   Code = "token_rate_limit"
+	CodeConcurrency Code = "concurrency_limit"
+)
+
+var codes = [resources]Code{Requests: CodeRequestRate, Tokens: CodeTokenRate, Concurrent: CodeConcurrency}
