Compose the entry from settings, peers, limits and strikes

The entry follows the settings through settingssync.Node, feeds agents, and exchanges demands on limits and strikes with all peers each second (strikes at once). Peers in the start-up file are objects with name, addr and failure_domain.

--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -146,7 +146,7 @@
 	if failed != nil {
 		return nil, failed
 	}
-	release, refusal := h.limiter.Admit(x.account, x.class)
+	release, refusal := h.limiter.Admit(x.catalog(), x.account)
 	if refusal != nil {
 		return nil, limited(refusal)
 	}
@@ -187,7 +187,7 @@
 type noLimits struct{}
 
 // Admit implements Limiter.
-func (noLimits) Admit(*catalog.Account, schema.Class) (func(int64), *Refusal) {
+func (noLimits) Admit(*catalog.Catalog, *catalog.Account) (func(int64), *Refusal) {
 	return func(int64) {}, nil
 }
 
--- a/internal/adapter/callerhttp/ports.go
+++ b/internal/adapter/callerhttp/ports.go
@@ -30,7 +30,7 @@
 type Limiter interface {
 	// Admit counts a request in, or returns why not. The release, called once,
 	// counts it out again with the tokens it generated.
-	Admit(account *catalog.Account, class schema.Class) (release func(tokens int64), refusal *Refusal)
+	Admit(cat *catalog.Catalog, account *catalog.Account) (release func(tokens int64), refusal *Refusal)
 }
 
 // Observation is what is measured of one request.
--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -8,23 +8,24 @@
 
 	"quetzalbend/internal/adapter/callerhttp"
 	"quetzalbend/internal/core/check"
+	"quetzalbend/internal/settingssync"
 )
 
 // Config is the start-up file of an entry.
 type Config struct {
-	Name                         string   `json:"name"`
-	FailureDomain                string   `json:"failure_domain"`
-	Region                       string   `json:"region,omitempty"`
-	CallersListen                string   `json:"callers_listen"`   // IP address and port
-	OperatorsListen              string   `json:"operators_listen"` // IP address and port
-	PeersListen                  string   `json:"peers_listen"`     // IP address and port; links from other entries
-	Peers                        []string `json:"peers,omitempty"`  // peers_listen of other entries
-	Platform                     string   `json:"platform"`         // base URL
-	BootstrapOperatorTokenSHA256 string   `json:"bootstrap_operator_token_sha256,omitempty"`
-	Bounds                       Bounds   `json:"bounds"`
-	Routing                      Routing  `json:"routing"`
-	NoticeMS                     int64    `json:"notice_ms,omitempty"` // between failing /readyz and refusing connections, default 5000
-	GraceMS                      int64    `json:"grace_ms,omitempty"`  // for running requests after that, default 610000
+	Name                         string              `json:"name"`
+	FailureDomain                string              `json:"failure_domain"`
+	Region                       string              `json:"region,omitempty"`
+	CallersListen                string              `json:"callers_listen"`   // IP address and port
+	OperatorsListen              string              `json:"operators_listen"` // IP address and port
+	PeersListen                  string              `json:"peers_listen"`     // IP address and port; links from other entries
+	Peers                        []settingssync.Peer `json:"peers,omitempty"`  // other entries, each with its peers_listen
+	Platform                     string              `json:"platform"`         // base URL
+	BootstrapOperatorTokenSHA256 string              `json:"bootstrap_operator_token_sha256,omitempty"`
+	Bounds                       Bounds              `json:"bounds"`
+	Routing                      Routing             `json:"routing"`
+	NoticeMS                     int64               `json:"notice_ms,omitempty"` // between failing /readyz and refusing connections, default 5000
+	GraceMS                      int64               `json:"grace_ms,omitempty"`  // for running requests after that, default 610000
 }
 
 // Bounds bound what one caller may send and hold. Zero means the default.
@@ -79,7 +80,10 @@
 	address(report, "operators_listen", c.OperatorsListen)
 	address(report, "peers_listen", c.PeersListen)
 	for i, peer := range c.Peers {
-		address(report, "peers["+strconv.Itoa(i)+"]", peer)
+		field := "peers[" + strconv.Itoa(i) + "]."
+		required(report, field+"name", peer.Name)
+		required(report, field+"failure_domain", peer.FailureDomain)
+		address(report, field+"addr", peer.Addr)
 	}
 	platform, err := url.Parse(c.Platform)
 	if err != nil || platform.Scheme != "http" && platform.Scheme != "https" || platform.Host == "" {
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -5,20 +5,27 @@
 	"crypto/rand"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
+	gometrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"quetzalbend/internal/adapter/callerhttp"
 	"quetzalbend/internal/adapter/link"
 	"quetzalbend/internal/adapter/platform"
+	"quetzalbend/internal/core/limits"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/dispatch"
 	"quetzalbend/internal/metrics"
+	"quetzalbend/internal/settingssync"
 )
 
+// askInterval is the time between two questions for the outcome of a call.
+const askInterval = 100 * time.Millisecond
+
 // Entry is one entry with its listeners.
 type Entry struct {
 	cfg      Config
@@ -28,9 +35,15 @@
 	pool     *link.Pool
 	platform *platform.Client
 	strikes  *strike.Table
+	limits   *limits.Limiter
+	exchange *exchanger
+	node     *settingssync.Node
+	feeder   *settingssync.Feeder
+	settings gometrics.Registry // of the node
 
 	callers   net.Listener
 	operators net.Listener
+	peers     net.Listener
 }
 
 // Run runs an entry until ctx ends and it has left.
@@ -44,15 +57,8 @@
 
 // New composes an entry and opens its listeners.
 func New(cfg Config) (*Entry, error) {
-	table := &tables{
-		cfg: routing.Config{
-			Entry:         cfg.Name,
-			FailureDomain: cfg.FailureDomain,
-			NearSubset:    int(cfg.Routing.NearSubset),
-			FarSubset:     int(cfg.Routing.FarSubset),
-		},
-		states: routing.NewStates(),
-	}
+	table := &tables{cfg: cfg.routing(), states: routing.NewStates()}
+	incarnation := rand.Text()
 	e := &Entry{
 		cfg:      cfg,
 		tables:   table,
@@ -60,22 +66,55 @@
 		registry: metrics.New(),
 		pool:     link.NewPool(link.Config{}),
 		platform: platform.NewClient(platform.Config{BaseURL: cfg.Platform, Node: cfg.Name}),
-		strikes:  strike.NewTable(cfg.Name + "/" + rand.Text()),
-	}
-	var err error
-	if e.callers, err = listen(cfg.CallersListen); err != nil {
-		return nil, err
+		strikes:  strike.NewTable(cfg.Name + "/" + incarnation),
+		limits:   limits.New(limits.Config{}),
+		settings: gometrics.NewRegistry(),
 	}
-	if e.operators, err = listen(cfg.OperatorsListen); err != nil {
-		_ = e.callers.Close()
-		return nil, err
+	e.exchange = &exchanger{
+		name:        cfg.Name,
+		incarnation: incarnation,
+		peers:       cfg.Peers,
+		pool:        e.pool,
+		limits:      e.limits,
+		strikes:     e.strikes,
+		struck:      make(chan struct{}, 1),
 	}
-	return e, nil
+	e.node = settingssync.NewNode(settingssync.Config{
+		Name:          cfg.Name,
+		Incarnation:   incarnation,
+		FailureDomain: cfg.FailureDomain,
+		Log:           e.platform,
+		Dial:          e.pool,
+		NewPool:       func() settingssync.Pool { return link.NewPool(link.Config{}) },
+		Peers:         cfg.Peers,
+		Registry:      e.settings,
+		TakePeerSync:  e.exchange.take,
+	})
+	e.feeder = settingssync.NewFeeder(e.node, e.pool, table.agents)
+	return e, e.listen()
 }
 
-func listen(addr string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", addr)
-	return listener, errors.Wrapf(err, "listen on %s", addr)
+// listen opens all listeners, or none.
+func (e *Entry) listen() error {
+	var opened []net.Listener
+	for _, listener := range []struct {
+		addr string
+		into *net.Listener
+	}{
+		{e.cfg.CallersListen, &e.callers},
+		{e.cfg.OperatorsListen, &e.operators},
+		{e.cfg.PeersListen, &e.peers},
+	} {
+		var err error
+		if *listener.into, err = net.Listen("tcp", listener.addr); err != nil {
+			for _, other := range opened {
+				_ = other.Close()
+			}
+			return errors.Wrapf(err, "listen on %s", listener.addr)
+		}
+		opened = append(opened, *listener.into)
+	}
+	return nil
 }
 
 // CallersAddr returns the address of the callers' listener.
@@ -84,6 +123,9 @@
 // OperatorsAddr returns the address of the operators' listener.
 func (e *Entry) OperatorsAddr() string { return e.operators.Addr().String() }
 
+// PeersAddr returns the address of the listener for other entries.
+func (e *Entry) PeersAddr() string { return e.peers.Addr().String() }
+
 // Run serves until ctx ends and then leaves: /readyz fails, requests are still
 // served for the notice time, and running ones finish within the grace time.
 func (e *Entry) Run(ctx context.Context) error {
@@ -92,15 +134,22 @@
 	defer stop()
 	group, work := errgroup.WithContext(work)
 	callers := e.newCallersServer(work)
-	operators := newOperatorsServer(e.health, e.registry)
+	operators := e.newOperatorsServer()
+	peers := link.NewServer(link.Config{}, e.servePeers)
 
 	group.Go(func() error {
 		limited := callerhttp.LimitListener(e.callers, int(e.cfg.Bounds.Connections))
 		return served(callers.Serve(limited), "callers")
 	})
 	group.Go(func() error { return served(operators.Serve(e.operators), "operators") })
-	group.Go(func() error { return follow(work, e.platform, e.tables.publish) })
+	group.Go(func() error { return peers.Serve(e.peers) })
+	group.Go(func() error { return e.node.Run(work) })
+	group.Go(func() error { return e.feeder.Run(work) })
+	group.Go(func() error { return e.exchange.run(work) })
+	group.Go(func() error { return publishSettings(work, e.node, e.tables) })
 	group.Go(func() error { return watchVMs(work, e.platform, e.tables) })
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -108,6 +157,7 @@
 		}
 		e.leave(work, callers)
 		_ = operators.Close()
+		_ = peers.Shutdown(stopped)
 		stop()
 		return nil
 	})
@@ -120,6 +170,7 @@
 		Bounds:     e.cfg.Bounds.callers(),
 		Tables:     e.tables,
 		Dispatcher: e.newDispatcher(),
+		Limiter:    limiter{e.limits},
 		Recorder:   recorder{e.registry},
 		Leaving:    e.health.leaving.Load,
 	}, nil)
@@ -135,6 +186,8 @@
 		Strategy:    r.strategy(),
 		Strikes:     e.strikes,
 		Counter:     recorder{e.registry},
+		OnStrike:    e.exchange.onStrike,
+		AskInterval: askInterval,
 		FirstFrame:  milliseconds(r.FirstFrameMS),
 		Stall:       milliseconds(r.StallMS),
 		Avoid:       milliseconds(r.AvoidMS),
@@ -142,6 +195,15 @@
 	})
 }
 
+func (c Config) routing() routing.Config {
+	return routing.Config{
+		Entry:         c.Name,
+		FailureDomain: c.FailureDomain,
+		NearSubset:    int(c.Routing.NearSubset),
+		FarSubset:     int(c.Routing.FarSubset),
+	}
+}
+
 func (r Routing) strategy() routing.Strategy {
 	switch r.Strategy {
 	case StrategyLeastOutstanding:
--- /dev/null
+++ b/internal/app/entry/entry_test.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"quetzalbend/internal/adapter/link"
+	platformclient "quetzalbend/internal/adapter/platform"
+	"quetzalbend/internal/app/standin/platform"
+	"quetzalbend/internal/core/settings"
+	"quetzalbend/internal/port"
+	"quetzalbend/internal/settingssync"
+	"quetzalbend/internal/wire"
+)
+
+// world is a platform stand-in and an agent that answers each call with text.
+type world struct {
+	t        *testing.T
+	platform string
+	log      port.Log
+	offset   int64
+	agent    string
+	release  chan struct{} // closed: calls end
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	server := httptest.NewServer(platform.New(platform.Config{}).Handler())
+	t.Cleanup(server.Close)
+	w := &world{t: t, platform: server.URL, offset: settings.NoOffset, release: make(chan struct{})}
+	w.log = platformclient.NewClient(platformclient.Config{BaseURL: server.URL, Node: "test"})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	w.agent = listener.Addr().String()
+	agent := link.NewServer(link.Config{}, w.serve)
+	go func() { _ = agent.Serve(listener) }()
+	t.Cleanup(func() {
+		stopped, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = agent.Shutdown(stopped)
+	})
+	return w
+}
+
+// serve plays the agent: two tokens, the second one after the release.
+func (w *world) serve(_ context.Context, open *wire.Open, stream *link.Stream) {
+	call := open.GetCall()
+	if call == nil {
+		return
+	}
+	first, second := []byte("data: {\"n\":1}\n\n"), []byte("data: {\"n\":2}\n\n")
+	frames := []*wire.AnswerFrame{
+		{Body: &wire.AnswerFrame_Admitted{Admitted: &wire.Admitted{}}},
+		{Body: &wire.AnswerFrame_Head{Head: &wire.Head{Status: 200}}},
+		{Body: &wire.AnswerFrame_Chunk{Chunk: &wire.Chunk{Data: first, Position: 1}}},
+		{Body: &wire.AnswerFrame_Chunk{Chunk: &wire.Chunk{Data: second, Position: 2}}},
+		{Body: &wire.AnswerFrame_Final{Final: &wire.Final{Frames: 2, Bytes: int64(len(first) + len(second)), Tokens: 2}}},
+	}
+	for i, frame := range frames {
+		if i == 3 {
+			<-w.release
+		}
+		frame.RequestId, frame.Sequence = call.GetRequestId(), int64(i)
+		if stream.Send(frame) != nil {
+			return
+		}
+	}
+}
+
+// put appends an accepted write to the settings.
+func (w *world) put(path string, value string) {
+	w.t.Helper()
+	write := &settings.Write{Operation: fmt.Sprint("op", w.offset), Path: path, Value: json.RawMessage(value), AsOf: w.offset}
+	data, err := settings.EncodeRecord(settings.Record{Write: write})
+	assert.NilError(w.t, err)
+	w.offset, err = w.log.Append(context.Background(), port.SettingsStream, [][]byte{data})
+	assert.NilError(w.t, err)
+}
+
+func (w *world) putDefaults() {
+	sum := sha256.Sum256([]byte("secret"))
+	w.put("/domains/d", `{"state":"in"}`)
+	w.put("/teams/t", `{"share":1}`)
+	w.put("/teams/t/accounts/a", `{"token_sha256":"`+hex.EncodeToString(sum[:])+`"}`)
+	w.put("/teams/t/models/m", `{"versions":["v"]}`)
+	w.put("/teams/t/workloads/draft", `{"model":"m","version":"v","class":"interactive","timeout_ms":60000}`)
+	w.put("/targets/t0", `{"agent":"`+w.agent+`","failure_domain":"d","kind":"model","team":"t","serves":["m"],"state":"in","cold_limit":4,"max_limit":8}`)
+}
+
+// start runs an entry and returns it, a function that asks it to leave, and
+// the channel with the result of Run.
+func (w *world) start(name string, change func(*Config)) (*Entry, func(), <-chan error) {
+	w.t.Helper()
+	cfg := Config{
+		Name: name, FailureDomain: "d", Platform: w.platform,
+		CallersListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0", PeersListen: "127.0.0.1:0",
+		NoticeMS: 50,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	assert.Equal(w.t, len(Check(&cfg)), 0)
+	e, err := New(cfg)
+	assert.NilError(w.t, err)
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	w.t.Cleanup(leave)
+	return e, leave, done
+}
+
+func get(url string) int {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(15*time.Second))
+}
+
+func ready(t *testing.T, e *Entry) {
+	t.Helper()
+	eventually(t, "the entry is ready", func() bool { return get("http://"+e.OperatorsAddr()+"/readyz") == 200 })
+}
+
+func chat(e *Entry) (*http.Response, error) {
+	body := `{"model":"draft","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.CallersAddr()+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer secret")
+	return http.DefaultTransport.RoundTrip(req)
+}
+
+func TestRequestFromCallerToAgent(t *testing.T) {
+	w := newWorld(t)
+	w.putDefaults()
+	close(w.release)
+	e, _, _ := w.start("e0", nil)
+	ready(t, e)
+	resp, err := chat(e)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "data: {\"n\":1}\n\ndata: {\"n\":2}\n\ndata: [DONE]\n\n")
+
+	metrics, err := http.Get("http://" + e.OperatorsAddr() + "/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = metrics.Body.Close() }()
+	text, err := io.ReadAll(metrics.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text), `quetzalbend_first_token_seconds_count{team="t",class="interactive"} 1`), "%s", text)
+}
+
+func TestLeavingFailsReadinessFirstAndFinishesRunningRequests(t *testing.T) {
+	w := newWorld(t)
+	w.putDefaults()
+	e, leave, done := w.start("e0", func(c *Config) { c.NoticeMS = 1000 })
+	ready(t, e)
+	running, err := chat(e)
+	assert.NilError(t, err)
+	defer func() { _ = running.Body.Close() }()
+
+	leave()
+	eventually(t, "readiness fails", func() bool { return get("http://"+e.OperatorsAddr()+"/readyz") == 503 })
+	late, err := chat(e) // still served within the notice time
+	assert.NilError(t, err)
+	defer func() { _ = late.Body.Close() }()
+	assert.Equal(t, late.StatusCode, 200)
+	eventually(t, "connections are refused", func() bool {
+		conn, err := net.Dial("tcp", e.CallersAddr())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	close(w.release)
+	for _, resp := range []*http.Response{running, late} {
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasSuffix(string(body), "[DONE]\n\n"))
+	}
+	assert.NilError(t, <-done)
+}
+
+func TestOutDomainIsNotReadyAndGetsNoWork(t *testing.T) {
+	w := newWorld(t)
+	w.putDefaults()
+	close(w.release)
+	e, _, _ := w.start("e0", nil)
+	ready(t, e)
+	w.put("/domains/d", `{"state":"out"}`)
+	eventually(t, "readiness fails", func() bool { return get("http://"+e.OperatorsAddr()+"/readyz") == 503 })
+	resp, err := chat(e)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Assert(t, strings.Contains(string(body), `"code":"no_target"`), "%s", body)
+}
+
+func TestStrikesReachOtherEntries(t *testing.T) {
+	w := newWorld(t)
+	w.putDefaults()
+	one, _, _ := w.start("e1", nil)
+	ready(t, one)
+	two, _, _ := w.start("e2", func(c *Config) {
+		c.Peers = []settingssync.Peer{{Name: "e1", Addr: one.PeersAddr(), FailureDomain: "d"}}
+	})
+	ready(t, two)
+	two.exchange.onStrike(two.strikes.Strike("print", 4, time.Now()))
+	eventually(t, "the strike has arrived", func() bool { return len(one.strikes.Counts(time.Now())) == 1 })
+}
+
+func TestConfigNamesWhatIsWrong(t *testing.T) {
+	problems := Check(&Config{Name: "e", CallersListen: "host:1", Platform: "x", Routing: Routing{Strategy: "best", StallMS: -1}})
+	var fields []string
+	for _, problem := range problems {
+		fields = append(fields, problem.Field)
+	}
+	assert.DeepEqual(t, fields, []string{
+		"failure_domain", "callers_listen", "operators_listen", "peers_listen", "platform", "routing.stall_ms", "routing.strategy",
+	})
+}
--- a/internal/app/entry/operators.go
+++ b/internal/app/entry/operators.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"sync/atomic"
 	"time"
-
-	"quetzalbend/internal/metrics"
 )
 
 const operatorsHeaderTimeout = 5 * time.Second
@@ -34,10 +32,13 @@
 }
 
 // newOperatorsServer returns the operators' HTTP server.
-func newOperatorsServer(h *health, registry *metrics.Registry) *http.Server {
+func (e *Entry) newOperatorsServer() *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", h.alive)
-	mux.HandleFunc("GET /readyz", h.ready)
-	mux.Handle("GET /metrics", registry.Handler())
+	mux.HandleFunc("GET /healthz", e.health.alive)
+	mux.HandleFunc("GET /readyz", e.health.ready)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		mergeMetrics(e.settings, e.registry)
+		e.registry.Handler().ServeHTTP(w, r)
+	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorsHeaderTimeout}
 }
--- a/internal/app/entry/vms.go
+++ b/internal/app/entry/vms.go
@@ -42,3 +42,12 @@
 		}
 	}
 }
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/core/strike/table.go
+++ b/internal/core/strike/table.go
@@ -125,7 +125,7 @@
 }
 
 // Exonerate clears the strikes so far: the request ran whole, alone.
-func (t *Table) Exonerate(fingerprint string) {
+func (t *Table) Exonerate(fingerprint string, now time.Time) {
 	s := t.shard(fingerprint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,6 +140,7 @@
 	own := found.byNode[t.node]
 	own.Fingerprint, own.Node, own.Cleared = fingerprint, t.node, sum
 	found.byNode[t.node] = own
+	found.touched = now
 }
 
 // Merge takes in counts of other nodes.
@@ -165,7 +166,10 @@
 }
 
 // Counts returns all live counts, for other nodes, and forgets old ones.
-func (t *Table) Counts(now time.Time) []Count {
+func (t *Table) Counts(now time.Time) []Count { return t.CountsSince(time.Time{}, now) }
+
+// CountsSince is Counts, but for those that changed since a time.
+func (t *Table) CountsSince(since, now time.Time) []Count {
 	var counts []Count
 	for i := range t.shards {
 		s := &t.shards[i]
@@ -175,6 +179,9 @@
 				delete(s.tallies, fingerprint)
 				continue
 			}
+			if found.touched.Before(since) {
+				continue
+			}
 			for _, count := range found.byNode {
 				counts = append(counts, count)
 			}
