--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -8,11 +8,14 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/load/overhead"
 	"quetzalbend/internal/program"
 )
 
 // experiments add their subcommands to the parser.
-var experiments []func(parser *flags.Parser) error
+var experiments = []func(parser *flags.Parser) error{
+	overhead.Register,
+}
 
 func main() {
 	parser := flags.NewNamedParser("quetzalbend-load", flags.Default)
--- /dev/null
+++ b/internal/app/entry/bench_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/adapter/link"
+	"quetzalbend/internal/app/standin/platform"
+	"quetzalbend/internal/wire"
+)
+
+// BenchmarkStream measures one streamed request of 16 tokens from caller to
+// agent, with caller, entry and agent in one process.
+func BenchmarkStream(b *testing.B) {
+	e := benchEntry(b)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	body := []byte(`{"model":"draft","stream":true,"messages":[{"role":"user","content":"hi"}]}`)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			req, err := http.NewRequest(http.MethodPost, "http://"+e.CallersAddr()+"/v1/chat/completions", bytes.NewReader(body))
+			if err != nil {
+				b.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer secret")
+			resp, err := client.Do(req)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+				b.Fatal(resp.StatusCode, err)
+			}
+			_ = resp.Body.Close()
+		}
+	})
+}
+
+func benchEntry(b *testing.B) *Entry {
+	w := &world{t: b, offset: -1, platform: servePlatform(b, platform.Config{})}
+	w.connect()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	w.agent = listener.Addr().String()
+	agent := link.NewServer(link.Config{}, tokens(16))
+	go func() { _ = agent.Serve(listener) }()
+	w.putDefaults()
+	e, _, _ := w.start("e0", nil)
+	for get("http://"+e.OperatorsAddr()+"/readyz") != http.StatusOK {
+		<-time.After(time.Millisecond)
+	}
+	return e
+}
+
+// tokens plays an agent that answers each call with count tokens at once.
+func tokens(count int) link.Handler {
+	return func(_ context.Context, open *wire.Open, stream *link.Stream) {
+		call := open.GetCall()
+		if call == nil {
+			return
+		}
+		load := &wire.Load{Limit: 1000}
+		frames := []*wire.AnswerFrame{
+			{Body: &wire.AnswerFrame_Admitted{Admitted: &wire.Admitted{}}, Load: load},
+			{Body: &wire.AnswerFrame_Head{Head: &wire.Head{Status: 200}}},
+		}
+		size := 0
+		for i := range count {
+			data := fmt.Appendf(nil, "data: {\"id\":\"%s\",\"choices\":[{\"delta\":{\"content\":\" w%d\"}}]}\n\n", call.GetRequestId(), i)
+			size += len(data)
+			frames = append(frames, &wire.AnswerFrame{Body: &wire.AnswerFrame_Chunk{Chunk: &wire.Chunk{Data: data, Position: int64(i + 1)}}})
+		}
+		final := &wire.Final{Frames: int64(count), Bytes: int64(size), Tokens: int64(count)}
+		frames = append(frames, &wire.AnswerFrame{Body: &wire.AnswerFrame_Final{Final: final}, Load: load})
+		for i, frame := range frames {
+			frame.RequestId, frame.Sequence = call.GetRequestId(), int64(i)
+			if stream.Send(frame) != nil {
+				return
+			}
+		}
+	}
+}
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -28,7 +28,7 @@
 
 // world is a platform stand-in and an agent that answers each call with text.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	platform string
 	log      port.Log
 	offset   int64
@@ -38,10 +38,8 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	server := httptest.NewServer(platform.New(platform.Config{}).Handler())
-	t.Cleanup(server.Close)
-	w := &world{t: t, platform: server.URL, offset: settings.NoOffset, release: make(chan struct{})}
-	w.log = platformclient.NewClient(platformclient.Config{BaseURL: server.URL, Node: "test"})
+	w := &world{t: t, platform: servePlatform(t, platform.Config{}), offset: settings.NoOffset, release: make(chan struct{})}
+	w.connect()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	w.agent = listener.Addr().String()
@@ -55,6 +53,17 @@
 	return w
 }
 
+// servePlatform serves a platform stand-in and returns its base URL.
+func servePlatform(t testing.TB, cfg platform.Config) string {
+	server := httptest.NewServer(platform.New(cfg).Handler())
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func (w *world) connect() {
+	w.log = platformclient.NewClient(platformclient.Config{BaseURL: w.platform, Node: "test"})
+}
+
 // serve plays the agent: two tokens, the second one after the release.
 func (w *world) serve(_ context.Context, open *wire.Open, stream *link.Stream) {
 	call := open.GetCall()
