Serve the administration API

Settings by path with versions as entity tags, list, history, validation of several settings together, teams, nodes, in force at an offset, targets and explain. Operators write only below their subtree; accepted, rejected, not accepted and unknown writes are told apart.

Contract: Catalog gains OperatorNames.

--- /dev/null
+++ b/internal/adapter/adminhttp/config.go
@@ -0,0 +1,65 @@
+package adminhttp
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/settings"
+	"quetzalbend/internal/settingssync"
+)
+
+// Settings reads and writes settings; *settingssync.Node implements it.
+type Settings interface {
+	Snapshot() *settings.Snapshot // nil before there are any
+	Put(ctx context.Context, request settingssync.WriteRequest) (settingssync.Result, error)
+	Outcome(ctx context.Context, operation string) (settingssync.Result, error)
+	History(path string) []settings.Judged
+	LogHealthy() bool
+}
+
+// Status tells what the entry knows of nodes and targets.
+type Status interface {
+	// Nodes returns the offset in force at each node the entry has heard of,
+	// itself included.
+	Nodes() []Node
+	// Targets returns the state of each target by name.
+	Targets() map[string]Load
+}
+
+// Counter counts what the API refuses; *metrics.Registry fits by an adapter.
+type Counter interface {
+	Refused(code string)
+}
+
+// Config holds what the API needs.
+type Config struct {
+	Node                         string // name of this entry
+	FailureDomain                string
+	BootstrapOperatorTokenSHA256 string // hex; may write everything; empty for none
+	Settings                     Settings
+	// Catalog returns the catalog in force; nil to build one from the snapshot.
+	Catalog      func() *catalog.Catalog
+	Status       Status        // nil: the status of other nodes is not known
+	Entries      []string      // names of all other entries
+	Counter      Counter       // nil: refusals are not counted
+	ReadTimeout  time.Duration // to receive a body; default DefaultReadTimeout
+	WriteTimeout time.Duration // to learn the verdict on a write; default DefaultWriteTimeout
+}
+
+// Defaults and bounds.
+const (
+	DefaultReadTimeout  = 5 * time.Second
+	DefaultWriteTimeout = 10 * time.Second
+	maxValidateBytes    = 4 << 20
+	maxValidateDepth    = 24
+	maxValidateSettings = 4096
+	maxListed           = 1000
+)
+
+func (c Config) withDefaults() Config {
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	return c
+}
--- /dev/null
+++ b/internal/adapter/adminhttp/explain.go
@@ -0,0 +1,105 @@
+package adminhttp
+
+import (
+	"fmt"
+	"strings"
+
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/schema"
+)
+
+// explain answers why a request of some kind would go where. The query names
+// team and either workload, or service with method and path.
+func (h *handler) explain(r request) (any, error) {
+	query := r.URL.Query()
+	team := query.Get("team")
+	if !r.operator.mayRead("/teams/" + team) {
+		return nil, newProblem(CodeOutsideSubtree, outside(r.operator, "/teams/"+team))
+	}
+	if name := query.Get("service"); name != "" {
+		return h.explainService(r, team, name, query.Get("method"), query.Get("path"))
+	}
+	return h.explainWorkload(r, team, query.Get("workload"))
+}
+
+func (h *handler) explainWorkload(r request, team, name string) (any, error) {
+	workload := r.catalog.Workloads[catalog.TeamName{Team: team, Name: name}]
+	if workload == nil {
+		return nil, newProblem(CodeNotFound, fmt.Sprintf("there is no /teams/%s/workloads/%s", team, name))
+	}
+	answer := Explanation{
+		Team: team, Name: name, Kind: "workload",
+		Model: workload.Model, Version: workload.Version, Adapter: workload.Adapter,
+		Class: string(workload.Class), TimeoutMS: workload.TimeoutMS, Idempotent: true,
+	}
+	h.addCandidates(&answer, r.catalog.ModelTargets[catalog.TeamName{Team: team, Name: workload.Model}])
+	return answer, nil
+}
+
+func (h *handler) explainService(r request, team, name, method, path string) (any, error) {
+	service := r.catalog.Services[catalog.TeamName{Team: team, Name: name}]
+	if service == nil {
+		return nil, newProblem(CodeNotFound, fmt.Sprintf("there is no /teams/%s/services/%s", team, name))
+	}
+	answer := Explanation{Team: team, Name: name, Kind: "service", TimeoutMS: service.TimeoutMS, Candidates: []Candidate{}}
+	route := matchRoute(service.Routes, method, path)
+	if route == nil {
+		answer.Refused = fmt.Sprintf("no route of the service matches %s %s", method, path)
+		return answer, nil
+	}
+	answer.Class = string(route.Class)
+	answer.Idempotent = route.Idempotent
+	h.addCandidates(&answer, r.catalog.ServiceTargets[catalog.TeamName{Team: team, Name: name}])
+	return answer, nil
+}
+
+func matchRoute(routes []schema.Route, method, path string) *schema.Route {
+	for i := range routes {
+		if routes[i].Method == method && strings.HasPrefix(path, routes[i].PathPrefix) {
+			return &routes[i]
+		}
+	}
+	return nil
+}
+
+func (h *handler) addCandidates(answer *Explanation, targets []*catalog.Target) {
+	loads := h.loads()
+	answer.Candidates = []Candidate{}
+	var eligible int
+	for _, target := range targets {
+		candidate := Candidate{Target: target.Name, FailureDomain: target.FailureDomain}
+		if load, ok := loads[target.Name]; ok {
+			candidate.Load = &load
+		}
+		candidate.Eligible, candidate.Reason = eligibility(target, candidate.Load)
+		if candidate.Eligible {
+			eligible++
+		}
+		answer.Candidates = append(answer.Candidates, candidate)
+	}
+	switch {
+	case len(targets) == 0:
+		answer.Refused = "no target serves it"
+	case eligible == 0:
+		answer.Refused = "no target that serves it may get new work"
+	}
+}
+
+// eligibility says whether a target may get new work, and why.
+func eligibility(target *catalog.Target, load *Load) (bool, string) {
+	switch {
+	case !target.Serving():
+		return false, outReason(target)
+	case load == nil:
+		return true, "in; nothing heard of it yet"
+	case load.Leaving:
+		return false, "leaving"
+	case !load.Reachable:
+		return false, "not reachable"
+	case load.Limit > 0 && load.Running >= load.Limit:
+		return true, "in, but at its limit"
+	case load.Cold:
+		return true, "in and cold: up to its cold limit"
+	}
+	return true, "in"
+}
--- /dev/null
+++ b/internal/adapter/adminhttp/messages.go
@@ -0,0 +1,168 @@
+package adminhttp
+
+import (
+	"encoding/json"
+
+	"quetzalbend/internal/core/check"
+	"quetzalbend/internal/core/schema"
+)
+
+// Setting is one path with its value.
+type Setting struct {
+	Path    string          `json:"path"`
+	Version int64           `json:"version"`
+	Author  string          `json:"author,omitempty"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// List is a page of settings in path order.
+type List struct {
+	Offset   int64     `json:"offset"`
+	Settings []Setting `json:"settings"`
+	Next     string    `json:"next,omitempty"` // "after" of the next page; empty at the end
+}
+
+// WriteResult says what became of a write.
+type WriteResult struct {
+	Status    string          `json:"status"` // accepted, rejected, not_accepted or unknown
+	Operation string          `json:"operation"`
+	Offset    int64           `json:"offset"` // of the write in the log; -1 if it is not known
+	Reason    string          `json:"reason,omitempty"`
+	Warnings  []check.Problem `json:"warnings,omitempty"`
+}
+
+// Change is one write of a path.
+type Change struct {
+	Offset    int64           `json:"offset"`
+	Verdict   string          `json:"verdict"`
+	Operation string          `json:"operation"`
+	Author    string          `json:"author,omitempty"`
+	AsOf      int64           `json:"as_of"`
+	Deleted   bool            `json:"deleted,omitempty"`
+	Value     json.RawMessage `json:"value,omitempty"`
+}
+
+// History is the remembered writes of a path, oldest first.
+type History struct {
+	Path    string   `json:"path"`
+	Changes []Change `json:"changes"`
+}
+
+// Proposal is a change to validate.
+type Proposal struct {
+	Path   string          `json:"path"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Delete bool            `json:"delete,omitempty"`
+}
+
+// Proposals are changes to validate together.
+type Proposals struct {
+	Settings []Proposal `json:"settings"`
+}
+
+// Validation lists what is wrong with proposals.
+type Validation struct {
+	Valid    bool            `json:"valid"`
+	Problems []check.Problem `json:"problems"`
+}
+
+// Team is a team with its subtree.
+type Team struct {
+	Name    string      `json:"name"`
+	Subtree string      `json:"subtree"`
+	Team    schema.Team `json:"team"`
+}
+
+// Teams lists teams in name order.
+type Teams struct {
+	Teams []Team `json:"teams"`
+}
+
+// Node is the offset in force at one node.
+type Node struct {
+	Name          string `json:"name"`
+	Kind          string `json:"kind"` // entry or agent
+	FailureDomain string `json:"failure_domain,omitempty"`
+	Offset        int64  `json:"offset"` // -1 if it has never been heard of
+	AgeMS         int64  `json:"age_ms"` // since that was heard
+}
+
+// Kinds of node.
+const (
+	EntryNode = "entry"
+	AgentNode = "agent"
+)
+
+// Nodes lists all nodes that are known by settings or by contact.
+type Nodes struct {
+	Offset int64  `json:"offset"` // of the answering entry
+	Nodes  []Node `json:"nodes"`
+}
+
+// InForce says whether all nodes have reached an offset.
+type InForce struct {
+	Offset  int64  `json:"offset"`
+	InForce bool   `json:"in_force"`
+	Nodes   int    `json:"nodes"`
+	Missing []Node `json:"missing"`
+}
+
+// Load is the state of a target as an entry knows it.
+type Load struct {
+	Reachable       bool    `json:"reachable"`
+	Cold            bool    `json:"cold"`
+	Leaving         bool    `json:"leaving"`
+	Running         int     `json:"running"`
+	Queued          int     `json:"queued"`
+	Limit           int     `json:"limit"`
+	FirstTokenMS    float64 `json:"first_token_ms"`
+	BetweenTokensMS float64 `json:"between_tokens_ms"`
+}
+
+// Target is a target with its settings and state.
+type Target struct {
+	Name    string        `json:"name"`
+	Serving bool          `json:"serving"` // by settings
+	Reason  string        `json:"reason,omitempty"`
+	Target  schema.Target `json:"target"`
+	Load    *Load         `json:"load,omitempty"` // nil if nothing is known
+}
+
+// Targets lists targets in name order.
+type Targets struct {
+	Targets []Target `json:"targets"`
+}
+
+// EntryStatus is the state of the answering entry.
+type EntryStatus struct {
+	Node          string   `json:"node"`
+	FailureDomain string   `json:"failure_domain"`
+	Offset        int64    `json:"offset"`
+	Settings      int      `json:"settings"`         // number of paths
+	Platform      bool     `json:"platform_healthy"` // whether the platform's log answers
+	Unreadable    []string `json:"unreadable"`       // accepted settings that this version cannot read
+}
+
+// Explanation says why a request would go where.
+type Explanation struct {
+	Team       string      `json:"team"`
+	Name       string      `json:"name"` // of the workload or service
+	Kind       string      `json:"kind"` // workload or service
+	Model      string      `json:"model,omitempty"`
+	Version    string      `json:"version,omitempty"`
+	Adapter    string      `json:"adapter,omitempty"`
+	Class      string      `json:"class"`
+	Idempotent bool        `json:"idempotent"`
+	TimeoutMS  int64       `json:"timeout_ms"`
+	Refused    string      `json:"refused,omitempty"` // why no target is eligible
+	Candidates []Candidate `json:"candidates"`
+}
+
+// Candidate is a target that a request might go to.
+type Candidate struct {
+	Target        string `json:"target"`
+	FailureDomain string `json:"failure_domain"`
+	Eligible      bool   `json:"eligible"`
+	Reason        string `json:"reason"`
+	Load          *Load  `json:"load,omitempty"`
+}
--- /dev/null
+++ b/internal/adapter/adminhttp/validate.go
@@ -0,0 +1,74 @@
+package adminhttp
+
+import (
+	"fmt"
+	"net/http"
+
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/check"
+	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/core/settings"
+)
+
+// validate checks proposals against the settings as they would be with all of
+// them in force, so their order does not matter.
+func (h *handler) validate(w http.ResponseWriter, r request) error {
+	data, err := readBody(w, r, maxValidateBytes)
+	if err != nil {
+		return err
+	}
+	bounds := check.Bounds{Bytes: maxValidateBytes, Depth: maxValidateDepth}
+	proposals, problems := check.Decode[Proposals]("body", data, bounds)
+	if len(proposals.Settings) > maxValidateSettings {
+		return newProblem(CodeBadRequest, fmt.Sprintf("want at most %d settings", maxValidateSettings))
+	}
+	if len(problems) == 0 {
+		problems = h.checkProposals(r, proposals.Settings)
+	}
+	answer := Validation{Valid: !check.Failed(problems), Problems: problems}
+	if answer.Problems == nil {
+		answer.Problems = []check.Problem{}
+	}
+	writeJSON(w, http.StatusOK, "application/json", answer)
+	return nil
+}
+
+func (h *handler) checkProposals(r request, proposals []Proposal) []check.Problem {
+	view := proposed(r, proposals).View()
+	var problems []check.Problem
+	for _, proposal := range proposals {
+		if !schema.Allowed(r.operator.subtree, proposal.Path) {
+			problems = append(problems, check.Problem{
+				Path: proposal.Path, Want: "a path below " + r.operator.subtree + ", to which the operator is bound",
+			})
+			continue
+		}
+		if proposal.Delete {
+			problems = append(problems, schema.CheckDelete(proposal.Path, view)...)
+			continue
+		}
+		problems = append(problems, schema.Check(proposal.Path, proposal.Value, view)...)
+	}
+	return problems
+}
+
+// proposed returns the catalog with all proposals in force.
+func proposed(r request, proposals []Proposal) *catalog.Catalog {
+	changed := make(map[string]Proposal, len(proposals))
+	for _, proposal := range proposals {
+		changed[proposal.Path] = proposal
+	}
+	offset := r.snapshot.Offset()
+	var entries []settings.Entry
+	for _, entry := range r.snapshot.List("/") {
+		if _, replaced := changed[entry.Path]; !replaced {
+			entries = append(entries, entry)
+		}
+	}
+	for path, proposal := range changed {
+		if !proposal.Delete {
+			entries = append(entries, settings.Entry{Path: path, Version: offset + 1, Value: proposal.Value})
+		}
+	}
+	return catalog.Rebuild(r.catalog, settings.NewSnapshot(offset+1, entries))
+}
--- /dev/null
+++ b/internal/adapter/adminhttp/write.go
@@ -0,0 +1,160 @@
+package adminhttp
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/core/check"
+	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/settingssync"
+)
+
+// maxKeyBytes bounds an operator's Idempotency-Key.
+const maxKeyBytes = 64
+
+// answerTime is what is left to send the answer after a write's deadline.
+const answerTime = 5 * time.Second
+
+func (h *handler) put(w http.ResponseWriter, r request) error {
+	write, err := newWrite(r)
+	if err != nil {
+		return err
+	}
+	if write.Value, err = readBody(w, r, schema.MaxValueBytes); err != nil {
+		return err
+	}
+	problems := schema.Check(write.Path, write.Value, r.catalog.View())
+	return h.write(w, r, write, problems)
+}
+
+func (h *handler) remove(w http.ResponseWriter, r request) error {
+	write, err := newWrite(r)
+	if err != nil {
+		return err
+	}
+	write.Delete = true
+	if _, ok := r.snapshot.Get(write.Path); !ok && write.Operation == "" && write.IfVersion == nil {
+		return newProblem(CodeNotFound, "there is no "+write.Path)
+	}
+	return h.write(w, r, write, schema.CheckDelete(write.Path, r.catalog.View()))
+}
+
+// newWrite returns the write that the request's path and headers ask for.
+func newWrite(r request) (settingssync.WriteRequest, error) {
+	path, err := settingsPath(r)
+	if err != nil {
+		return settingssync.WriteRequest{}, err
+	}
+	if !schema.Allowed(r.operator.subtree, path) {
+		return settingssync.WriteRequest{}, newProblem(CodeOutsideSubtree, outside(r.operator, path))
+	}
+	parsed, _ := schema.ParsePath(path)
+	write := settingssync.WriteRequest{Path: path, Author: r.operator.name, Team: parsed.Team}
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		if len(key) > maxKeyBytes {
+			return write, newProblem(CodeBadRequest, fmt.Sprintf("Idempotency-Key: want at most %d bytes", maxKeyBytes))
+		}
+		// The name keeps the keys of operators apart; Outcome needs no lookup.
+		write.Operation = r.operator.name + ":" + key
+	}
+	return write, readConditions(r, &write)
+}
+
+// readConditions takes over If-Match and If-None-Match.
+func readConditions(r request, write *settingssync.WriteRequest) error {
+	switch absent := r.Header.Get("If-None-Match"); absent {
+	case "":
+	case "*":
+		write.IfAbsent = true
+	default:
+		return newProblem(CodeBadRequest, "If-None-Match: want *")
+	}
+	match := r.Header.Get("If-Match")
+	if match == "" {
+		return nil
+	}
+	text, err := strconv.Unquote(match)
+	if err == nil {
+		var version int64
+		version, err = strconv.ParseInt(text, 10, 64)
+		write.IfVersion = &version
+	}
+	if err != nil || *write.IfVersion < 0 {
+		return newProblem(CodeBadRequest, `If-Match: want the ETag of a setting, such as "17"`)
+	}
+	return nil
+}
+
+// write carries out a write that has no problems but warnings.
+func (h *handler) write(w http.ResponseWriter, r request, write settingssync.WriteRequest, problems []check.Problem) error {
+	if check.Failed(problems) {
+		problem := newProblem(CodeInvalidSetting, "")
+		problem.Problems = problems
+		return problem
+	}
+	deadline := time.Now().Add(h.cfg.WriteTimeout)
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(answerTime))
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	result, err := h.cfg.Settings.Put(ctx, write)
+	switch {
+	case errors.Is(err, settingssync.ErrNotReady):
+		return newProblem(CodeNotReady, err.Error())
+	case err != nil:
+		return newProblem(CodeBadRequest, err.Error())
+	}
+	answer := writeResult(result)
+	answer.Warnings = problems
+	if result.Status != settingssync.Accepted {
+		conditional := write.IfVersion != nil || write.IfAbsent
+		return writeProblem(answer, result.Status, conditional)
+	}
+	w.Header().Set("ETag", entityTag(result.Offset))
+	writeJSON(w, http.StatusOK, "application/json", answer)
+	return nil
+}
+
+func writeResult(result settingssync.Result) WriteResult {
+	return WriteResult{
+		Status:    string(result.Status),
+		Operation: result.Operation,
+		Offset:    result.Offset,
+		Reason:    result.Reason,
+	}
+}
+
+// writeProblem returns the problem of a write that is not known to be accepted.
+func writeProblem(answer WriteResult, status settingssync.Status, conditional bool) *Problem {
+	code := CodeOutcomeUnknown
+	detail := "the write may take effect; ask for its operation"
+	switch {
+	case status == settingssync.Rejected && conditional:
+		code, detail = CodeVersionMismatch, "the path does not have the version asked for"
+	case status == settingssync.Rejected:
+		code, detail = CodeConflict, "another write came first; read the path again"
+	case status == settingssync.NotAccepted:
+		code, detail = CodePlatformAway, "the platform's log is away; nothing was written"
+	}
+	problem := newProblem(code, detail)
+	problem.Result = &answer
+	return problem
+}
+
+// operation answers what became of an earlier write.
+func (h *handler) operation(r request) (any, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), h.cfg.WriteTimeout)
+	defer cancel()
+	result, err := h.cfg.Settings.Outcome(ctx, r.PathValue("operation"))
+	answer := writeResult(result)
+	if err != nil {
+		problem := newProblem(CodeOutcomeUnknown, err.Error())
+		problem.Result = &answer
+		return nil, problem
+	}
+	return answer, nil
+}
--- a/internal/core/catalog/build.go
+++ b/internal/core/catalog/build.go
@@ -60,6 +60,7 @@
 	c.Workloads = make(map[TeamName]*Workload)
 	c.Services = make(map[TeamName]*Service)
 	c.Operators = make(map[string]schema.Operator)
+	c.OperatorNames = make(map[string]string)
 	for i := range c.items {
 		c.indexItem(&c.items[i])
 	}
@@ -75,7 +76,10 @@
 	case *schema.Domain:
 		c.Domains[i.name.Name] = *value
 	case *schema.Operator:
-		c.Operators[value.TokenSHA256] = *value
+		if _, taken := c.Operators[value.TokenSHA256]; !taken {
+			c.Operators[value.TokenSHA256] = *value
+			c.OperatorNames[value.TokenSHA256] = i.name.Name
+		}
 	case *schema.Group:
 		c.Groups[i.name.Name] = *value
 	case *schema.Team:
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -53,6 +53,7 @@
 	ModelTargets   map[TeamName][]*Target     // by team and model, in name order
 	ServiceTargets map[TeamName][]*Target     // by team and service, in name order
 	Operators      map[string]schema.Operator // by hex SHA-256 of the token
+	OperatorNames  map[string]string          // by hex SHA-256 of the token
 	Unreadable     []string                   // paths whose accepted value this version cannot read
 
 	items []item // of all paths, in path order
