Add quetzalbendctl

validate, get, put, delete, apply, list, history, diff, outcome, wait, status, domain out|in, target drain|undrain and explain over the administration API; exit codes say what went wrong. A write carries a key, so a lost answer can be asked for, and goes to another entry only if the first was not reached.

--- /dev/null
+++ b/cmd/quetzalbendctl/main.go
@@ -0,0 +1,18 @@
+// Command quetzalbendctl is the operator's tool.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"quetzalbend/internal/app/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := ctl.Main(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(int(code))
+}
--- a/internal/adapter/adminhttp/status.go
+++ b/internal/adapter/adminhttp/status.go
@@ -70,7 +70,7 @@
 
 // inForce answers which nodes have not reached an offset.
 func (h *handler) inForce(r request) (any, error) {
-	offset, err := number(r.URL.Query().Get("offset"), r.snapshot.Offset(), 0, math.MaxInt64)
+	offset, err := number(r.URL.Query().Get("offset"), r.snapshot.Offset(), settings.NoOffset, math.MaxInt64)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapter/adminhttp/write.go
+++ b/internal/adapter/adminhttp/write.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,11 +61,14 @@
 			return write, newProblem(CodeBadRequest, fmt.Sprintf("Idempotency-Key: want at most %d bytes", maxKeyBytes))
 		}
 		// The name keeps the keys of operators apart; Outcome needs no lookup.
-		write.Operation = r.operator.name + ":" + key
+		write.Operation = r.operator.operation(key)
 	}
 	return write, readConditions(r, &write)
 }
 
+// operation returns the id of the operator's write under a key.
+func (o operator) operation(key string) string { return o.name + ":" + key }
+
 // readConditions takes over If-Match and If-None-Match.
 func readConditions(r request, write *settingssync.WriteRequest) error {
 	switch absent := r.Header.Get("If-None-Match"); absent {
@@ -145,11 +149,16 @@
 	return problem
 }
 
-// operation answers what became of an earlier write.
+// operation answers what became of an earlier write. It takes the id that the
+// write was answered with, or the operator's own key.
 func (h *handler) operation(r request) (any, error) {
+	id := r.PathValue("operation")
+	if !strings.Contains(id, ":") && len(id) <= maxKeyBytes {
+		id = r.operator.operation(id)
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), h.cfg.WriteTimeout)
 	defer cancel()
-	result, err := h.cfg.Settings.Outcome(ctx, r.PathValue("operation"))
+	result, err := h.cfg.Settings.Outcome(ctx, id)
 	answer := writeResult(result)
 	if err != nil {
 		problem := newProblem(CodeOutcomeUnknown, err.Error())
