Correct the start-up file that a test of quetzalbendctl expects to be refused

The flags replace a wrong server of the file, so the file was rightly accepted; the test now uses an unknown field, which is refused whatever the flags say.

--- a/internal/app/ctl/main_test.go
+++ b/internal/app/ctl/main_test.go
@@ -125,7 +125,7 @@
 	b.ctl(program.ExitUsage)
 	b.ctl(program.ExitUsage, "domain", "sideways", "a")
 	b.ctl(program.ExitUsage, "get", "/domains/a", "/domains/b")
-	b.ctl(program.ExitConfig, "--config", b.write("config.json", `{"servers":["x"]}`), "--check-config")
+	b.ctl(program.ExitConfig, "--config", b.write("config.json", `{"server":"x"}`), "--check-config")
 	b.ctl(program.ExitOK, "--check-config")
 	b.ctl(program.ExitOK, "--version")
 	b.ctl(program.ExitOK, "--help")
