Serve the administration API on the entry; explain routing

Nodes in force: entries by their own word, agents that this entry feeds by theirs, other agents by the entries that feed them. Route prefixes match whole segments (routing.MatchRoute), so a prefix /status does not cover /statuses.

--- a/internal/adapter/callerhttp/services.go
+++ b/internal/adapter/callerhttp/services.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/wire"
 )
@@ -63,21 +64,12 @@
 		strings.Contains(escaped, "%2f") || strings.Contains(escaped, "%5c") {
 		return nil, refuse(CodeBadRequest, "the path is ambiguous")
 	}
-	for i := range service.Routes {
-		route := &service.Routes[i]
-		if route.Method == r.Method && underPrefix(asked, route.PathPrefix) {
-			return route, nil
-		}
+	if route := routing.MatchRoute(service.Routes, r.Method, asked); route != nil {
+		return route, nil
 	}
 	return nil, refuse(CodeNoRoute, "no route for "+r.Method+" "+asked)
 }
 
-// underPrefix reports whether a path is the prefix or lies below it.
-func underPrefix(asked, prefix string) bool {
-	rest, ok := strings.CutPrefix(asked, strings.TrimSuffix(prefix, "/"))
-	return ok && (rest == "" || rest[0] == '/')
-}
-
 func idempotencyKey(r *http.Request, route *schema.Route) (string, *failure) {
 	key := r.Header.Get(IdempotencyKeyHeader)
 	if route.Idempotent {
--- a/internal/app/entry/operators.go
+++ b/internal/app/entry/operators.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"quetzalbend/internal/adapter/adminhttp"
+	"quetzalbend/internal/metrics"
 )
 
 const operatorsHeaderTimeout = 5 * time.Second
@@ -40,5 +43,32 @@
 		mergeMetrics(e.settings, e.registry)
 		e.registry.Handler().ServeHTTP(w, r)
 	})
+	mux.Handle(adminhttp.Prefix, e.newAdminHandler())
 	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorsHeaderTimeout}
 }
+
+func (e *Entry) newAdminHandler() http.Handler {
+	var entries []string
+	for _, peer := range e.cfg.Peers {
+		entries = append(entries, peer.Name)
+	}
+	return adminhttp.NewHandler(adminhttp.Config{
+		Node:                         e.cfg.Name,
+		FailureDomain:                e.cfg.FailureDomain,
+		BootstrapOperatorTokenSHA256: e.cfg.BootstrapOperatorTokenSHA256,
+		Settings:                     e.node,
+		Status:                       &status{tables: e.tables, node: e.node, feeder: e.feeder},
+		Entries:                      entries,
+		Counter:                      adminCounter{e.registry},
+	})
+}
+
+// adminCounter counts what the administration API refuses.
+type adminCounter struct {
+	metrics *metrics.Registry
+}
+
+// Refused implements adminhttp.Counter.
+func (c adminCounter) Refused(code string) {
+	c.metrics.Counter(fmt.Sprintf("admin_refusals_total{reason=%q}", code)).Inc(1)
+}
--- /dev/null
+++ b/internal/core/routing/explain.go
@@ -0,0 +1,90 @@
+package routing
+
+import (
+	"strings"
+	"time"
+
+	"quetzalbend/internal/core/schema"
+)
+
+// Tier is the order in which an entry considers a target.
+type Tier string
+
+// Tiers, first to last.
+const (
+	TierNear Tier = "near" // subset of the own failure domain
+	TierFar  Tier = "far"  // subset of the others
+	TierRest Tier = "rest" // outside the subsets
+)
+
+// Explanation says how an entry sees one target for a request.
+type Explanation struct {
+	Target      string
+	Tier        Tier
+	Utilization float64 // from 1 on the target is taken for full
+	Obstacle    string  // why it would not be picked; empty if it may be
+}
+
+// Explain tells how each target of the pool stands for a query.
+func (p *Pool) Explain(query *Query) []Explanation {
+	var all []Explanation
+	for _, tier := range []struct {
+		name    Tier
+		members []*Member
+	}{{TierNear, p.Near}, {TierFar, p.Far}, {TierRest, p.rest}} {
+		for _, member := range tier.members {
+			all = append(all, Explanation{
+				Target:      member.Target.Name,
+				Tier:        tier.name,
+				Utilization: Utilization(member, query),
+				Obstacle:    query.obstacle(member),
+			})
+		}
+	}
+	return all
+}
+
+// MatchRoute returns the first route for a method and a path without its
+// query, or nil. A prefix matches whole segments of the path.
+func MatchRoute(routes []schema.Route, method, path string) *schema.Route {
+	for i := range routes {
+		if routes[i].Method == method && underPrefix(path, routes[i].PathPrefix) {
+			return &routes[i]
+		}
+	}
+	return nil
+}
+
+// underPrefix reports whether a path is the prefix or lies below it.
+func underPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+// LoadView is what this entry knows of a target's load.
+type LoadView struct {
+	Report
+
+	Age     time.Duration
+	Avoided bool // lately unreachable
+	Leaving bool // by the agent or the platform's list
+}
+
+// Look returns what is known of a target, if its agent has reported anything
+// or is left out.
+func (s *States) Look(target string, now time.Time) (LoadView, bool) {
+	shard := &s.shards[hash(target)%stateShards]
+	shard.mu.Lock()
+	state, ok := shard.states[target]
+	shard.mu.Unlock()
+	if !ok {
+		return LoadView{}, false
+	}
+	view := LoadView{Avoided: state.avoided(now), Leaving: state.Leaving()}
+	report := state.report.Load()
+	if report != nil {
+		view.Report = *report
+		view.Age = now.Sub(report.at)
+	}
+	return view, report != nil || view.Avoided || view.Leaving
+}
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -188,3 +188,24 @@
 		table.Model(name).Pick(strategy, q)
 	}
 }
+
+func TestExplainNamesTierAndObstacle(t *testing.T) {
+	table, states := fleet(Config{Entry: "e", FailureDomain: "a", NearSubset: 1, FarSubset: 1}, 4, "a", "b")
+	pool := table.Model(name)
+	near := pool.Near[0].Target.Name
+	states.Get(near).SetVMLeaving(true)
+	tiers := make(map[Tier]int)
+	for _, explanation := range pool.Explain(query(0)) {
+		tiers[explanation.Tier]++
+		assert.Equal(t, explanation.Obstacle == obstacleLeaving, explanation.Target == near)
+	}
+	assert.DeepEqual(t, tiers, map[Tier]int{TierNear: 1, TierFar: 1, TierRest: 2})
+}
+
+func TestRoutesMatchWholeSegments(t *testing.T) {
+	routes := []schema.Route{{Method: "GET", PathPrefix: "/status"}, {Method: "GET", PathPrefix: "/"}}
+	assert.Equal(t, MatchRoute(routes, "GET", "/status"), &routes[0])
+	assert.Equal(t, MatchRoute(routes, "GET", "/status/7"), &routes[0])
+	assert.Equal(t, MatchRoute(routes, "GET", "/statuses"), &routes[1])
+	assert.Assert(t, MatchRoute(routes, "POST", "/status") == nil)
+}
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -17,8 +17,12 @@
 	Limit       int // concurrent requests that the agent admits
 	Cold        bool
 	Leaving     bool
-	own         int // requests of this entry outstanding when the report came
-	at          time.Time
+
+	FirstTokenMS    float64 // smoothed
+	BetweenTokensMS float64 // smoothed
+
+	own int // requests of this entry outstanding when the report came
+	at  time.Time
 }
 
 // State is what this entry knows of one target beyond the settings. It is a
