Leave silent targets out for a while; bound the wait for a first frame to 1 s

A cut link looks alive for up to 7 s (keepalive and write timeout). Until then each request to its target waited for the first frame. Now the first one that waits in vain keeps the target out of the choice. Calls that may not be repeated keep waiting until their deadline, since nothing else may run them.

--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -45,7 +45,7 @@
 	Strategy     string `json:"strategy,omitempty"`       // affinity (default), least_outstanding or round_robin
 	NearSubset   int64  `json:"near_subset,omitempty"`    // targets considered in the own failure domain, default 16
 	FarSubset    int64  `json:"far_subset,omitempty"`     // targets considered in all others, default 8
-	FirstFrameMS int64  `json:"first_frame_ms,omitempty"` // until a silent agent is given up, default 2000
+	FirstFrameMS int64  `json:"first_frame_ms,omitempty"` // until a silent agent is given up, default 1000
 	StallMS      int64  `json:"stall_ms,omitempty"`       // until a stopped stream is resumed elsewhere, default 5000
 	AvoidMS      int64  `json:"avoid_ms,omitempty"`       // how long an unreachable target is left out, default 1000
 }
@@ -63,7 +63,7 @@
 	defaultGrace       = 610000 // longer than the longest timeout of a workload
 	defaultNearSubset  = 16
 	defaultFarSubset   = 8
-	defaultFirstFrame  = 2000
+	defaultFirstFrame  = 1000
 	defaultStall       = 5000
 	defaultAvoid       = 1000
 	defaultAnswerBytes = 16 << 20
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -26,6 +26,10 @@
 // askInterval is the time between two questions for the outcome of a call.
 const askInterval = 100 * time.Millisecond
 
+// agentDialTimeout bounds connecting to an agent or another entry, which is a
+// few milliseconds away.
+const agentDialTimeout = 500 * time.Millisecond
+
 // Entry is one entry with its listeners.
 type Entry struct {
 	cfg      Config
@@ -64,7 +68,7 @@
 		tables:   table,
 		health:   &health{tables: table},
 		registry: metrics.New(),
-		pool:     link.NewPool(link.Config{}),
+		pool:     link.NewPool(link.Config{DialTimeout: agentDialTimeout}),
 		platform: platform.NewClient(platform.Config{BaseURL: cfg.Platform, Node: cfg.Name}),
 		strikes:  strike.NewTable(cfg.Name + "/" + incarnation),
 		limits:   limits.New(limits.Config{}),
--- a/internal/app/entry/operators.go
+++ b/internal/app/entry/operators.go
@@ -57,6 +57,7 @@
 		FailureDomain:                e.cfg.FailureDomain,
 		BootstrapOperatorTokenSHA256: e.cfg.BootstrapOperatorTokenSHA256,
 		Settings:                     e.node,
+		Catalog:                      e.tables.catalog,
 		Status:                       &status{tables: e.tables, node: e.node, feeder: e.feeder},
 		Entries:                      entries,
 		Counter:                      adminCounter{e.registry},
--- a/internal/app/entry/tables.go
+++ b/internal/app/entry/tables.go
@@ -21,6 +21,14 @@
 // Table returns the table in force, or nil before the first settings.
 func (t *tables) Table() *routing.Table { return t.current.Load() }
 
+// catalog returns the catalog in force, or nil.
+func (t *tables) catalog() *catalog.Catalog {
+	if table := t.Table(); table != nil {
+		return table.Catalog()
+	}
+	return nil
+}
+
 // publish brings a snapshot in force. Older ones than that in force are dropped.
 func (t *tables) publish(snapshot *settings.Snapshot) {
 	t.mu.Lock()
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -26,6 +26,7 @@
 	code       string
 	ran        wire.Ran
 	strikes    int  // against the request
+	silent     bool // the target or the way to it does not respond
 	final      bool // the same would come of any other target
 	callerGone bool // nobody waits for the answer any more
 	retryAfter time.Duration
@@ -149,7 +150,7 @@
 	}
 	a.bounded = now
 	until := a.run.req.Deadline.Add(lastWordWait)
-	if a.check.next == 0 || a.passOn {
+	if a.passOn || a.check.next == 0 && a.run.req.repeatable() {
 		until = now.Add(limit)
 	}
 	_ = a.stream.SetDeadline(until)
@@ -280,7 +281,9 @@
 	}
 	if isTimeout(err) {
 		a.cancel()
-		return a.broken(codeConnectionBroken, errors.Wrap(err, "no frame in time"))
+		ended := a.broken(codeConnectionBroken, errors.Wrap(err, "no frame in time"))
+		ended.silent = true
+		return ended
 	}
 	ended := a.broken(codeConnectionBroken, err)
 	if a.admitted {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -165,3 +165,16 @@
 	assert.Equal(t, failure.Code, CodeCallerGone)
 	assert.Equal(t, f.links.sent[0].(*wire.CallerFrame).GetCancel(), true)
 }
+
+func TestSilentTargetIsLeftOutForAWhile(t *testing.T) {
+	silent := func(*wire.Open) ([]proto.Message, error) { return nil, nil }
+	f := newFixture(t, silent, whole("abc"))
+	f.dispatcher.cfg.FirstFrame = 10 * time.Millisecond
+	f.dispatcher.cfg.Avoid = time.Minute
+	f.avoid(1)
+	for range 5 {
+		_, _, failure := f.do(modelRequest(false))
+		assert.Assert(t, failure == nil, "%v", failure)
+	}
+	assert.Equal(t, len(f.links.calls), 6)
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -92,10 +92,12 @@
 	}
 	r.breaks++
 	r.ran = worse(r.ran, result.ran)
+	if result.silent || result.strikes > 0 {
+		member.State.Avoid(now.Add(r.d.cfg.Avoid))
+	}
 	if result.strikes == 0 {
 		return
 	}
-	member.State.Avoid(now.Add(r.d.cfg.Avoid))
 	count := r.d.cfg.Strikes.Strike(r.req.Fingerprint, result.strikes, now)
 	r.d.cfg.Counter.Count("strikes")
 	if r.d.cfg.OnStrike != nil {
