--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -1,7 +1,6 @@
 package callerhttp
 
 import (
-	"crypto/tls"
 	"io"
 	"log"
 	"net"
@@ -10,8 +9,8 @@
 )
 
 // NewServer returns the HTTP server for callers: HTTP/1.1 and HTTP/2, the
-// latter also without TLS. TLS may be nil.
-func NewServer(cfg Config, secure *tls.Config) *http.Server {
+// latter also without TLS.
+func NewServer(cfg Config) *http.Server {
 	cfg.Bounds = cfg.Bounds.withDefaults()
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
@@ -20,7 +19,6 @@
 	return &http.Server{
 		Handler:           newHandler(cfg),
 		Protocols:         protocols,
-		TLSConfig:         secure,
 		MaxHeaderBytes:    cfg.Bounds.HeaderBytes,
 		ReadHeaderTimeout: cfg.Bounds.HeaderTimeout,
 		IdleTimeout:       cfg.Bounds.IdleTimeout,
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -66,7 +66,7 @@
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := NewServer(cfg, nil)
+	server := NewServer(cfg)
 	go func() { _ = server.Serve(LimitListener(listener, cfg.Bounds.Connections)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalbend/internal/adapter/callerhttp"
+	"quetzalbend/internal/adapter/keys"
 	"quetzalbend/internal/core/check"
 	"quetzalbend/internal/settingssync"
 )
@@ -22,6 +23,9 @@
 	Peers                        []settingssync.Peer `json:"peers,omitempty"`  // other entries, each with its peers_listen
 	Platform                     string              `json:"platform"`         // base URL
 	BootstrapOperatorTokenSHA256 string              `json:"bootstrap_operator_token_sha256,omitempty"`
+	CallersTLS                   *keys.Files         `json:"callers_tls,omitempty"`   // default: HTTP without TLS
+	OperatorsTLS                 *keys.Files         `json:"operators_tls,omitempty"` // default: HTTP without TLS
+	LinksTLS                     *keys.Files         `json:"links_tls,omitempty"`     // mutual TLS to agents and entries, default: plain TCP
 	Bounds                       Bounds              `json:"bounds"`
 	Routing                      Routing             `json:"routing"`
 	NoticeMS                     int64               `json:"notice_ms,omitempty"` // between failing /readyz and refusing connections, default 5000
@@ -89,6 +93,7 @@
 	if err != nil || platform.Scheme != "http" && platform.Scheme != "https" || platform.Host == "" {
 		report.Add("platform", c.Platform, "a base URL such as http://10.0.0.1:7000")
 	}
+	c.checkTLS(report)
 	c.checkNumbers(report)
 	switch c.Routing.Strategy {
 	case "":
@@ -100,6 +105,22 @@
 	return report.Problems()
 }
 
+func (c *Config) checkTLS(report *check.Report) {
+	if c.CallersTLS != nil {
+		c.CallersTLS.Check(report, "callers_tls")
+	}
+	if c.OperatorsTLS != nil {
+		c.OperatorsTLS.Check(report, "operators_tls")
+	}
+	if c.LinksTLS == nil {
+		return
+	}
+	c.LinksTLS.Check(report, "links_tls")
+	if c.LinksTLS.CAFile == "" {
+		report.Add("links_tls.ca_file", c.LinksTLS.CAFile, "the name of a PEM file, since links check both ends")
+	}
+}
+
 func (c *Config) checkNumbers(report *check.Report) {
 	b, r := &c.Bounds, &c.Routing
 	for _, number := range []struct {
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -36,6 +36,7 @@
 	tables   *tables
 	health   *health
 	registry *metrics.Registry
+	security *security
 	pool     *link.Pool
 	platform *platform.Client
 	strikes  *strike.Table
@@ -63,12 +64,21 @@
 func New(cfg Config) (*Entry, error) {
 	table := &tables{cfg: cfg.routing(), states: routing.NewStates()}
 	incarnation := rand.Text()
+	security, err := loadSecurity(cfg)
+	if err != nil {
+		return nil, err
+	}
+	links, err := security.linkClient()
+	if err != nil {
+		return nil, errors.Wrap(err, "links_tls")
+	}
 	e := &Entry{
 		cfg:      cfg,
 		tables:   table,
 		health:   &health{tables: table},
 		registry: metrics.New(),
-		pool:     link.NewPool(link.Config{DialTimeout: agentDialTimeout}),
+		pool:     link.NewPool(links),
+		security: security,
 		platform: platform.NewClient(platform.Config{BaseURL: cfg.Platform, Node: cfg.Name}),
 		strikes:  strike.NewTable(cfg.Name + "/" + incarnation),
 		limits:   limits.New(limits.Config{}),
@@ -89,7 +99,7 @@
 		FailureDomain: cfg.FailureDomain,
 		Log:           e.platform,
 		Dial:          e.pool,
-		NewPool:       func() settingssync.Pool { return link.NewPool(link.Config{}) },
+		NewPool:       func() settingssync.Pool { return link.NewPool(links) },
 		Peers:         cfg.Peers,
 		Registry:      e.settings,
 		TakePeerSync:  e.exchange.take,
@@ -139,14 +149,17 @@
 	group, work := errgroup.WithContext(work)
 	callers := e.newCallersServer(work)
 	operators := e.newOperatorsServer()
-	peers := link.NewServer(link.Config{}, e.servePeers)
+	peers := link.NewServer(e.security.linkServer(), e.servePeers)
 
 	group.Go(func() error {
 		limited := callerhttp.LimitListener(e.callers, int(e.cfg.Bounds.Connections))
-		return served(callers.Serve(limited), "callers")
+		return served(serveHTTP(callers, limited, e.security.callers, "h2", "http/1.1"), "callers")
+	})
+	group.Go(func() error {
+		return served(serveHTTP(operators, e.operators, e.security.operators, "http/1.1"), "operators")
 	})
-	group.Go(func() error { return served(operators.Serve(e.operators), "operators") })
 	group.Go(func() error { return peers.Serve(e.peers) })
+	group.Go(func() error { return e.security.run(work) })
 	group.Go(func() error { return e.node.Run(work) })
 	group.Go(func() error { return e.feeder.Run(work) })
 	group.Go(func() error { return e.exchange.run(work) })
@@ -177,7 +190,7 @@
 		Limiter:    limiter{e.limits},
 		Recorder:   recorder{e.registry},
 		Leaving:    e.health.leaving.Load,
-	}, nil)
+	})
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	return server
 }
