Mount the administration API on the entry

Nodes and in-force follow the statuses that entries exchange, agents included as far as they are named as behind. Contracts: routing.Report gains the smoothed times of tokens, routing.State gains LastReport and Avoided.

--- a/internal/adapter/adminhttp/config.go
+++ b/internal/adapter/adminhttp/config.go
@@ -17,15 +17,9 @@
 	Outcome(ctx context.Context, operation string) (settingssync.Result, error)
 	History(path string) []settings.Judged
 	LogHealthy() bool
-}
-
-// Status tells what the entry knows of nodes and targets.
-type Status interface {
-	// Nodes returns the offset in force at each node the entry has heard of,
-	// itself included.
-	Nodes() []Node
-	// Targets returns the state of each target by name.
-	Targets() map[string]Load
+	// InForce returns the settings in force at all entries and the agents that
+	// they feed, as far as this entry has heard.
+	InForce() []settingssync.NodeStatus
 }
 
 // Counter counts what the API refuses; *metrics.Registry fits by an adapter.
@@ -40,9 +34,9 @@
 	BootstrapOperatorTokenSHA256 string // hex; may write everything; empty for none
 	Settings                     Settings
 	// Catalog returns the catalog in force; nil to build one from the snapshot.
-	Catalog      func() *catalog.Catalog
-	Status       Status        // nil: the status of other nodes is not known
-	Entries      []string      // names of all other entries
+	Catalog func() *catalog.Catalog
+	// Targets returns the state of each target by name; nil if none is known.
+	Targets      func() map[string]Load
 	Counter      Counter       // nil: refusals are not counted
 	ReadTimeout  time.Duration // to receive a body; default DefaultReadTimeout
 	WriteTimeout time.Duration // to learn the verdict on a write; default DefaultWriteTimeout
--- a/internal/adapter/adminhttp/messages.go
+++ b/internal/adapter/adminhttp/messages.go
@@ -78,13 +78,16 @@
 	Teams []Team `json:"teams"`
 }
 
-// Node is the offset in force at one node.
+// Node is an entry with the agents that it feeds, or an agent.
 type Node struct {
-	Name          string `json:"name"`
-	Kind          string `json:"kind"` // entry or agent
-	FailureDomain string `json:"failure_domain,omitempty"`
-	Offset        int64  `json:"offset"` // -1 if it has never been heard of
-	AgeMS         int64  `json:"age_ms"` // since that was heard
+	Name         string   `json:"name"`
+	Kind         string   `json:"kind"`   // entry or agent
+	Offset       int64    `json:"offset"` // of the settings in force; -1 if none are known of
+	AgeMS        int64    `json:"age_ms"` // since that was heard
+	Silent       bool     `json:"silent"` // nothing heard of it for a while, or never
+	Agents       int      `json:"agents,omitempty"`
+	AgentsOffset int64    `json:"agents_offset,omitempty"` // lowest in force at them
+	AgentsBehind []string `json:"agents_behind,omitempty"` // some of the agents below Offset
 }
 
 // Kinds of node.
@@ -93,7 +96,7 @@
 	AgentNode = "agent"
 )
 
-// Nodes lists all nodes that are known by settings or by contact.
+// Nodes lists all entries.
 type Nodes struct {
 	Offset int64  `json:"offset"` // of the answering entry
 	Nodes  []Node `json:"nodes"`
@@ -103,8 +106,8 @@
 type InForce struct {
 	Offset  int64  `json:"offset"`
 	InForce bool   `json:"in_force"`
-	Nodes   int    `json:"nodes"`
-	Missing []Node `json:"missing"`
+	Nodes   int    `json:"nodes"`   // entries and agents
+	Missing []Node `json:"missing"` // the entries, and agents as far as they are named
 }
 
 // Load is the state of a target as an entry knows it.
--- a/internal/app/ctl/status.go
+++ b/internal/app/ctl/status.go
@@ -82,19 +82,23 @@
 	}
 	return &exitError{
 		code: ExitNotInForce,
-		text: fmt.Sprintf("offset %d is not in force at %d of %d nodes", answer.Offset, len(answer.Missing), answer.Nodes),
+		text: fmt.Sprintf("offset %d is not in force at %d or more of %d nodes", answer.Offset, len(answer.Missing), answer.Nodes),
 	}
 }
 
 func printNodes(table io.Writer, nodes []adminhttp.Node) {
-	row(table, "NODE", "KIND", "DOMAIN", "OFFSET", "HEARD")
+	row(table, "NODE", "KIND", "OFFSET", "HEARD", "AGENTS", "LOWEST OFFSET", "BEHIND")
 	for _, node := range nodes {
 		offset := strconv.FormatInt(node.Offset, 10)
 		heard := (time.Duration(node.AgeMS) * time.Millisecond).String() + " ago"
-		if node.Offset < 0 {
+		if node.Offset < 0 && node.Silent {
 			offset, heard = "-", "never"
 		}
-		row(table, node.Name, node.Kind, node.FailureDomain, offset, heard)
+		agents, lowest := "-", "-"
+		if node.Agents > 0 {
+			agents, lowest = strconv.Itoa(node.Agents), strconv.FormatInt(node.AgentsOffset, 10)
+		}
+		row(table, node.Name, node.Kind, offset, heard, agents, lowest, strings.Join(node.AgentsBehind, ","))
 	}
 }
 
--- /dev/null
+++ b/internal/app/entry/admin.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"quetzalbend/internal/adapter/adminhttp"
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/routing"
+	"quetzalbend/internal/metrics"
+)
+
+// newAdminHandler returns the administration API of this entry.
+func (e *Entry) newAdminHandler() http.Handler {
+	return adminhttp.NewHandler(adminhttp.Config{
+		Node:                         e.cfg.Name,
+		FailureDomain:                e.cfg.FailureDomain,
+		BootstrapOperatorTokenSHA256: e.cfg.BootstrapOperatorTokenSHA256,
+		Settings:                     e.node,
+		Catalog:                      e.tables.catalog,
+		Targets:                      e.tables.loads,
+		Counter:                      adminRefusals{e.registry},
+	})
+}
+
+// catalog returns the catalog in force, or nil before there is one.
+func (t *tables) catalog() *catalog.Catalog {
+	table := t.Table()
+	if table == nil {
+		return nil
+	}
+	return table.Catalog()
+}
+
+// loads returns the state of the targets that this entry has heard of.
+func (t *tables) loads() map[string]adminhttp.Load {
+	current := t.catalog()
+	if current == nil {
+		return nil
+	}
+	now := time.Now()
+	loads := make(map[string]adminhttp.Load)
+	for name := range current.Targets {
+		state := t.states.Get(name)
+		if report, ok := state.LastReport(); ok {
+			loads[name] = loadOf(state, report, now)
+		}
+	}
+	return loads
+}
+
+func loadOf(state *routing.State, report routing.Report, now time.Time) adminhttp.Load {
+	return adminhttp.Load{
+		Reachable:       !state.Avoided(now),
+		Cold:            report.Cold,
+		Leaving:         state.Leaving(),
+		Running:         report.Running,
+		Queued:          report.Queued,
+		Limit:           report.Limit,
+		FirstTokenMS:    report.FirstTokenMS,
+		BetweenTokensMS: report.BetweenTokensMS,
+	}
+}
+
+// adminRefusals counts what the administration API refuses.
+type adminRefusals struct{ metrics *metrics.Registry }
+
+// Refused implements adminhttp.Counter.
+func (r adminRefusals) Refused(code string) {
+	r.metrics.Refused("admin_"+code, metrics.Key{})
+}
--- a/internal/app/entry/operators.go
+++ b/internal/app/entry/operators.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"quetzalbend/internal/adapter/adminhttp"
 )
 
 const operatorsHeaderTimeout = 5 * time.Second
@@ -40,5 +42,6 @@
 		mergeMetrics(e.settings, e.registry)
 		e.registry.Handler().ServeHTTP(w, r)
 	})
+	mux.Handle(adminhttp.Prefix, e.newAdminHandler())
 	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorsHeaderTimeout}
 }
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -17,8 +17,12 @@
 	Limit       int // concurrent requests that the agent admits
 	Cold        bool
 	Leaving     bool
-	own         int // requests of this entry outstanding when the report came
-	at          time.Time
+
+	FirstTokenMS    float64 // smoothed
+	BetweenTokensMS float64 // smoothed
+
+	own int // requests of this entry outstanding when the report came
+	at  time.Time
 }
 
 // State is what this entry knows of one target beyond the settings. It is a
@@ -58,6 +62,18 @@
 	return s.vmLeaving.Load() || report != nil && report.Leaving
 }
 
+// LastReport returns the last report of the target's agent, if there was any.
+func (s *State) LastReport() (Report, bool) {
+	report := s.report.Load()
+	if report == nil {
+		return Report{}, false
+	}
+	return *report, true
+}
+
+// Avoided reports whether the target is kept out of the choice for now.
+func (s *State) Avoided(now time.Time) bool { return s.avoided(now) }
+
 func (s *State) avoided(now time.Time) bool {
 	return now.UnixNano() < s.avoidUntil.Load()
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -166,6 +166,9 @@
 		Limit:       int(load.GetLimit()),
 		Cold:        load.GetCold(),
 		Leaving:     load.GetLeaving(),
+
+		FirstTokenMS:    load.GetFirstTokenMs(),
+		BetweenTokensMS: load.GetBetweenTokensMs(),
 	}
 	a.member.State.Observe(report, a.run.d.cfg.Now())
 }
