--- a/internal/core/routing/explain.go
+++ b/internal/core/routing/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"quetzalbend/internal/core/schema"
 )
@@ -60,31 +59,3 @@
 	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
 	return ok && (rest == "" || rest[0] == '/')
 }
-
-// LoadView is what this entry knows of a target's load.
-type LoadView struct {
-	Report
-
-	Age     time.Duration
-	Avoided bool // lately unreachable
-	Leaving bool // by the agent or the platform's list
-}
-
-// Look returns what is known of a target, if its agent has reported anything
-// or is left out.
-func (s *States) Look(target string, now time.Time) (LoadView, bool) {
-	shard := &s.shards[hash(target)%stateShards]
-	shard.mu.Lock()
-	state, ok := shard.states[target]
-	shard.mu.Unlock()
-	if !ok {
-		return LoadView{}, false
-	}
-	view := LoadView{Avoided: state.avoided(now), Leaving: state.Leaving()}
-	report := state.report.Load()
-	if report != nil {
-		view.Report = *report
-		view.Age = now.Sub(report.at)
-	}
-	return view, report != nil || view.Avoided || view.Leaving
-}
