--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -17,11 +17,12 @@
 	Name                         string              `json:"name"`
 	FailureDomain                string              `json:"failure_domain"`
 	Region                       string              `json:"region,omitempty"`
-	CallersListen                string              `json:"callers_listen"`   // IP address and port
-	OperatorsListen              string              `json:"operators_listen"` // IP address and port
-	PeersListen                  string              `json:"peers_listen"`     // IP address and port; links from other entries
-	Peers                        []settingssync.Peer `json:"peers,omitempty"`  // other entries, each with its peers_listen
-	Platform                     string              `json:"platform"`         // base URL
+	CallersListen                string              `json:"callers_listen"`      // IP address and port
+	OperatorsListen              string              `json:"operators_listen"`    // IP address and port
+	PeersListen                  string              `json:"peers_listen"`        // IP address and port; links from other entries
+	Peers                        []settingssync.Peer `json:"peers,omitempty"`     // other entries, each with its peers_listen
+	DialFrom                     string              `json:"dial_from,omitempty"` // IP address to open links from, default the system\'s choice
+	Platform                     string              `json:"platform"`            // base URL
 	BootstrapOperatorTokenSHA256 string              `json:"bootstrap_operator_token_sha256,omitempty"`
 	CallersTLS                   *keys.Files         `json:"callers_tls,omitempty"`   // default: HTTP without TLS
 	OperatorsTLS                 *keys.Files         `json:"operators_tls,omitempty"` // default: HTTP without TLS
@@ -89,6 +90,9 @@
 		required(report, field+"failure_domain", peer.FailureDomain)
 		address(report, field+"addr", peer.Addr)
 	}
+	if c.DialFrom != "" && net.ParseIP(c.DialFrom) == nil {
+		report.Add("dial_from", c.DialFrom, "an IP address such as 10.0.0.1")
+	}
 	platform, err := url.Parse(c.Platform)
 	if err != nil || platform.Scheme != "http" && platform.Scheme != "https" || platform.Host == "" {
 		report.Add("platform", c.Platform, "a base URL such as http://10.0.0.1:7000")
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	links, err := security.linkClient()
+	links, err := security.linkClient(cfg.DialFrom)
 	if err != nil {
 		return nil, errors.Wrap(err, "links_tls")
 	}
--- a/internal/app/entry/security.go
+++ b/internal/app/entry/security.go
@@ -53,9 +53,10 @@
 	return group.Wait()
 }
 
-// linkClient returns the configuration of links that this entry opens.
-func (s *security) linkClient() (link.Config, error) {
-	cfg := link.Config{DialTimeout: agentDialTimeout}
+// linkClient returns the configuration of links that this entry opens, from an
+// IP address or, if it is empty, from that of the system's choice.
+func (s *security) linkClient(from string) (link.Config, error) {
+	cfg := link.Config{DialTimeout: agentDialTimeout, LocalIP: net.ParseIP(from)}
 	if s.links == nil {
 		return cfg, nil
 	}
