Answer unknown where the first landing of a write may have been missed

Cause: the settings model found a node that is moved past a write's accepted landing by a peer's update, then reads the repeat of that write, which is stale, and answers rejected. Ruled out: the fold (its verdicts are right) and the log (it may repeat).

--- a/internal/settingssync/follow.go
+++ b/internal/settingssync/follow.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	n.store.install(loaded.state, loaded.judged)
+	n.store.install(loaded.state, loaded.from, loaded.judged)
 	n.noteLoaded(loaded)
 	n.noteReady()
 	log.WithFields(log.Fields{"node": n.cfg.Name, "offset": loaded.state.Offset()}).Info("settings loaded from the log")
--- a/internal/settingssync/load.go
+++ b/internal/settingssync/load.go
@@ -19,6 +19,7 @@
 // loaded is a state read from the log.
 type loaded struct {
 	state  *settings.State
+	from   int64 // offset from which the records were folded
 	judged []settings.Judged
 	last   *settings.Close // newest checkpoint seen
 	oldest int64
@@ -40,6 +41,7 @@
 			result.state, result.last = state, end
 		}
 	}
+	result.from = result.state.Offset()
 	return result, result.replay(ctx, log, next)
 }
 
--- a/internal/settingssync/store.go
+++ b/internal/settingssync/store.go
@@ -20,8 +20,18 @@
 	mu      sync.Mutex
 	state   *settings.State // nil before there is one
 	changed chan struct{}   // closed and replaced at each new snapshot
-	recent  []settings.Judged
-	waiters map[string]chan settings.Judged // by operation
+	from    int64           // every record above it was folded one by one
+	recent  []judgement
+	waiters map[string]chan judgement // by operation
+}
+
+// judgement is a verdict that this node has reached on one landing of a write.
+type judgement struct {
+	settings.Judged
+	// first is set if this was certainly the write's first landing, which
+	// decides. A node that was moved by a peer or a checkpoint past offsets
+	// above the write's as-of offset may have missed an earlier one.
+	first bool
 }
 
 // numbered is a decoded record with its offset.
@@ -31,7 +41,7 @@
 }
 
 func newStore() *store {
-	return &store{changed: make(chan struct{}), waiters: map[string]chan settings.Judged{}}
+	return &store{changed: make(chan struct{}), waiters: map[string]chan judgement{}}
 }
 
 // offset returns the offset of the state and whether there is one.
@@ -55,14 +65,15 @@
 }
 
 // install replaces the state by one at a higher offset and reports whether it
-// did. Writes that were judged on the way to it may be given with it.
-func (s *store) install(state *settings.State, judged []settings.Judged) bool {
+// did. The writes were judged on the way from the offset from to it.
+func (s *store) install(state *settings.State, from int64, judged []settings.Judged) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state != nil && state.Offset() <= s.state.Offset() {
 		return false
 	}
 	s.state = state
+	s.from = from
 	for _, j := range judged {
 		s.remember(j)
 	}
@@ -109,6 +120,7 @@
 			return false, errors.Errorf("no settings to apply a delta from offset %d to", delta.From)
 		}
 		s.state = settings.FromDelta(delta)
+		s.from = delta.To
 		s.publish()
 		return true, nil
 	}
@@ -120,6 +132,7 @@
 		return false, err
 	}
 	s.state = state
+	s.from = delta.To
 	s.publish()
 	return true, nil
 }
@@ -147,11 +160,11 @@
 	if len(s.recent) >= recentWrites {
 		s.recent = append(s.recent[:0:0], s.recent[recentWrites/4:]...)
 	}
-	s.recent = append(s.recent, judged)
-	// The first landing decides: a repeat of the same write is rejected.
+	j := judgement{Judged: judged, first: judged.Write.AsOf >= s.from}
+	s.recent = append(s.recent, j)
 	if waiter, ok := s.waiters[judged.Write.Operation]; ok {
 		delete(s.waiters, judged.Write.Operation)
-		waiter <- judged
+		waiter <- j
 	}
 }
 
@@ -162,11 +175,12 @@
 	return s.changed
 }
 
-// await returns a channel that gets the verdict on an operation's first landing.
-func (s *store) await(operation string) <-chan settings.Judged {
+// await returns a channel that gets the verdict on the first landing of an
+// operation that this node sees.
+func (s *store) await(operation string) <-chan judgement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	waiter := make(chan settings.Judged, 1)
+	waiter := make(chan judgement, 1)
 	s.waiters[operation] = waiter
 	return waiter
 }
@@ -185,14 +199,14 @@
 	var found []settings.Judged
 	for _, judged := range s.recent {
 		if judged.Write.Path == path {
-			found = append(found, judged)
+			found = append(found, judged.Judged)
 		}
 	}
 	return found
 }
 
 // verdict returns the remembered first landing of an operation.
-func (s *store) verdict(operation string) (settings.Judged, bool) {
+func (s *store) verdict(operation string) (judgement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, judged := range s.recent {
@@ -200,5 +214,5 @@
 			return judged, true
 		}
 	}
-	return settings.Judged{}, false
+	return judgement{}, false
 }
--- a/internal/settingssync/write.go
+++ b/internal/settingssync/write.go
@@ -133,7 +133,7 @@
 
 // appendAndAwait appends a record, again with the same content where that may
 // have failed, until its verdict is known or ctx ends.
-func (n *Node) appendAndAwait(ctx context.Context, write settings.Write, data []byte, verdict <-chan settings.Judged) Result {
+func (n *Node) appendAndAwait(ctx context.Context, write settings.Write, data []byte, verdict <-chan judgement) Result {
 	result := Result{Operation: write.Operation, Offset: settings.NoOffset, Status: NotAccepted}
 	for {
 		at, err := n.appendOnce(ctx, data)
@@ -165,7 +165,7 @@
 }
 
 // awaitVerdict waits for the verdict on a record that landed at an offset.
-func (n *Node) awaitVerdict(ctx context.Context, write settings.Write, at int64, verdict <-chan settings.Judged) Result {
+func (n *Node) awaitVerdict(ctx context.Context, write settings.Write, at int64, verdict <-chan judgement) Result {
 	for {
 		changed := n.Changed()
 		if result, ok := n.passedOver(write, at); ok {
@@ -192,7 +192,9 @@
 		return judgedResult(judged), true
 	}
 	if entry, ok := snapshot.Get(write.Path); ok && entry.Version == at {
-		return judgedResult(settings.Judged{Offset: at, Write: write, Verdict: settings.Accepted}), true
+		return judgedResult(judgement{
+			Judged: settings.Judged{Offset: at, Write: write, Verdict: settings.Accepted},
+		}), true
 	}
 	return Result{
 		Status: Unknown, Operation: write.Operation, Offset: at,
@@ -200,14 +202,20 @@
 	}, true
 }
 
-// judgedResult is the result of a write that was read back.
-func judgedResult(judged settings.Judged) Result {
+// judgedResult is the result of a write that was read back. An accepted landing
+// is certain: no other of the same write is accepted.
+func judgedResult(judged judgement) Result {
 	result := Result{
 		Status: Accepted, Operation: judged.Write.Operation, Offset: judged.Offset, Verdict: judged.Verdict,
 	}
-	if judged.Verdict != settings.Accepted {
+	switch {
+	case judged.Verdict == settings.Accepted:
+	case judged.first:
 		result.Status = Rejected
 		result.Reason = string(judged.Verdict)
+	default:
+		result.Status = Unknown
+		result.Reason = "an earlier landing may have been passed over"
 	}
 	return result
 }
@@ -224,7 +232,8 @@
 	}
 	for _, judged := range again.judged {
 		if judged.Write.Operation == operation {
-			return judgedResult(judged), nil
+			first := judged.Write.AsOf >= again.from
+			return judgedResult(judgement{Judged: judged, first: first}), nil
 		}
 	}
 	return Result{
