--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -8,12 +8,14 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/load/limits"
 	"quetzalbend/internal/app/load/overhead"
 	"quetzalbend/internal/program"
 )
 
 // experiments add their subcommands to the parser.
 var experiments = []func(parser *flags.Parser) error{
+	limits.Register,
 	overhead.Register,
 }
 
