--- a/internal/app/entry/admin.go
+++ b/internal/app/entry/admin.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"quetzalbend/internal/adapter/adminhttp"
-	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/metrics"
 )
@@ -23,15 +22,6 @@
 	})
 }
 
-// catalog returns the catalog in force, or nil before there is one.
-func (t *tables) catalog() *catalog.Catalog {
-	table := t.Table()
-	if table == nil {
-		return nil
-	}
-	return table.Catalog()
-}
-
 // loads returns the state of the targets that this entry has heard of.
 func (t *tables) loads() map[string]adminhttp.Load {
 	current := t.catalog()
--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalbend/internal/adapter/callerhttp"
+	"quetzalbend/internal/adapter/keys"
 	"quetzalbend/internal/core/check"
 	"quetzalbend/internal/settingssync"
 )
@@ -16,12 +17,16 @@
 	Name                         string              `json:"name"`
 	FailureDomain                string              `json:"failure_domain"`
 	Region                       string              `json:"region,omitempty"`
-	CallersListen                string              `json:"callers_listen"`   // IP address and port
-	OperatorsListen              string              `json:"operators_listen"` // IP address and port
-	PeersListen                  string              `json:"peers_listen"`     // IP address and port; links from other entries
-	Peers                        []settingssync.Peer `json:"peers,omitempty"`  // other entries, each with its peers_listen
-	Platform                     string              `json:"platform"`         // base URL
+	CallersListen                string              `json:"callers_listen"`      // IP address and port
+	OperatorsListen              string              `json:"operators_listen"`    // IP address and port
+	PeersListen                  string              `json:"peers_listen"`        // IP address and port; links from other entries
+	Peers                        []settingssync.Peer `json:"peers,omitempty"`     // other entries, each with its peers_listen
+	DialFrom                     string              `json:"dial_from,omitempty"` // IP address to open links from, default the system\'s choice
+	Platform                     string              `json:"platform"`            // base URL
 	BootstrapOperatorTokenSHA256 string              `json:"bootstrap_operator_token_sha256,omitempty"`
+	CallersTLS                   *keys.Files         `json:"callers_tls,omitempty"`   // default: HTTP without TLS
+	OperatorsTLS                 *keys.Files         `json:"operators_tls,omitempty"` // default: HTTP without TLS
+	LinksTLS                     *keys.Files         `json:"links_tls,omitempty"`     // mutual TLS to agents and entries, default: plain TCP
 	Bounds                       Bounds              `json:"bounds"`
 	Routing                      Routing             `json:"routing"`
 	NoticeMS                     int64               `json:"notice_ms,omitempty"` // between failing /readyz and refusing connections, default 5000
@@ -45,7 +50,7 @@
 	Strategy     string `json:"strategy,omitempty"`       // affinity (default), least_outstanding or round_robin
 	NearSubset   int64  `json:"near_subset,omitempty"`    // targets considered in the own failure domain, default 16
 	FarSubset    int64  `json:"far_subset,omitempty"`     // targets considered in all others, default 8
-	FirstFrameMS int64  `json:"first_frame_ms,omitempty"` // until a silent agent is given up, default 2000
+	FirstFrameMS int64  `json:"first_frame_ms,omitempty"` // until a silent agent is given up, default 1000
 	StallMS      int64  `json:"stall_ms,omitempty"`       // until a stopped stream is resumed elsewhere, default 5000
 	AvoidMS      int64  `json:"avoid_ms,omitempty"`       // how long an unreachable target is left out, default 1000
 }
@@ -63,7 +68,7 @@
 	defaultGrace       = 610000 // longer than the longest timeout of a workload
 	defaultNearSubset  = 16
 	defaultFarSubset   = 8
-	defaultFirstFrame  = 2000
+	defaultFirstFrame  = 1000
 	defaultStall       = 5000
 	defaultAvoid       = 1000
 	defaultAnswerBytes = 16 << 20
@@ -85,10 +90,14 @@
 		required(report, field+"failure_domain", peer.FailureDomain)
 		address(report, field+"addr", peer.Addr)
 	}
+	if c.DialFrom != "" && net.ParseIP(c.DialFrom) == nil {
+		report.Add("dial_from", c.DialFrom, "an IP address such as 10.0.0.1")
+	}
 	platform, err := url.Parse(c.Platform)
 	if err != nil || platform.Scheme != "http" && platform.Scheme != "https" || platform.Host == "" {
 		report.Add("platform", c.Platform, "a base URL such as http://10.0.0.1:7000")
 	}
+	c.checkTLS(report)
 	c.checkNumbers(report)
 	switch c.Routing.Strategy {
 	case "":
@@ -100,6 +109,22 @@
 	return report.Problems()
 }
 
+func (c *Config) checkTLS(report *check.Report) {
+	if c.CallersTLS != nil {
+		c.CallersTLS.Check(report, "callers_tls")
+	}
+	if c.OperatorsTLS != nil {
+		c.OperatorsTLS.Check(report, "operators_tls")
+	}
+	if c.LinksTLS == nil {
+		return
+	}
+	c.LinksTLS.Check(report, "links_tls")
+	if c.LinksTLS.CAFile == "" {
+		report.Add("links_tls.ca_file", c.LinksTLS.CAFile, "the name of a PEM file, since links check both ends")
+	}
+}
+
 func (c *Config) checkNumbers(report *check.Report) {
 	b, r := &c.Bounds, &c.Routing
 	for _, number := range []struct {
