--- a/internal/metrics/handler.go
+++ b/internal/metrics/handler.go
@@ -65,10 +65,19 @@
 	return strings.Compare(labelsA, labelsB)
 }
 
-// splitName returns the name and the labels without braces.
+// splitName returns the name and the labels without braces. Characters that the
+// text format does not allow in a name become underscores.
 func splitName(name string) (base, labels string) {
 	base, labels, _ = strings.Cut(name, "{")
-	return base, strings.TrimSuffix(labels, "}")
+	return strings.Map(nameCharacter, base), strings.TrimSuffix(labels, "}")
+}
+
+func nameCharacter(c rune) rune {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9', c == '_':
+		return c
+	}
+	return '_'
 }
 
 func typeName(metric any) string {
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -32,7 +32,9 @@
 	}
 	r.Refused("over_limit", key)
 	r.Refused("over_limit", key)
+	r.Counter("attempts.not-run_total").Inc(1)
 	text := string(r.Text())
+	assert.Check(t, cmp.Contains(text, "quetzalbend_attempts_not_run_total 1\n"))
 	assert.Check(t, cmp.Contains(text, "# TYPE quetzalbend_first_token_seconds summary\n"))
 	assert.Check(t, cmp.Contains(text, `quetzalbend_first_token_seconds{team="red",class="interactive",quantile="0.5"} 0.0501`))
 	assert.Check(t, cmp.Contains(text, `quetzalbend_first_token_seconds_count{team="red",class="interactive"} 100`))
