--- a/internal/adapter/callerhttp/chat.go
+++ b/internal/adapter/callerhttp/chat.go
@@ -28,7 +28,7 @@
 }
 
 func (h *handler) chat(x *exchange) *failure {
-	body, failed := h.readBody(x.w, x.r)
+	body, failed := h.readBody(x)
 	if failed != nil {
 		return failed
 	}
--- a/internal/adapter/callerhttp/config.go
+++ b/internal/adapter/callerhttp/config.go
@@ -6,6 +6,7 @@
 type Bounds struct {
 	HeaderBytes   int           // of a request's header
 	BodyBytes     int64         // of a request's body
+	BodiesBytes   int64         // of all bodies held at once
 	HeaderTimeout time.Duration // to receive a request's header
 	BodyTimeout   time.Duration // to receive a request's body
 	WriteTimeout  time.Duration // for the caller to take a piece of the answer
@@ -17,6 +18,7 @@
 const (
 	DefaultHeaderBytes   = 32 << 10
 	DefaultBodyBytes     = 1 << 20
+	DefaultBodiesBytes   = 256 << 20
 	DefaultHeaderTimeout = 5 * time.Second
 	DefaultBodyTimeout   = 10 * time.Second
 	DefaultWriteTimeout  = 15 * time.Second
@@ -27,6 +29,7 @@
 func (b Bounds) withDefaults() Bounds {
 	setDefault(&b.HeaderBytes, DefaultHeaderBytes)
 	setDefault(&b.BodyBytes, DefaultBodyBytes)
+	setDefault(&b.BodiesBytes, DefaultBodiesBytes)
 	setDefault(&b.HeaderTimeout, DefaultHeaderTimeout)
 	setDefault(&b.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&b.WriteTimeout, DefaultWriteTimeout)
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"quetzalbend/internal/core/catalog"
@@ -31,6 +32,7 @@
 	limiter    Limiter
 	recorder   Recorder
 	leaving    func() bool
+	bodies     atomic.Int64 // bytes of the bodies held
 }
 
 func newHandler(cfg Config) http.Handler {
@@ -70,6 +72,8 @@
 	class   schema.Class
 	stream  *sseWriter // of a streamed answer
 	tokens  int64
+
+	reserved int64 // bytes of the body
 }
 
 // catalog returns the settings that the request uses for its whole life.
@@ -83,6 +87,7 @@
 		if h.leaving() {
 			w.Header().Set("Connection", "close")
 		}
+		defer func() { h.bodies.Add(-x.reserved) }()
 		failed := h.authenticate(x)
 		if failed == nil {
 			failed = endpoint(x)
--- a/internal/adapter/callerhttp/problem.go
+++ b/internal/adapter/callerhttp/problem.go
@@ -18,6 +18,7 @@
 	CodeBadRequest        = "bad_request"
 	CodeBodyTooLarge      = "body_too_large"
 	CodeBodyTimeout       = "body_timeout"
+	CodeBusy              = "busy" // the entry holds as much as it may
 	CodeUnknownModel      = "unknown_model"
 	CodeUnknownService    = "unknown_service"
 	CodeNoRoute           = "no_route"
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -315,3 +315,26 @@
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(line, "200"), line)
 }
+
+func TestBodiesOfAllCallersAreBounded(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	d := &fakeDispatcher{play: func(context.Context, dispatch.StreamWriter) (*dispatch.Answer, error) {
+		close(running)
+		<-release
+		return &dispatch.Answer{Status: http.StatusOK}, nil
+	}}
+	addr := start(t, Config{Dispatcher: d, Bounds: Bounds{BodiesBytes: int64(len(chatBody)) + 10}})
+	done := make(chan int)
+	go func() {
+		resp, _ := send(t, addr, "POST", chatPath, chatBody)
+		done <- resp.StatusCode
+	}()
+	<-running
+	_, problem := send(t, addr, "POST", chatPath, chatBody)
+	assert.Equal(t, problem.Code, CodeBusy)
+	close(release)
+	assert.Equal(t, <-done, http.StatusOK)
+	d.play = nil
+	resp, _ := send(t, addr, "POST", chatPath, chatBody)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
--- a/internal/adapter/callerhttp/services.go
+++ b/internal/adapter/callerhttp/services.go
@@ -32,7 +32,7 @@
 	if failed != nil {
 		return failed
 	}
-	body, failed := h.readBody(x.w, x.r)
+	body, failed := h.readBody(x)
 	if failed != nil {
 		return failed
 	}
--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -15,6 +15,7 @@
 // Config is the start-up file of an entry.
 type Config struct {
 	Name                         string              `json:"name"`
+	VM                           string              `json:"vm,omitempty"` // name in the platform's list of VMs, default the entry's name
 	FailureDomain                string              `json:"failure_domain"`
 	Region                       string              `json:"region,omitempty"`
 	CallersListen                string              `json:"callers_listen"`      // IP address and port
@@ -99,6 +100,9 @@
 	}
 	c.checkTLS(report)
 	c.checkNumbers(report)
+	if c.VM == "" {
+		c.VM = c.Name
+	}
 	switch c.Routing.Strategy {
 	case "":
 		c.Routing.Strategy = StrategyAffinity
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -164,7 +164,7 @@
 	group.Go(func() error { return e.feeder.Run(work) })
 	group.Go(func() error { return e.exchange.run(work) })
 	group.Go(func() error { return publishSettings(work, e.node, e.tables) })
-	group.Go(func() error { return watchVMs(work, e.platform, e.tables) })
+	group.Go(func() error { return e.watchVMs(work) })
 	stopped, cancel := context.WithCancel(context.Background())
 	cancel()
 	group.Go(func() error {
@@ -189,7 +189,7 @@
 		Dispatcher: e.newDispatcher(),
 		Limiter:    limiter{e.limits},
 		Recorder:   recorder{e.registry},
-		Leaving:    e.health.leaving.Load,
+		Leaving:    e.health.isLeaving,
 	})
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	return server
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -258,3 +258,26 @@
 		"failure_domain", "callers_listen", "operators_listen", "peers_listen", "platform", "routing.stall_ms", "routing.strategy",
 	})
 }
+
+func TestVMListTakesTargetsAndTheEntryOut(t *testing.T) {
+	w := newWorld(t)
+	w.putDefaults()
+	w.put("/targets/t0", `{"agent":"`+w.agent+`","failure_domain":"d","kind":"model","team":"t","serves":["m"],"state":"in","cold_limit":4,"max_limit":8,"vm":"vm0"}`)
+	e, _, _ := w.start("e0", nil)
+	ready(t, e)
+	w.fault(`{"vms":[{"name":"vm0","state":"leaving"},{"name":"e0","state":"live"}]}`)
+	eventually(t, "the target leaves", func() bool { return e.tables.states.Get("t0").Leaving() })
+	assert.Equal(t, get("http://"+e.OperatorsAddr()+"/readyz"), http.StatusOK)
+	w.fault(`{"vms":[{"name":"vm0","state":"live"},{"name":"e0","state":"leaving"}]}`)
+	eventually(t, "readiness fails", func() bool { return get("http://"+e.OperatorsAddr()+"/readyz") == 503 })
+	assert.Assert(t, !e.tables.states.Get("t0").Leaving())
+}
+
+// fault sets faults of the platform.
+func (w *world) fault(faults string) {
+	w.t.Helper()
+	resp, err := http.Post(w.platform+"/standin/fault", "application/json", strings.NewReader(faults))
+	assert.NilError(w.t, err)
+	assert.NilError(w.t, resp.Body.Close())
+	assert.Equal(w.t, resp.StatusCode, http.StatusNoContent)
+}
--- a/internal/app/entry/operators.go
+++ b/internal/app/entry/operators.go
@@ -13,13 +13,17 @@
 
 // health tells the platform's balancer whether the entry serves.
 type health struct {
-	tables  *tables
-	leaving atomic.Bool
+	tables    *tables
+	leaving   atomic.Bool // by its own signal
+	vmLeaving atomic.Bool // by the platform's list
 }
 
+// isLeaving reports whether callers should connect to other entries.
+func (h *health) isLeaving() bool { return h.leaving.Load() || h.vmLeaving.Load() }
+
 func (h *health) ready(w http.ResponseWriter, _ *http.Request) {
 	obstacle := h.tables.obstacle()
-	if h.leaving.Load() {
+	if h.isLeaving() {
 		obstacle = "leaving"
 	}
 	if obstacle != "" {
--- a/internal/app/entry/vms.go
+++ b/internal/app/entry/vms.go
@@ -4,21 +4,20 @@
 	"context"
 	"time"
 
-	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/port"
 )
 
 // vmInterval is how often the platform's list of VMs is read.
 const vmInterval = time.Second
 
-// watchVMs keeps the targets out of the choice whose VM the platform lists as
-// leaving. While the platform is away the last list counts.
-func watchVMs(ctx context.Context, list port.VMList, tables *tables) error {
+// watchVMs takes in the platform's list of VMs until ctx ends. While the
+// platform is away the last list counts.
+func (e *Entry) watchVMs(ctx context.Context) error {
 	ticker := time.NewTicker(vmInterval)
 	defer ticker.Stop()
 	for {
-		if vms, err := list.VMs(ctx); err == nil {
-			markLeaving(vms, tables.Table(), tables.states)
+		if vms, err := e.platform.VMs(ctx); err == nil {
+			e.noteVMs(vms)
 		}
 		select {
 		case <-ctx.Done():
@@ -28,17 +27,21 @@
 	}
 }
 
-func markLeaving(vms []port.VM, table *routing.Table, states *routing.States) {
-	if table == nil {
-		return
-	}
+// noteVMs keeps the targets out of the choice whose VM the platform lists as
+// leaving, and fails readiness if the entry's own VM leaves.
+func (e *Entry) noteVMs(vms []port.VM) {
 	leaving := make(map[string]bool)
 	for _, vm := range vms {
 		leaving[vm.Name] = vm.State == port.VMLeaving
 	}
+	e.health.vmLeaving.Store(leaving[e.cfg.VM])
+	table := e.tables.Table()
+	if table == nil {
+		return
+	}
 	for name, target := range table.Catalog().Targets {
 		if target.VM != "" {
-			states.Get(name).SetVMLeaving(leaving[target.VM])
+			e.tables.states.Get(name).SetVMLeaving(leaving[target.VM])
 		}
 	}
 }
