--- /dev/null
+++ b/internal/app/load/fleet/network.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Condition is the condition of a failure domain's network.
+type Condition int
+
+// Conditions.
+const (
+	Open   Condition = iota
+	Cut              // what goes in or out is held back, inside all goes on
+	Killed           // connections break, new ones are refused
+)
+
+// Outside is the domain of callers and of the platform.
+const Outside = ""
+
+const forwardBuffer = 32 << 10 // bytes
+
+// Network carries TCP connections between failure domains and tells a
+// connection's domain by the IP address that it comes from.
+type Network struct {
+	mu         sync.Mutex
+	conditions map[string]Condition
+	domains    map[string]string // by source IP address
+	changed    chan struct{}     // closed at the next change
+	listeners  []net.Listener
+	conns      map[net.Conn][2]string // with the domains of both ends
+}
+
+// NewNetwork returns a network in which all domains are open.
+func NewNetwork() *Network {
+	return &Network{
+		conditions: make(map[string]Condition),
+		domains:    make(map[string]string),
+		changed:    make(chan struct{}),
+		conns:      make(map[net.Conn][2]string),
+	}
+}
+
+// AddDomain returns the IP address from which processes of a domain dial.
+func (n *Network) AddDomain(domain string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ip := fmt.Sprintf("127.0.%d.1", len(n.domains)+1)
+	n.domains[ip] = domain
+	return ip
+}
+
+// Forward listens on an address that leads to a listener of a domain.
+func (n *Network) Forward(domain, addr string) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrapf(err, "forward to %s", addr)
+	}
+	n.mu.Lock()
+	n.listeners = append(n.listeners, listener)
+	n.mu.Unlock()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go n.carry(conn, domain, addr)
+		}
+	}()
+	return listener.Addr().String(), nil
+}
+
+// Set changes the condition of a domain.
+func (n *Network) Set(domain string, condition Condition) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conditions[domain] = condition
+	close(n.changed)
+	n.changed = make(chan struct{})
+	if condition != Killed {
+		return
+	}
+	for conn, ends := range n.conns {
+		if ends[0] == domain || ends[1] == domain {
+			reset(conn)
+		}
+	}
+}
+
+// Close ends all connections and listeners.
+func (n *Network) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, listener := range n.listeners {
+		_ = listener.Close()
+	}
+	for conn := range n.conns {
+		reset(conn)
+	}
+	clear(n.conditions)
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+func (n *Network) carry(from net.Conn, domain, addr string) {
+	defer func() { _ = from.Close() }()
+	ends := [2]string{n.domainOf(from), domain}
+	if n.condition(ends) == Killed {
+		reset(from)
+		return
+	}
+	n.waitOpen(ends)
+	to, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		reset(from)
+		return
+	}
+	n.hold(ends, from, to)
+	defer n.release(from, to)
+	done := make(chan struct{})
+	go func() {
+		n.copy(to, from, ends)
+		close(done)
+	}()
+	n.copy(from, to, ends)
+	<-done
+}
+
+// copy carries bytes one way until either end closes, and then closes both.
+func (n *Network) copy(to, from net.Conn, ends [2]string) {
+	buffer := make([]byte, forwardBuffer)
+	for {
+		count, err := from.Read(buffer)
+		n.waitOpen(ends)
+		if count > 0 {
+			if _, err := to.Write(buffer[:count]); err != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	_ = to.Close()
+	_ = from.Close()
+}
+
+// waitOpen waits while a cut lies between two domains.
+func (n *Network) waitOpen(ends [2]string) {
+	for {
+		n.mu.Lock()
+		changed := n.changed
+		n.mu.Unlock()
+		if n.condition(ends) != Cut {
+			return
+		}
+		<-changed
+	}
+}
+
+// condition returns the condition of the way between two domains.
+func (n *Network) condition(ends [2]string) Condition {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	worst := max(n.conditions[ends[0]], n.conditions[ends[1]])
+	if worst == Cut && ends[0] == ends[1] {
+		return Open
+	}
+	return worst
+}
+
+func (n *Network) domainOf(conn net.Conn) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	return n.domains[host]
+}
+
+func (n *Network) hold(ends [2]string, conns ...net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, conn := range conns {
+		n.conns[conn] = ends
+	}
+}
+
+func (n *Network) release(conns ...net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, conn := range conns {
+		delete(n.conns, conn)
+	}
+}
+
+// reset closes a connection so that the peer sees it break.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
