Share short capacity among teams and accounts at the entry

A gate for each model and service learns from the refusals at_limit and queue_full of agents. Requests that it refuses are given back to the limits, and a stream that breaks off is charged for the tokens it passed on.

Contract: callerhttp.Limiter gets the demand and the outcome.

--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -151,22 +151,35 @@
 	if failed != nil {
 		return nil, failed
 	}
-	release, refusal := h.limiter.Admit(x.catalog(), x.account)
+	release, refusal := h.limiter.Admit(x.catalog(), x.account, demandOf(x, req))
 	if refusal != nil {
 		return nil, limited(refusal)
 	}
-	defer func() { release(x.tokens) }()
+	outcome := Outcome{Code: CodeOK}
+	defer func() { release(outcome) }()
 	req.Deadline = x.start.Add(timeout)
 	ctx, cancel := context.WithDeadline(x.r.Context(), req.Deadline)
 	defer cancel()
 	answer, err := h.dispatcher.Do(ctx, x.table, req, out)
 	if err != nil {
-		return nil, fromDispatch(err)
+		failed := fromDispatch(err)
+		outcome.Code = failed.code
+		if x.stream != nil {
+			outcome.Tokens = x.stream.pieces
+		}
+		return nil, failed
 	}
-	x.tokens = answer.Tokens
+	x.tokens, outcome.Tokens = answer.Tokens, answer.Tokens
 	return answer, nil
 }
 
+func demandOf(x *exchange, req *dispatch.Request) Demand {
+	if req.Service != nil {
+		return Demand{Kind: schema.ServiceTarget, Name: req.Service.GetService(), Class: x.class}
+	}
+	return Demand{Kind: schema.ModelTarget, Name: req.Model.GetModel(), Class: x.class}
+}
+
 func limited(refusal *Refusal) *failure {
 	failed := refuse(refusal.Code, "")
 	failed.status = http.StatusTooManyRequests
@@ -192,8 +205,8 @@
 type noLimits struct{}
 
 // Admit implements Limiter.
-func (noLimits) Admit(*catalog.Catalog, *catalog.Account) (func(int64), *Refusal) {
-	return func(int64) {}, nil
+func (noLimits) Admit(*catalog.Catalog, *catalog.Account, Demand) (func(Outcome), *Refusal) {
+	return func(Outcome) {}, nil
 }
 
 type noRecorder struct{}
--- a/internal/adapter/callerhttp/ports.go
+++ b/internal/adapter/callerhttp/ports.go
@@ -26,11 +26,24 @@
 	RetryAfter time.Duration
 }
 
-// Limiter holds the limits of teams and accounts.
+// Outcome is how a request that was admitted ended.
+type Outcome struct {
+	Code   string // CodeOK or the code of the failure
+	Tokens int64  // generated
+}
+
+// Demand is what a request asks for.
+type Demand struct {
+	Kind  schema.TargetKind
+	Name  string // of the model or service
+	Class schema.Class
+}
+
+// Limiter holds the limits and shares of teams and accounts.
 type Limiter interface {
 	// Admit counts a request in, or returns why not. The release, called once,
-	// counts it out again with the tokens it generated.
-	Admit(cat *catalog.Catalog, account *catalog.Account) (release func(tokens int64), refusal *Refusal)
+	// counts it out again.
+	Admit(cat *catalog.Catalog, account *catalog.Account, demand Demand) (release func(Outcome), refusal *Refusal)
 }
 
 // Observation is what is measured of one request.
--- a/internal/adapter/callerhttp/sse.go
+++ b/internal/adapter/callerhttp/sse.go
@@ -17,6 +17,7 @@
 	handler *handler
 	control *http.ResponseController
 	started bool
+	pieces  int64     // passed on; an engine sends one for each token
 	first   time.Time // when the first piece was written
 	last    time.Time // when the latest one was
 	bounded time.Time // when the write deadline was last set
@@ -38,6 +39,7 @@
 
 func (s *sseWriter) measure() {
 	now := time.Now()
+	s.pieces++
 	if !s.started {
 		s.started = true
 		s.first = now
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -187,7 +187,7 @@
 		Bounds:     e.cfg.Bounds.callers(),
 		Tables:     e.tables,
 		Dispatcher: e.newDispatcher(),
-		Limiter:    limiter{e.limits},
+		Limiter:    newLimiter(e.limits),
 		Recorder:   recorder{e.registry},
 		Leaving:    e.health.isLeaving,
 	})
--- a/internal/app/entry/limiter.go
+++ b/internal/app/entry/limiter.go
@@ -1,27 +1,80 @@
 package entry
 
 import (
+	"sync"
 	"time"
 
 	"quetzalbend/internal/adapter/callerhttp"
 	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/limits"
+	"quetzalbend/internal/core/schema"
 )
 
-// limiter holds the limits of teams and accounts for the callers' HTTP.
+// Reasons for which an agent refuses work that its target has no room for.
+const (
+	reasonAtLimit   = "at_limit"
+	reasonQueueFull = "queue_full"
+)
+
+// pool names the targets that serve one model or service. Capacity is short for
+// a pool, not for the entry.
+type pool struct {
+	kind schema.TargetKind
+	name string
+}
+
+// limiter holds the limits of teams and accounts, and their shares of capacity
+// that is short, for the callers' HTTP.
 type limiter struct {
 	limits *limits.Limiter
+	gates  sync.Map // pool to *limits.Gate
+}
+
+func newLimiter(held *limits.Limiter) *limiter { return &limiter{limits: held} }
+
+// gate returns the gate of a pool.
+func (l *limiter) gate(of pool) *limits.Gate {
+	if found, ok := l.gates.Load(of); ok {
+		return found.(*limits.Gate)
+	}
+	found, _ := l.gates.LoadOrStore(of, limits.NewGate())
+	return found.(*limits.Gate)
 }
 
 // Admit implements callerhttp.Limiter.
-func (l limiter) Admit(cat *catalog.Catalog, account *catalog.Account) (func(tokens int64), *callerhttp.Refusal) {
+func (l *limiter) Admit(cat *catalog.Catalog, account *catalog.Account, demand callerhttp.Demand) (func(callerhttp.Outcome), *callerhttp.Refusal) {
+	now := time.Now()
+	team := cat.Teams[account.Team]
 	grant, refusal := l.limits.Admit(
-		time.Now(),
-		limits.TeamSubject(account.Team, cat.Teams[account.Team].Limits),
+		now,
+		limits.TeamSubject(account.Team, team.Limits),
 		limits.AccountSubject(account.Team, account.Name, account.Limits),
 	)
 	if refusal != nil {
-		return nil, &callerhttp.Refusal{Code: string(refusal.Code), RetryAfter: refusal.RetryAfter}
+		return nil, callerRefusal(refusal)
+	}
+	work := limits.Work{Team: account.Team, Share: team.Share, Account: account.Name, Class: demand.Class}
+	ticket, refusal := l.gate(pool{demand.Kind, demand.Name}).Enter(now, work)
+	if refusal != nil {
+		grant.Cancel()
+		return nil, callerRefusal(refusal)
+	}
+	return func(outcome callerhttp.Outcome) {
+		now := time.Now()
+		ticket.Leave(now, noCapacity(outcome.Code))
+		grant.Release(now, outcome.Tokens)
+	}, nil
+}
+
+func callerRefusal(refusal *limits.Refusal) *callerhttp.Refusal {
+	return &callerhttp.Refusal{Code: string(refusal.Code), RetryAfter: refusal.RetryAfter}
+}
+
+// noCapacity reports whether a request failed because targets were full.
+func noCapacity(code string) bool {
+	switch code {
+	case reasonAtLimit, reasonQueueFull:
+		return true
 	}
-	return func(tokens int64) { grant.Release(time.Now(), tokens) }, nil
+	return false
 }
--- a/internal/core/limits/limiter.go
+++ b/internal/core/limits/limiter.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		if refusal := l.admit(now, wanted); refusal != nil {
-			grant.undo()
+			grant.Cancel()
 			return nil, refusal
 		}
 		grant.subjects[grant.count] = wanted.Name
@@ -127,8 +127,9 @@
 	return refusal
 }
 
-// undo takes back the admissions of a request that is refused after all.
-func (g *Grant) undo() {
+// Cancel counts the request out as if it had not been admitted. It stands in
+// place of Release for a request that is refused after all.
+func (g *Grant) Cancel() {
 	for _, name := range g.subjects[:g.count] {
 		g.limiter.with(name, (*subject).undo)
 	}
