--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -118,7 +118,7 @@
 		return refuse(CodeUnauthorized, "a bearer token is required")
 	}
 	sum := sha256.Sum256([]byte(token))
-	account, ok := x.catalog().AccountByToken[hex.EncodeToString(sum[:])]
+	account, ok := x.catalog().Account(hex.EncodeToString(sum[:]))
 	if !ok {
 		return refuse(CodeUnauthorized, "the token is not known")
 	}
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -20,6 +20,7 @@
 	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/dispatch"
 	"quetzalbend/internal/wire"
 )
@@ -44,18 +45,23 @@
 
 func testCatalog() *catalog.Catalog {
 	sum := sha256.Sum256([]byte("secret"))
-	service := &catalog.Service{Name: "entries", Team: "team"}
-	service.Service = schema.Service{TimeoutMS: 1000, Routes: []schema.Route{
-		{Method: http.MethodGet, PathPrefix: "/status", Idempotent: true, Class: schema.Batch},
-		{Method: http.MethodPost, PathPrefix: "/confirm", Class: schema.Certificate},
-	}}
-	workload := &catalog.Workload{Name: "draft", Team: "team"}
-	workload.Workload = schema.Workload{Model: "m", Version: "v", Class: schema.Interactive, TimeoutMS: 1000}
-	return &catalog.Catalog{
-		AccountByToken: map[string]*catalog.Account{hex.EncodeToString(sum[:]): {Name: "account", Team: "team"}},
-		Workloads:      map[catalog.TeamName]*catalog.Workload{{Team: "team", Name: "draft"}: workload},
-		Services:       map[catalog.TeamName]*catalog.Service{{Team: "team", Name: "entries"}: service},
+	values := map[string]any{
+		"/teams/team/accounts/account": schema.Account{TokenSHA256: hex.EncodeToString(sum[:])},
+		"/teams/team/services/entries": schema.Service{TimeoutMS: 1000, Routes: []schema.Route{
+			{Method: http.MethodGet, PathPrefix: "/status", Idempotent: true, Class: schema.Batch},
+			{Method: http.MethodPost, PathPrefix: "/confirm", Class: schema.Certificate},
+		}},
+		"/teams/team/workloads/draft": schema.Workload{Model: "m", Version: "v", Class: schema.Interactive, TimeoutMS: 1000},
+	}
+	var entries []settings.Entry
+	for path, value := range values {
+		data, err := json.Marshal(value)
+		if err != nil {
+			panic(err)
+		}
+		entries = append(entries, settings.Entry{Path: path, Value: data})
 	}
+	return catalog.Build(settings.NewSnapshot(0, entries))
 }
 
 // start serves callers on loopback and returns the address.
--- a/internal/core/catalog/build.go
+++ b/internal/core/catalog/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/core/settings"
@@ -13,41 +14,50 @@
 }
 
 // Rebuild returns the catalog of a snapshot and reuses what has not changed
-// since previous, which may be nil. A path whose accepted value cannot be read
-// keeps the value that previous had for it.
+// since previous, which may be nil and must be of an earlier snapshot. A path
+// whose accepted value cannot be read keeps the value that previous had for it.
 func Rebuild(previous *Catalog, snapshot *settings.Snapshot) *Catalog {
 	if previous == nil {
-		previous = &Catalog{}
+		previous = &Catalog{Offset: settings.NoOffset, snapshot: settings.NewSnapshot(settings.NoOffset, nil)}
 	}
-	c := &Catalog{Offset: snapshot.Offset()}
-	entries := snapshot.List("/")
-	c.items = make([]item, 0, len(entries))
-	var accountsChanged bool
-	old := previous.items
-	for _, entry := range entries {
-		for len(old) > 0 && old[0].path < entry.Path {
-			accountsChanged = accountsChanged || isAccount(old[0].value)
-			old = old[1:]
-		}
+	changed := snapshot.ChangedSince(previous.Offset)
+	c := &Catalog{Offset: snapshot.Offset(), snapshot: snapshot}
+	items, accounts := mergeItems(previous.items, changed, snapshot.Len())
+	c.items = items
+	if len(c.items) != snapshot.Len() {
+		c.items = slices.DeleteFunc(c.items, func(i item) bool {
+			_, exists := snapshot.Get(i.path)
+			return !exists
+		})
+	}
+	c.accounts = previous.accounts.next(previous, c, accounts)
+	c.index()
+	return c
+}
+
+// mergeItems returns items with the changed entries in their place, and the
+// accounts among these.
+func mergeItems(items []item, changed []settings.Entry, length int) ([]item, []changedAccount) {
+	merged := make([]item, 0, max(length, len(items)))
+	var accounts []changedAccount
+	for _, entry := range changed {
+		at, exists := slices.BinarySearchFunc(items, entry.Path, func(i item, path string) int {
+			return strings.Compare(i.path, path)
+		})
+		merged = append(merged, items[:at]...)
+		items = items[at:]
 		var before *item
-		if len(old) > 0 && old[0].path == entry.Path {
-			before = &old[0]
-			old = old[1:]
+		if exists {
+			before = &items[0]
+			items = items[1:]
 		}
-		now := newItem(entry, before)
-		if before == nil || before.value != now.value {
-			accountsChanged = accountsChanged || isAccount(now.value)
+		now, account := newItem(entry, before)
+		merged = append(merged, now)
+		if isAccountPath(entry.Path) {
+			accounts = append(accounts, changedAccount{path: entry.Path, account: account})
 		}
-		c.items = append(c.items, now)
-	}
-	accountsChanged = accountsChanged || slices.ContainsFunc(old, func(i item) bool { return isAccount(i.value) })
-	c.index()
-	if accountsChanged || previous.AccountByToken == nil {
-		c.indexAccounts()
-	} else {
-		c.AccountByToken = previous.AccountByToken
 	}
-	return c
+	return append(merged, items...), accounts
 }
 
 // index fills everything but the accounts.
@@ -72,26 +82,30 @@
 	if i.unreadable {
 		c.Unreadable = append(c.Unreadable, i.path)
 	}
+	if i.value == nil {
+		return
+	}
+	name := i.name()
 	switch value := i.value.(type) {
 	case *schema.Domain:
-		c.Domains[i.name.Name] = *value
+		c.Domains[name.Name] = *value
 	case *schema.Operator:
 		if _, taken := c.Operators[value.TokenSHA256]; !taken {
 			c.Operators[value.TokenSHA256] = *value
-			c.OperatorNames[value.TokenSHA256] = i.name.Name
+			c.OperatorNames[value.TokenSHA256] = name.Name
 		}
 	case *schema.Group:
-		c.Groups[i.name.Name] = *value
+		c.Groups[name.Name] = *value
 	case *schema.Team:
-		c.Teams[i.name.Name] = *value
+		c.Teams[name.Name] = *value
 	case *schema.Model:
-		c.Models[i.name] = *value
+		c.Models[name] = *value
 	case *Target:
 		c.Targets[value.Name] = value
 	case *Workload:
-		c.Workloads[i.name] = value
+		c.Workloads[name] = value
 	case *Service:
-		c.Services[i.name] = value
+		c.Services[name] = value
 	}
 }
 
@@ -156,18 +170,3 @@
 	}
 	return teams
 }
-
-// indexAccounts lists accounts by token. If two accounts have one token, the
-// first in path order keeps it.
-func (c *Catalog) indexAccounts() {
-	c.AccountByToken = make(map[string]*Account, len(c.items))
-	for i := range c.items {
-		account, ok := c.items[i].value.(*Account)
-		if !ok {
-			continue
-		}
-		if _, taken := c.AccountByToken[account.TokenSHA256]; !taken {
-			c.AccountByToken[account.TokenSHA256] = account
-		}
-	}
-}
--- a/internal/core/catalog/build_test.go
+++ b/internal/core/catalog/build_test.go
@@ -4,9 +4,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/core/settings"
@@ -16,13 +21,29 @@
 	return settings.Entry{Path: path, Version: version, Value: []byte(value)}
 }
 
+var (
+	hashX = strings.Repeat("1", 64)
+	hashY = strings.Repeat("2", 64)
+)
+
+func account(hash string) string { return fmt.Sprintf(`{"token_sha256":%q}`, hash) }
+
+// accountName returns the name of the account with a token, or "".
+func accountName(c *Catalog, hash string) string {
+	found, ok := c.Account(hash)
+	if !ok {
+		return ""
+	}
+	return found.Team + "/" + found.Name
+}
+
 func small() []settings.Entry {
 	return []settings.Entry{
 		entry("/domains/a", 1, `{"state":"in"}`),
 		entry("/teams/red", 2, `{}`),
 		entry("/teams/red/models/m", 3, `{"versions":["1"]}`),
 		entry("/teams/red/workloads/w", 4, `{"model":"m"}`),
-		entry("/teams/red/accounts/x", 5, `{"token_sha256":"aa"}`),
+		entry("/teams/red/accounts/x", 5, account(hashX)),
 		entry("/targets/t2", 6, `{"agent":"127.0.0.1:2","failure_domain":"a","kind":"model","serves":["m"]}`),
 		entry("/targets/t1", 7, `{"agent":"127.0.0.1:1","failure_domain":"a","kind":"model","serves":["m"],"team":"red"}`),
 		entry("/teams/red/services/s", 8, `{"routes":[{"method":"GET","path_prefix":"/"}]}`),
@@ -39,7 +60,7 @@
 	assert.Equal(t, len(c.ServiceTargets[TeamName{"red", "s"}]), 1)
 	assert.Equal(t, c.Workloads[TeamName{"red", "w"}].Class, schema.Interactive)
 	assert.Equal(t, c.Services[TeamName{"red", "s"}].Routes[0].Class, schema.Interactive)
-	assert.Equal(t, c.AccountByToken["aa"].Team, "red")
+	assert.Equal(t, accountName(c, hashX), "red/x")
 	assert.Equal(t, len(c.Unreadable), 0)
 }
 
@@ -52,11 +73,12 @@
 	assert.Assert(t, first.Targets["t1"].Serving())
 	assert.Assert(t, !second.Targets["t1"].Serving())
 	assert.Assert(t, !second.ModelTargets[TeamName{"red", "m"}][0].Serving())
-	assert.Assert(t, first.AccountByToken["aa"] == second.AccountByToken["aa"])
+	assert.Equal(t, accountName(second, hashX), "red/x")
 	assert.Assert(t, first.Workloads[TeamName{"red", "w"}] == second.Workloads[TeamName{"red", "w"}])
 
 	third := Rebuild(second, settings.NewSnapshot(11, append(small()[1:4:4], small()[5:]...)))
-	assert.Equal(t, len(third.AccountByToken), 0)
+	assert.Equal(t, accountName(third, hashX), "")
+	assert.Equal(t, accountName(second, hashX), "red/x")
 	assert.Assert(t, third.Targets["t1"].Serving())
 }
 
@@ -69,15 +91,63 @@
 	second := Rebuild(first, settings.NewSnapshot(12, entries))
 	assert.DeepEqual(t, second.Unreadable, []string{"/domains/a", "/later/z", "/teams/red/accounts/x"})
 	assert.Equal(t, second.Domains["a"].State, schema.In)
-	assert.Equal(t, second.AccountByToken["aa"].Name, "x")
+	assert.Equal(t, accountName(second, hashX), "red/x")
+	entries = append(entries, entry("/teams/red", 13, `{"share":2}`))
+	third := Rebuild(second, settings.NewSnapshot(13, entries))
+	assert.Equal(t, accountName(third, hashX), "red/x")
+	assert.Equal(t, len(third.Unreadable), 3)
+}
+
+func TestAccountMovesToItsNewToken(t *testing.T) {
+	first := Build(settings.NewSnapshot(9, small()))
+	entries := append(small(), entry("/teams/red/accounts/x", 10, account(hashY)))
+	second := Rebuild(first, settings.NewSnapshot(10, entries))
+	assert.Equal(t, accountName(second, hashX), "")
+	assert.Equal(t, accountName(second, hashY), "red/x")
+	assert.Equal(t, accountName(first, hashX), "red/x")
+	assert.Equal(t, accountName(first, "x"), "")
+}
+
+func TestFirstOfTwoAccountsHasTheToken(t *testing.T) {
+	b := entry("/teams/b/accounts/x", 1, account(hashX))
+	a := entry("/teams/a/accounts/y", 2, account(hashX))
+	both := Rebuild(Build(settings.NewSnapshot(1, []settings.Entry{b})), settings.NewSnapshot(2, []settings.Entry{a, b}))
+	assert.Equal(t, accountName(both, hashX), "a/y")
+	assert.Equal(t, accountName(Build(settings.NewSnapshot(2, []settings.Entry{a, b})), hashX), "a/y")
+	left := Rebuild(both, settings.NewSnapshot(3, []settings.Entry{b}))
+	assert.Equal(t, accountName(left, hashX), "b/x")
 }
 
-func TestFirstOfTwoAccountsKeepsTheToken(t *testing.T) {
-	c := Build(settings.NewSnapshot(2, []settings.Entry{
-		entry("/teams/b/accounts/x", 1, `{"token_sha256":"aa"}`),
-		entry("/teams/a/accounts/y", 2, `{"token_sha256":"aa"}`),
-	}))
-	assert.Equal(t, c.AccountByToken["aa"].Team, "a")
+// Rebuild step by step must give what Build gives at once.
+func TestRebuildEqualsBuild(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		values := map[string]settings.Entry{}
+		var current *Catalog
+		for offset := range int64(rapid.IntRange(1, 30).Draw(t, "steps")) {
+			path := rapid.SampledFrom([]string{
+				"/teams/a/accounts/1", "/teams/a/accounts/2", "/teams/b/accounts/1", "/domains/d", "/targets/t",
+			}).Draw(t, "path")
+			value := rapid.SampledFrom([]string{"", account(hashX), account(hashY), `{"state":"out","failure_domain":"d"}`}).Draw(t, "value")
+			delete(values, path)
+			if value != "" {
+				values[path] = entry(path, offset, value)
+			}
+			snapshot := settings.NewSnapshot(offset, slices.Collect(maps.Values(values)))
+			current = Rebuild(current, snapshot)
+			if len(current.Unreadable) > 0 {
+				return // what was kept depends on the way
+			}
+			whole := Build(snapshot)
+			for _, hash := range []string{hashX, hashY} {
+				if accountName(current, hash) != accountName(whole, hash) {
+					t.Fatalf("token of %q, want %q", accountName(current, hash), accountName(whole, hash))
+				}
+			}
+			if !reflect.DeepEqual(current.Targets, whole.Targets) || !reflect.DeepEqual(current.Domains, whole.Domains) {
+				t.Fatalf("targets %v, want %v", current.Targets, whole.Targets)
+			}
+		}
+	})
 }
 
 // large returns entries for 45,000 accounts and 3,700 targets.
@@ -107,7 +177,7 @@
 	entries := large()
 	catalog := Build(settings.NewSnapshot(60_000, entries))
 	changes := map[string]settings.Entry{
-		"account": entry("/teams/red/accounts/account-7", 60_001, `{"token_sha256":"bb"}`),
+		"account": entry("/teams/red/accounts/account-7", 60_001, account(hashY)),
 		"target":  entry("/targets/target-7", 60_001, `{"agent":"127.0.0.1:9","failure_domain":"a","serves":["m"]}`),
 	}
 	for name, change := range changes {
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "quetzalbend/internal/core/schema"
+import (
+	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/core/settings"
+)
 
 // Account is an account with its name and team.
 type Account struct {
@@ -39,7 +42,8 @@
 	Name string
 }
 
-// Catalog is immutable.
+// Catalog is immutable. Accounts, of which there may be many, are read from the
+// snapshot when they are asked for; see Catalog.Account.
 type Catalog struct {
 	Offset         int64 // of the snapshot it was built from
 	Teams          map[string]schema.Team
@@ -49,12 +53,13 @@
 	Models         map[TeamName]schema.Model
 	Workloads      map[TeamName]*Workload
 	Services       map[TeamName]*Service
-	AccountByToken map[string]*Account        // key: hex SHA-256 of the bearer token
 	ModelTargets   map[TeamName][]*Target     // by team and model, in name order
 	ServiceTargets map[TeamName][]*Target     // by team and service, in name order
 	Operators      map[string]schema.Operator // by hex SHA-256 of the token
 	OperatorNames  map[string]string          // by hex SHA-256 of the token
 	Unreadable     []string                   // paths whose accepted value this version cannot read
 
-	items []item // of all paths, in path order
+	snapshot *settings.Snapshot
+	items    []item // of all paths, in path order
+	accounts accountIndex
 }
--- a/internal/core/catalog/item.go
+++ b/internal/core/catalog/item.go
@@ -14,20 +14,30 @@
 type item struct {
 	path       string
 	version    int64
-	name       TeamName // of things within a team
-	value      any      // pointer to the typed value; nil if it could never be read
+	value      any // pointer to the typed value; nil for accounts and what could never be read
 	unreadable bool
 }
 
-// newItem reads an entry, or reuses what before holds for the same version.
-func newItem(entry settings.Entry, before *item) item {
-	if before != nil && before.version == entry.Version {
-		return *before
+// name returns the team and name in the item's path.
+func (i *item) name() TeamName {
+	path, err := schema.ParsePath(i.path)
+	if err != nil {
+		return TeamName{}
 	}
+	return TeamName{Team: path.Team, Name: path.Name}
+}
+
+// newItem reads an entry that has changed since before, which is nil for a new
+// path. An account is returned beside its item, which does not hold it.
+func newItem(entry settings.Entry, before *item) (item, *Account) {
 	i := item{path: entry.Path, version: entry.Version}
 	path, err := schema.ParsePath(entry.Path)
+	if err == nil && path.Kind == schema.KindAccount {
+		account, err := readAccount(path, entry.Value)
+		i.unreadable = err != nil
+		return i, account
+	}
 	if err == nil {
-		i.name = TeamName{Team: path.Team, Name: path.Name}
 		i.value, err = decode(path, entry.Value)
 	}
 	if err != nil {
@@ -37,16 +47,10 @@
 			i.value = before.value
 		}
 	}
-	return i
+	return i, nil
 }
 
-// isAccount reports whether an item's value is an account.
-func isAccount(value any) bool {
-	_, ok := value.(*Account)
-	return ok
-}
-
-// decode reads the value at path. Fields that this version does not know are
+// decode reads the value at path, which is no account. Fields that this version does not know are
 // ignored.
 func decode(path schema.Path, data []byte) (any, error) {
 	switch path.Kind {
@@ -68,10 +72,6 @@
 		value := &schema.Team{}
 		err := read(data, value, func() error { value.SetDefaults(); return nil })
 		return value, err
-	case schema.KindAccount:
-		value := &Account{Name: path.Name, Team: path.Team}
-		err := read(data, &value.Account, func() error { return knownClass(value.Class) })
-		return value, err
 	case schema.KindModel:
 		value := &schema.Model{}
 		return value, read(data, value, nil)
--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -80,8 +80,8 @@
 
 // TokenOwner implements schema.View.
 func (v view) TokenOwner(tokenSHA256 string) (string, bool) {
-	if account, ok := v.catalog.AccountByToken[tokenSHA256]; ok {
-		return "/teams/" + account.Team + "/accounts/" + account.Name, true
+	if path, ok := v.catalog.accounts.path(tokenSHA256); ok {
+		return path, true
 	}
 	if _, ok := v.catalog.Operators[tokenSHA256]; !ok {
 		return "", false
