Add the demo, the layout of a small system and the scenario harness

quetzalbend-load layout writes the start-up files of a small system; demo/run starts it as separate processes, takes a failure domain out and back in under load and judges from the stand-ins' truth. Scenarios are testscript files with commands of the project's own on the same layout.

--- a/Makefile
+++ b/Makefile
@@ -45,10 +45,10 @@
 	$(GO) test -run='^$$' -bench=. -benchtime=200ms ./internal/...
 
 demo: build
-	$(BIN)/quetzalbend-demo
+	demo/run
 
 run: build
-	$(BIN)/quetzalbend-demo --stay
+	demo/run --stay
 
 clean:
 	rm -rf $(BIN)
--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -8,6 +8,8 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/load/demo"
+	"quetzalbend/internal/app/load/layout"
 	"quetzalbend/internal/app/load/limits"
 	"quetzalbend/internal/app/load/overhead"
 	"quetzalbend/internal/program"
@@ -15,6 +17,8 @@
 
 // experiments add their subcommands to the parser.
 var experiments = []func(parser *flags.Parser) error{
+	demo.Register,
+	layout.Register,
 	limits.Register,
 	overhead.Register,
 }
--- a/scenarios/processes_test.go
+++ b/scenarios/processes_test.go
@@ -107,7 +107,7 @@
 
 // copyLogs writes the end of each process's log to w.
 func (p *processes) copyLogs(w io.Writer) {
-	const tail = 2000 // bytes
+	const tail = 600 // bytes
 	files, _ := filepath.Glob(filepath.Join(p.logs, "*.log"))
 	for _, file := range files {
 		data, err := os.ReadFile(file)
--- /dev/null
+++ b/scenarios/truth_test.go
@@ -0,0 +1,158 @@
+//go:build scenarios
+
+package scenarios
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/load/truth"
+	"quetzalbend/internal/app/standin/service"
+)
+
+// runs adds up the runs of each key over all services.
+func (w *world) runs() (map[string]int, error) {
+	runs := make(map[string]int)
+	for _, process := range w.named("service") {
+		got, err := truth.Read[service.Truth](context.Background(), process.Base)
+		if err != nil {
+			return nil, err
+		}
+		for key, count := range got.Runs {
+			runs[key] += count
+		}
+	}
+	return runs, nil
+}
+
+// cmdTruth checks a number that the stand-ins recorded, now:
+// truth NAME FIELD ==|<=|>= NUMBER. NAME may be a prefix; numbers are added up,
+// but with "each" before it every process must satisfy the condition.
+func (w *world) cmdTruth(args []string) error {
+	each := len(args) > 0 && args[0] == "each"
+	if each {
+		args = args[1:]
+	}
+	if len(args) != 4 {
+		return errors.New("usage: truth [each] NAME FIELD OPERATOR NUMBER")
+	}
+	want, err := strconv.ParseFloat(args[3], 64)
+	if err != nil {
+		return err
+	}
+	sum := 0.0
+	found := w.named(args[0])
+	if len(found) == 0 {
+		return errors.Errorf("no process %s", args[0])
+	}
+	for _, process := range found {
+		got, err := truth.Read[map[string]any](context.Background(), process.Base)
+		if err != nil {
+			return err
+		}
+		value, err := lookUp(got, args[1])
+		if err != nil {
+			return err
+		}
+		if each && !holds(value, args[2], want) {
+			return errors.Errorf("%s of %s is %v", args[1], process.Name, value)
+		}
+		sum += value
+	}
+	if !each && !holds(sum, args[2], want) {
+		return errors.Errorf("%s of %s is %v", args[1], args[0], sum)
+	}
+	return nil
+}
+
+// cmdAwait waits until cmdTruth succeeds: await [within=SECONDS] ARGUMENTS.
+func (w *world) cmdAwait(args []string) error {
+	options, rest := splitOptions(args, "within")
+	seconds, err := number(options, "within", int(startLimit.Seconds()))
+	if err != nil {
+		return err
+	}
+	return eventually(time.Duration(seconds)*time.Second, func() error { return w.cmdTruth(rest) })
+}
+
+// lookUp returns the number under a dotted path; a missing one counts as 0 and
+// a list as its length.
+func lookUp(object map[string]any, path string) (float64, error) {
+	var current any = object
+	for _, part := range strings.Split(path, ".") {
+		parent, ok := current.(map[string]any)
+		if !ok {
+			return 0, errors.Errorf("no field %s", path)
+		}
+		current = parent[part]
+	}
+	switch value := current.(type) {
+	case nil:
+		return 0, nil
+	case float64:
+		return value, nil
+	case []any:
+		return float64(len(value)), nil
+	}
+	return 0, errors.Errorf("field %s is no number", path)
+}
+
+func holds(got float64, operator string, want float64) bool {
+	switch operator {
+	case "==":
+		return got == want
+	case "<=":
+		return got <= want
+	case ">=":
+		return got >= want
+	}
+	return false
+}
+
+// cmdMark notes the time: mark NAME.
+func (w *world) cmdMark(args []string) error {
+	if len(args) != 1 {
+		return errors.New("usage: mark NAME")
+	}
+	w.marks[args[0]] = time.Now()
+	return nil
+}
+
+// cmdNoWork waits until the time after a mark is up and half as much again has
+// passed, and checks that the stand-ins got no request after it:
+// nowork MARK SECONDS NAME...
+func (w *world) cmdNoWork(args []string) error {
+	if len(args) < 3 {
+		return errors.New("usage: nowork MARK SECONDS NAME [NAME]")
+	}
+	seconds, err := strconv.ParseFloat(args[1], 64)
+	if err != nil {
+		return err
+	}
+	span := time.Duration(seconds * float64(time.Second))
+	from := w.marks[args[0]].Add(span)
+	until := from.Add(span / 2)
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	<-timer.C
+	for _, name := range args[2:] {
+		for _, process := range w.named(name) {
+			got, err := truth.Read[map[string]any](context.Background(), process.Base)
+			if err != nil {
+				return err
+			}
+			last, err := lookUp(got, "last_request_unix_ms")
+			if err != nil {
+				return err
+			}
+			if late := time.UnixMilli(int64(last)).Sub(from); late > 0 {
+				return errors.Errorf("%s got a request %s too late", process.Name, late)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scenarios/world_test.go
@@ -0,0 +1,193 @@
+//go:build scenarios
+
+package scenarios
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"quetzalbend/internal/topology"
+)
+
+const (
+	startLimit = 20 * time.Second // for a process to answer, and for most conditions
+	pollPeriod = 20 * time.Millisecond
+)
+
+// world is the system of one scenario.
+type world struct {
+	binaries  string
+	folder    string
+	network   *network
+	processes *processes
+	system    *topology.System
+	http      *http.Client
+
+	platformCuts map[string]bool // failure domains
+	marks        map[string]time.Time
+	sent         map[string]*sent
+	loads        map[string]*load
+	background   sync.WaitGroup
+}
+
+func newWorld(binaries, folder string) *world {
+	return &world{
+		binaries:     binaries,
+		folder:       folder,
+		network:      newNetwork(),
+		processes:    newProcesses(binaries, folder),
+		http:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		platformCuts: make(map[string]bool),
+		marks:        make(map[string]time.Time),
+		sent:         make(map[string]*sent),
+		loads:        make(map[string]*load),
+	}
+}
+
+// end stops everything; a failed scenario shows the ends of the logs.
+func (w *world) end(t testscript.T) {
+	for _, load := range w.loads {
+		load.stop()
+	}
+	w.network.close()
+	w.processes.endAll()
+	w.background.Wait()
+	if failed, ok := t.(interface{ Failed() bool }); ok && failed.Failed() {
+		var logs bytes.Buffer
+		w.processes.copyLogs(&logs)
+		t.Log(logs.String())
+	}
+}
+
+// process returns the laid-out process of a name.
+func (w *world) process(name string) (*topology.Process, error) {
+	if w.system != nil {
+		for i := range w.system.Processes {
+			if w.system.Processes[i].Name == name {
+				return &w.system.Processes[i], nil
+			}
+		}
+	}
+	return nil, errors.Errorf("the system has no process %s", name)
+}
+
+// named returns the processes whose name is the given one or begins with it
+// and a dash or a failure domain: engine, engine-a, engine-a1.
+func (w *world) named(prefix string) []*topology.Process {
+	var found []*topology.Process
+	for i := range w.system.Processes {
+		if strings.HasPrefix(w.system.Processes[i].Name, prefix) {
+			found = append(found, &w.system.Processes[i])
+		}
+	}
+	return found
+}
+
+func (w *world) launch(process *topology.Process) error {
+	var args []string
+	if process.Subcommand != "" {
+		args = append(args, process.Subcommand)
+	}
+	args = append(args, "--config", topology.ConfigFile(w.folder, process.Name))
+	return w.processes.start(process.Name, process.Program, args...)
+}
+
+func (w *world) ctlArguments(via string) ([]string, error) {
+	if via == "" {
+		via = "entry-a1"
+	}
+	entry, err := w.process(via)
+	if err != nil {
+		return nil, err
+	}
+	return []string{"--server", entry.Operators, "--token-file", filepath.Join(w.folder, "token")}, nil
+}
+
+// ctl runs quetzalbendctl for the harness itself.
+func (w *world) ctl(args ...string) error {
+	server, err := w.ctlArguments("")
+	if err != nil {
+		return err
+	}
+	command := exec.Command(filepath.Join(w.binaries, "quetzalbendctl"), append(server, args...)...)
+	output, err := command.CombinedOutput()
+	return errors.Wrapf(err, "quetzalbendctl %v: %s", args, output)
+}
+
+// answers waits until a GET of url gives the status.
+func (w *world) answers(url string, status int) error {
+	return eventually(startLimit, func() error {
+		response, err := w.http.Get(url)
+		if err != nil {
+			return err
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != status {
+			return errors.Errorf("%s answers %d", url, response.StatusCode)
+		}
+		return nil
+	})
+}
+
+// eventually tries until condition gives no error, and returns its last one
+// after limit.
+func eventually(limit time.Duration, condition func() error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	ticker := time.NewTicker(pollPeriod)
+	defer ticker.Stop()
+	for {
+		err := condition()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "not within %s", limit)
+		case <-ticker.C:
+		}
+	}
+}
+
+// splitOptions takes the arguments key=value with one of the given keys out.
+func splitOptions(args []string, keys ...string) (options map[string]string, rest []string) {
+	options = make(map[string]string)
+	for _, arg := range args {
+		key, value, found := strings.Cut(arg, "=")
+		if found && contains(keys, key) {
+			options[key] = value
+		} else {
+			rest = append(rest, arg)
+		}
+	}
+	return options, rest
+}
+
+func contains(list []string, wanted string) bool {
+	for _, item := range list {
+		if item == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// number returns an option as an integer, or otherwise if it is not given.
+func number(options map[string]string, key string, otherwise int) (int, error) {
+	text, ok := options[key]
+	if !ok {
+		return otherwise, nil
+	}
+	value, err := strconv.Atoi(text)
+	return value, errors.Wrapf(err, "option %s", key)
+}
