--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -48,7 +48,7 @@
 
 // Routing shapes the choice of targets. Zero means the default.
 type Routing struct {
-	Strategy     string `json:"strategy,omitempty"`       // affinity (default), least_outstanding or round_robin
+	Strategy     string `json:"strategy,omitempty"`       // affinity (default), least_outstanding, own_outstanding or round_robin
 	NearSubset   int64  `json:"near_subset,omitempty"`    // targets considered in the own failure domain, default 16
 	FarSubset    int64  `json:"far_subset,omitempty"`     // targets considered in all others, default 8
 	FirstFrameMS int64  `json:"first_frame_ms,omitempty"` // until a silent agent is given up, default 1000
@@ -60,6 +60,7 @@
 const (
 	StrategyAffinity         = "affinity"
 	StrategyLeastOutstanding = "least_outstanding"
+	StrategyOwnOutstanding   = "own_outstanding"
 	StrategyRoundRobin       = "round_robin"
 )
 
@@ -106,9 +107,9 @@
 	switch c.Routing.Strategy {
 	case "":
 		c.Routing.Strategy = StrategyAffinity
-	case StrategyAffinity, StrategyLeastOutstanding, StrategyRoundRobin:
+	case StrategyAffinity, StrategyLeastOutstanding, StrategyOwnOutstanding, StrategyRoundRobin:
 	default:
-		report.Add("routing.strategy", c.Routing.Strategy, "affinity, least_outstanding or round_robin")
+		report.Add("routing.strategy", c.Routing.Strategy, "affinity, least_outstanding, own_outstanding or round_robin")
 	}
 	return report.Problems()
 }
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -225,6 +225,8 @@
 	switch r.Strategy {
 	case StrategyLeastOutstanding:
 		return routing.LeastOutstanding{}
+	case StrategyOwnOutstanding:
+		return routing.OwnOutstanding{}
 	case StrategyRoundRobin:
 		return &routing.RoundRobin{}
 	}
--- a/internal/app/load/openloop/openloop.go
+++ b/internal/app/load/openloop/openloop.go
@@ -30,14 +30,15 @@
 	start := time.Now()
 	for n := range schedule.Count {
 		due := schedule.Due(start, n)
-		if !sleepUntil(ctx, due) {
+		if !SleepUntil(ctx, due) {
 			return
 		}
 		running.Go(func() { send(n, due) })
 	}
 }
 
-func sleepUntil(ctx context.Context, due time.Time) bool {
+// SleepUntil waits until a time and reports false if ctx ends first.
+func SleepUntil(ctx context.Context, due time.Time) bool {
 	left := time.Until(due)
 	if left <= 0 {
 		return ctx.Err() == nil
--- a/internal/core/routing/strategy.go
+++ b/internal/core/routing/strategy.go
@@ -33,6 +33,23 @@
 	return a
 }
 
+// OwnOutstanding picks the member with the fewest requests of this entry and
+// looks at no report. It serves as a baseline.
+type OwnOutstanding struct{}
+
+// Pick implements Strategy.
+func (OwnOutstanding) Pick(members []*Member, query *Query) *Member {
+	first := int(query.Random % uint64(len(members)))
+	picked := members[first]
+	for i := range members {
+		member := members[(first+i)%len(members)]
+		if member.State.Outstanding() < picked.State.Outstanding() {
+			picked = member
+		}
+	}
+	return picked
+}
+
 // RoundRobin picks the members in turn. It serves as a baseline.
 type RoundRobin struct {
 	next atomic.Uint64
