Take settings, keys and metrics into the agent; one token a chunk

The agent reads to the end of a whole answer, so that the engine has let go of the request before its slot is used again.

--- a/internal/adapter/engine/answer.go
+++ b/internal/adapter/engine/answer.go
@@ -6,13 +6,15 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
 const (
-	maxLine  = 1 << 20  // bytes of one line of a stream
-	maxPiece = 64 << 10 // bytes of events that are handed on together
+	maxLine    = 1 << 20                // bytes of one line of a stream
+	maxPiece   = 64 << 10               // bytes read at once
+	endTimeout = 100 * time.Millisecond // for the end of the body after a whole answer
 )
 
 // Piece is a part of an answer's body.
@@ -31,9 +33,8 @@
 	body     io.ReadCloser
 	reader   *bufio.Reader
 	position int64
-	finished bool  // the event with the finish reason has come
-	done     bool  // the body has come to its proper end
-	failure  error // found behind events that are handed on first
+	finished bool // the event with the finish reason has come
+	done     bool // the body has come to its proper end
 }
 
 func newAnswer(response *http.Response, peer string, completion Completion) *Answer {
@@ -48,20 +49,27 @@
 	}
 }
 
-// Close ends the answer; an unfinished request is cancelled at the engine.
-func (a *Answer) Close() { _ = a.body.Close() }
+// Close ends the answer; an unfinished request is cancelled at the engine. Of
+// a whole answer the rest of the body is awaited for a moment, so that the
+// engine has let go of the request and the connection can be used again.
+func (a *Answer) Close() {
+	if a.done {
+		timer := time.AfterFunc(endTimeout, func() { _ = a.body.Close() })
+		_, _ = io.CopyN(io.Discard, a.reader, maxPiece)
+		timer.Stop()
+	}
+	_ = a.body.Close()
+}
 
 // Next returns the next piece, io.EOF after a whole answer, or an error with
-// ErrCut or ErrMalformed in its chain. Events that arrive together come as one
-// piece.
+// ErrCut or ErrMalformed in its chain. Each piece of a stream holds one event
+// and so at most one token.
 func (a *Answer) Next() (Piece, error) {
 	switch {
-	case a.failure != nil:
-		return Piece{}, a.failure
 	case a.done:
 		return Piece{}, io.EOF
 	case a.stream:
-		return a.nextEvents()
+		return a.nextEvent()
 	default:
 		return a.whole()
 	}
@@ -91,39 +99,13 @@
 	return Piece{Data: data, Position: answer.Usage.CompletionTokens}, nil
 }
 
-// nextEvents returns the next event and those that have arrived with it.
-func (a *Answer) nextEvents() (Piece, error) {
-	var piece Piece
-	for {
-		event, err := a.nextEvent()
-		if err != nil {
-			if len(piece.Data) == 0 {
-				return Piece{}, err
-			}
-			a.failure = err
-			break
-		}
-		piece.Data = append(piece.Data, event...)
-		if a.done || len(piece.Data) >= maxPiece || !a.hasEvent() {
-			break
-		}
-	}
-	piece.Position = a.position
-	return piece, nil
-}
-
-// hasEvent reports whether a whole event can be read without waiting.
-func (a *Answer) hasEvent() bool {
-	buffered, err := a.reader.Peek(a.reader.Buffered())
-	return err == nil && bytes.Contains(bytes.TrimLeft(buffered, "\r\n"), []byte("\n\n"))
-}
-
-// nextEvent reads one event and returns it as it goes to the caller.
-func (a *Answer) nextEvent() ([]byte, error) {
+// nextEvent returns the next event as it goes to the caller. The [DONE] event
+// ends the answer and is left out.
+func (a *Answer) nextEvent() (Piece, error) {
 	for {
 		line, err := a.readLine()
 		if err != nil {
-			return nil, err
+			return Piece{}, err
 		}
 		data, isData := bytes.CutPrefix(line, []byte("data:"))
 		if !isData {
@@ -131,10 +113,16 @@
 		}
 		data = bytes.TrimSpace(data)
 		if err := a.accept(data); err != nil {
-			return nil, err
+			return Piece{}, err
+		}
+		if a.done {
+			return Piece{}, io.EOF
 		}
-		event := append([]byte("data: "), data...)
-		return append(event, "\n\n"...), nil
+		event := make([]byte, 0, len(data)+len("data: \n\n"))
+		event = append(event, "data: "...)
+		event = append(event, data...)
+		event = append(event, "\n\n"...)
+		return Piece{Data: event, Position: a.position}, nil
 	}
 }
 
--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -21,6 +21,12 @@
 	maxWholeAnswer     = 8 << 20  // bytes of an answer that is not streamed
 )
 
+// Headers between the agent and the engine.
+const (
+	RequestIDHeader   = "X-Request-Id"
+	IncarnationHeader = "X-Incarnation" // of the engine, on each answer
+)
+
 // Errors that callers tell apart.
 var (
 	// ErrNotSent reports that nothing of the request reached the engine.
@@ -55,6 +61,7 @@
 
 // Completion is one chat completion.
 type Completion struct {
+	RequestID  string
 	Body       []byte // the caller's JSON body
 	Model      string
 	Version    string
@@ -71,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.do(ctx, http.MethodPost, "/v1/chat/completions", body)
+	response, err := c.do(ctx, http.MethodPost, "/v1/chat/completions", completion.RequestID, body)
 	if err != nil {
 		return nil, err
 	}
@@ -118,7 +125,7 @@
 }
 
 // do sends one request. ErrNotSent is in the chain if no connection was made.
-func (c *Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+func (c *Client) do(ctx context.Context, method, path, requestID string, body []byte) (*http.Response, error) {
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
@@ -126,6 +133,9 @@
 		return nil, errors.Wrapf(err, "build request for engine %s", c.base)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	if requestID != "" {
+		request.Header.Set(RequestIDHeader, requestID)
+	}
 	response, err := c.transport.RoundTrip(request)
 	if err == nil {
 		return response, nil
@@ -150,7 +160,7 @@
 	var load Load
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	response, err := c.do(ctx, http.MethodGet, "/v1/load", nil)
+	response, err := c.do(ctx, http.MethodGet, "/v1/load", "", nil)
 	if err != nil {
 		return load, err
 	}
--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,13 +13,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"quetzalbend/internal/adapter/engine"
+	"quetzalbend/internal/adapter/keys"
 	"quetzalbend/internal/adapter/link"
 	"quetzalbend/internal/adapter/service"
+	"quetzalbend/internal/core/settings"
+	"quetzalbend/internal/metrics"
+	"quetzalbend/internal/settingssync"
 	"quetzalbend/internal/wire"
 )
 
 const (
-	incarnationSize   = 8 // bytes
 	readHeaderTimeout = 5 * time.Second
 	handBackTime      = time.Second // for streams handed back after the grace
 )
@@ -31,6 +33,9 @@
 type Agent struct {
 	config      Config
 	incarnation string
+	registry    *metrics.Registry
+	settings    *settingssync.Receiver
+	keys        *keys.Keys      // nil for plain TCP
 	engine      *engine.Client  // nil in front of a service
 	service     *service.Client // nil in front of an engine
 	leaving     atomic.Bool
@@ -39,14 +44,27 @@
 	stopWork    context.CancelCauseFunc
 }
 
+// Run serves a target until ctx ends and its work is done.
+func Run(ctx context.Context, config Config) error {
+	agent, err := New(config)
+	if err != nil {
+		return err
+	}
+	return agent.Run(ctx)
+}
+
 // New returns an agent by its start-up file.
 func New(config Config) (*Agent, error) {
-	id := make([]byte, incarnationSize)
-	if _, err := rand.Read(id); err != nil {
-		return nil, errors.Wrap(err, "choose incarnation")
-	}
-	a := &Agent{config: config, incarnation: hex.EncodeToString(id)}
+	a := &Agent{config: config, incarnation: rand.Text(), registry: metrics.New()}
+	a.settings = settingssync.NewReceiver(config.Name, a.incarnation)
 	a.work, a.stopWork = context.WithCancelCause(context.Background())
+	if config.LinksTLS != nil {
+		loaded, err := keys.Load(*config.LinksTLS)
+		if err != nil {
+			return nil, errors.Wrap(err, "links_tls")
+		}
+		a.keys = loaded
+	}
 	if config.Engine != "" {
 		a.engine = engine.New(config.Engine)
 	} else {
@@ -66,11 +84,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for health checks")
 	}
-	server := link.NewServer(link.Config{}, a.handle)
+	server := link.NewServer(a.linkConfig(), a.handle)
 	health := &http.Server{Handler: a.statusHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	log.WithFields(log.Fields{"target": a.config.Name, "incarnation": a.incarnation}).Info("serving")
 
-	var group errgroup.Group
+	group, failed := errgroup.WithContext(context.Background())
 	group.Go(func() error { return server.Serve(listener) })
 	group.Go(func() error {
 		if err := health.Serve(status); !errors.Is(err, http.ErrServerClosed) {
@@ -78,14 +96,34 @@
 		}
 		return nil
 	})
+	background, stop := context.WithCancel(context.Background())
+	a.runBackground(background, group)
 	group.Go(func() error {
-		<-ctx.Done()
+		defer stop()
+		select {
+		case <-ctx.Done():
+		case <-failed.Done():
+		}
 		a.leave(server)
 		return errors.Wrap(health.Close(), "close health checks")
 	})
 	return group.Wait()
 }
 
+// runBackground starts what goes on beside the calls until ctx ends.
+func (a *Agent) runBackground(ctx context.Context, group *errgroup.Group) {
+	if a.keys != nil {
+		group.Go(func() error { return a.keys.Run(ctx) })
+	}
+}
+
+func (a *Agent) linkConfig() link.Config {
+	if a.keys == nil {
+		return link.Config{}
+	}
+	return link.Config{TLS: a.keys.ServerConfig()}
+}
+
 // leave refuses new work and waits for running work.
 func (a *Agent) leave(server *link.Server) {
 	a.leaving.Store(true)
@@ -103,13 +141,24 @@
 	switch {
 	case open.GetCall() != nil:
 		a.serveCall(ctx, open.GetCall(), stream)
+	case open.GetSettings() != nil:
+		a.settings.Handle(ctx, open, stream)
 	case open.GetStatus() != nil:
 		_ = stream.Send(a.status())
 	}
 }
 
 func (a *Agent) status() *wire.TargetStatus {
-	return &wire.TargetStatus{Target: a.config.Name, Node: a.config.VM, Load: a.load()}
+	status := &wire.TargetStatus{
+		Target:         a.config.Name,
+		Node:           a.config.VM,
+		Load:           a.load(),
+		SettingsOffset: settings.NoOffset,
+	}
+	if snapshot := a.settings.Snapshot(); snapshot != nil {
+		status.SettingsOffset = snapshot.Offset()
+	}
+	return status
 }
 
 func (a *Agent) load() *wire.Load {
@@ -122,6 +171,7 @@
 
 func (a *Agent) statusHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", a.registry.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
--- a/internal/app/agent/config.go
+++ b/internal/app/agent/config.go
@@ -1,107 +1,109 @@
 package agent
 
 import (
-	"encoding/json"
 	"net"
 	"net/url"
-	"os"
 	"time"
 
-	"github.com/pkg/errors"
+	"quetzalbend/internal/adapter/keys"
+	"quetzalbend/internal/core/check"
 )
 
 // Bounds and defaults of Config.
 const (
-	maxConfigSize       = 1 << 20 // bytes
-	defaultGraceMS      = 30_000
-	maxGraceMS          = 3_600_000
-	defaultLoadPeriodMS = 100
+	defaultGraceMS  = 30_000
+	maxGraceMS      = 3_600_000
+	defaultLoadMS   = 50
+	maxLoadMS       = 10_000
+	defaultOrderMS  = 5_000
+	maxOrderMS      = 600_000
+	wantBaseURL     = "a base URL such as http://127.0.0.1:7000"
+	wantListen      = "an IP address and port such as 127.0.0.1:7000"
+	wantTargetsName = "the name of the target in the settings"
 )
 
-// TLSFiles names the files for mutual TLS between processes.
-type TLSFiles struct {
-	Certificate string `json:"certificate"`
-	Key         string `json:"key"`
-	CA          string `json:"ca"`
-}
-
 // Config is the start-up file of an agent.
 type Config struct {
-	Name          string    `json:"name"`           // of the target
-	VM            string    `json:"vm"`             // of the VM the agent runs on, default name
-	FailureDomain string    `json:"failure_domain"` // of the VM
-	Listen        string    `json:"listen"`         // IP address and port for entries and other agents
-	HTTPListen    string    `json:"http_listen"`    // IP address and port for health and metrics
-	Engine        string    `json:"engine"`         // base URL; this or service
-	Service       string    `json:"service"`        // base URL
-	ServiceName   string    `json:"service_name"`   // as in the settings
-	Team          string    `json:"team"`           // that owns the service
-	Platform      string    `json:"platform"`       // base URL of the platform
-	TLS           *TLSFiles `json:"tls"`            // default none
-	GraceMS       int64     `json:"grace_ms"`       // for running work on leaving, default 30000
+	Name           string      `json:"name"`                       // of the target
+	VM             string      `json:"vm,omitempty"`               // in the platform's list of VMs, default name
+	FailureDomain  string      `json:"failure_domain"`             // of the VM
+	Listen         string      `json:"listen"`                     // IP address and port for entries and other agents
+	HTTPListen     string      `json:"http_listen"`                // IP address and port for health and metrics
+	Engine         string      `json:"engine,omitempty"`           // base URL; this or service
+	Service        string      `json:"service,omitempty"`          // base URL
+	ServiceName    string      `json:"service_name,omitempty"`     // as in the settings
+	Team           string      `json:"team,omitempty"`             // that owns the service
+	Platform       string      `json:"platform,omitempty"`         // base URL
+	LinksTLS       *keys.Files `json:"links_tls,omitempty"`        // mutual TLS with entries, default: plain TCP
+	GraceMS        int64       `json:"grace_ms,omitempty"`         // for running work on leaving, default 30000
+	LoadIntervalMS int64       `json:"load_interval_ms,omitempty"` // between readings of the engine's load, default 50
+	OrderLifeMS    int64       `json:"order_life_ms,omitempty"`    // in which an order sent may still reach the engine, default 5000
 }
 
-// LoadConfig reads and checks the start-up file at path.
-func LoadConfig(path string) (Config, error) {
-	var config Config
-	file, err := os.Open(path)
-	if err != nil {
-		return config, errors.Wrap(err, "open start-up file")
-	}
-	defer func() { _ = file.Close() }()
-	info, err := file.Stat()
-	if err != nil {
-		return config, errors.Wrap(err, "stat start-up file")
-	}
-	if info.Size() > maxConfigSize {
-		return config, errors.Errorf("start-up file %s has %d bytes; at most %d are read", path, info.Size(), maxConfigSize)
-	}
-	decoder := json.NewDecoder(file)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&config); err != nil {
-		return config, errors.Wrapf(err, "decode start-up file %s", path)
-	}
+// Check fills in defaults and returns what is wrong.
+func Check(config *Config) []check.Problem {
 	config.setDefaults()
-	return config, errors.Wrapf(config.Check(), "start-up file %s", path)
+	report := check.NewReport("")
+	config.checkNames(report)
+	config.checkAddresses(report)
+	report.Range("grace_ms", config.GraceMS, 1, maxGraceMS, "milliseconds")
+	report.Range("load_interval_ms", config.LoadIntervalMS, 1, maxLoadMS, "milliseconds")
+	report.Range("order_life_ms", config.OrderLifeMS, 1, maxOrderMS, "milliseconds")
+	if config.LinksTLS != nil {
+		config.LinksTLS.Check(report, "links_tls")
+	}
+	return report.Problems()
 }
 
 func (c *Config) setDefaults() {
 	if c.VM == "" {
 		c.VM = c.Name
 	}
-	if c.GraceMS == 0 {
-		c.GraceMS = defaultGraceMS
+	defaults := []struct {
+		field *int64
+		value int64
+	}{
+		{&c.GraceMS, defaultGraceMS},
+		{&c.LoadIntervalMS, defaultLoadMS},
+		{&c.OrderLifeMS, defaultOrderMS},
+	}
+	for _, d := range defaults {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
 	}
 }
 
-// Check returns an error that names the first field that is wrong.
-func (c *Config) Check() error {
-	switch {
-	case c.Name == "":
-		return errors.New("name: missing; give the name of the target in the settings")
-	case c.FailureDomain == "":
-		return errors.New("failure_domain: missing; give the name of the VM's failure domain")
-	case (c.Engine == "") == (c.Service == ""):
-		return errors.New("engine, service: give the base URL of exactly one of them")
-	case c.Service != "" && c.ServiceName == "":
-		return errors.New("service_name: missing; give the service's name in the settings")
-	case c.Service != "" && c.Team == "":
-		return errors.New("team: missing; give the team that owns the service")
-	case c.Service != "" && c.Platform == "":
-		return errors.New("platform: missing; a service's agent keeps claims in the platform's log")
-	case c.GraceMS < 0 || c.GraceMS > maxGraceMS:
-		return errors.Errorf("grace_ms: %d is out of range; give 0 to %d milliseconds", c.GraceMS, maxGraceMS)
-	case c.TLS != nil && (c.TLS.Certificate == "" || c.TLS.Key == "" || c.TLS.CA == ""):
-		return errors.New("tls: give all of certificate, key and ca")
+func (c *Config) checkNames(report *check.Report) {
+	if c.Name == "" {
+		report.Add("name", c.Name, wantTargetsName)
+	}
+	if c.FailureDomain == "" {
+		report.Add("failure_domain", c.FailureDomain, "the name of the VM's failure domain")
+	}
+	if (c.Engine == "") == (c.Service == "") {
+		report.Add("engine", c.Engine, wantBaseURL+", in exactly one of engine and service")
+	}
+	if c.Service == "" {
+		return
+	}
+	if c.ServiceName == "" {
+		report.Add("service_name", c.ServiceName, "the name of the service in the settings")
+	}
+	if c.Team == "" {
+		report.Add("team", c.Team, "the team that owns the service")
+	}
+	if c.Platform == "" {
+		report.Add("platform", c.Platform, wantBaseURL+", since claims are kept in the platform's log")
 	}
-	return c.checkAddresses()
 }
 
-func (c *Config) checkAddresses() error {
+func (c *Config) checkAddresses(report *check.Report) {
 	listeners := []struct{ field, value string }{{"listen", c.Listen}, {"http_listen", c.HTTPListen}}
 	for _, l := range listeners {
-		if _, _, err := net.SplitHostPort(l.value); err != nil {
-			return errors.Errorf("%s: %q is no address; give IP:PORT", l.field, l.value)
+		host, _, err := net.SplitHostPort(l.value)
+		if err != nil || net.ParseIP(host) == nil {
+			report.Add(l.field, l.value, wantListen)
 		}
 	}
 	urls := []struct{ field, value string }{{"engine", c.Engine}, {"service", c.Service}, {"platform", c.Platform}}
@@ -111,10 +113,11 @@
 		}
 		parsed, err := url.Parse(u.value)
 		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
-			return errors.Errorf("%s: %q is no base URL; give http://IP:PORT", u.field, u.value)
+			report.Add(u.field, u.value, wantBaseURL)
 		}
 	}
-	return nil
 }
 
-func (c *Config) grace() time.Duration { return time.Duration(c.GraceMS) * time.Millisecond }
+func (c *Config) grace() time.Duration { return milliseconds(c.GraceMS) }
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/app/agent/model.go
+++ b/internal/app/agent/model.go
@@ -21,6 +21,7 @@
 		return err
 	}
 	completion := engine.Completion{
+		RequestID:  call.GetRequestId(),
 		Body:       model.GetBody(),
 		Model:      model.GetModel(),
 		Version:    model.GetVersion(),
