--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -12,6 +12,7 @@
 
 	"quetzalbend/internal/adapter/callerhttp"
 	"quetzalbend/internal/adapter/keys"
+	"quetzalbend/internal/app/agent"
 	"quetzalbend/internal/app/ctl"
 	"quetzalbend/internal/app/entry"
 	"quetzalbend/internal/core/schema"
@@ -38,6 +39,7 @@
 	{"### `/teams/{team}/services/{service}`: Service", schema.Service{}},
 	{"### Route", schema.Route{}},
 	{"### `quetzalbend-entry`", entry.Config{}},
+	{"### `quetzalbend-agent`", agent.Config{}},
 	{"### Peer", settingssync.Peer{}},
 	{"### Bounds", entry.Bounds{}},
 	{"### Routing", entry.Routing{}},
--- a/internal/app/ctl/client.go
+++ b/internal/app/ctl/client.go
@@ -40,13 +40,13 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
-	if config.CAFile != "" {
-		pool, err := readPool(config.CAFile)
-		if err != nil {
-			return nil, err
-		}
-		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	tlsConfig, err := newTLSConfig(config)
+	if err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig: tlsConfig,
 	}
 	return &client{
 		servers: config.Servers,
@@ -55,6 +55,25 @@
 	}, nil
 }
 
+func newTLSConfig(config Config) (*tls.Config, error) {
+	result := &tls.Config{MinVersion: tls.VersionTLS12}
+	if config.CAFile != "" {
+		pool, err := readPool(config.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		result.RootCAs = pool
+	}
+	if config.CertificateFile != "" {
+		certificate, err := tls.LoadX509KeyPair(config.CertificateFile, config.KeyFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "load certificate and key")
+		}
+		result.Certificates = []tls.Certificate{certificate}
+	}
+	return result, nil
+}
+
 func readPool(path string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/app/ctl/config.go
+++ b/internal/app/ctl/config.go
@@ -21,6 +21,10 @@
 	Servers   []string `json:"servers"`           // operators' URLs of entries, tried in order
 	TokenFile string   `json:"token_file"`        // file that holds the operator's token
 	CAFile    string   `json:"ca_file,omitempty"` // PEM certificates that the entries' are checked against, default the system's
+
+	// PEM files to show to entries that ask for a certificate, default none.
+	CertificateFile string `json:"certificate_file,omitempty"`
+	KeyFile         string `json:"key_file,omitempty"`
 }
 
 // CheckConfig returns what is wrong with a start-up file.
@@ -38,6 +42,9 @@
 	if c.TokenFile == "" {
 		report.Add("token_file", c.TokenFile, "the name of a file that holds the operator's token")
 	}
+	if (c.CertificateFile == "") != (c.KeyFile == "") {
+		report.Add("key_file", c.KeyFile, "certificate_file and key_file, or neither")
+	}
 	return report.Problems()
 }
 
--- a/internal/app/entry/operators.go
+++ b/internal/app/entry/operators.go
@@ -9,7 +9,12 @@
 	"quetzalbend/internal/adapter/adminhttp"
 )
 
-const operatorsHeaderTimeout = 5 * time.Second
+// Bounds of what one operator's connection may hold.
+const (
+	operatorsHeaderTimeout = 5 * time.Second
+	operatorsIdleTimeout   = time.Minute
+	operatorsHeaderBytes   = 32 << 10
+)
 
 // health tells the platform's balancer whether the entry serves.
 type health struct {
@@ -47,5 +52,10 @@
 		e.registry.Handler().ServeHTTP(w, r)
 	})
 	mux.Handle(adminhttp.Prefix, e.newAdminHandler())
-	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorsHeaderTimeout}
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: operatorsHeaderTimeout,
+		IdleTimeout:       operatorsIdleTimeout,
+		MaxHeaderBytes:    operatorsHeaderBytes,
+	}
 }
