Pace batch work so that credits are used by their expiry

It needs the time of the balance, so Credits gains as_of.

Ruled out: a pace from what is left over the time left without as_of. Nodes keep no account of what was used, so its sum diverges towards the expiry.

Contract: limits.Admit takes account, team and credits.

--- a/internal/app/entry/limiter.go
+++ b/internal/app/entry/limiter.go
@@ -47,8 +47,9 @@
 	team := cat.Teams[account.Team]
 	grant, refusal := l.limits.Admit(
 		now,
-		limits.TeamSubject(account.Team, team.Limits),
 		limits.AccountSubject(account.Team, account.Name, account.Limits),
+		limits.TeamSubject(account.Team, team.Limits),
+		limits.CreditsSubject(account.Team, team.Credits, demand.Class, now),
 	)
 	if refusal != nil {
 		return nil, callerRefusal(refusal)
--- a/internal/app/load/limits/command.go
+++ b/internal/app/load/limits/command.go
@@ -25,6 +25,7 @@
 	Accounts   int     `long:"accounts" default:"9" description:"accounts beside the flooding one"`
 	OthersRate float64 `long:"others-rate" default:"36" description:"requests a second of all other accounts together"`
 	FloodRate  float64 `long:"flood-rate" default:"400" description:"requests a second of the flooding account"`
+	CreditPart float64 `long:"credit-part" default:"0.7" description:"part of what the capacity could generate that credits pay for"`
 	JSON       bool    `long:"json" description:"print JSON"`
 }
 
@@ -37,11 +38,12 @@
 
 // Result is the outcome of all scenarios.
 type Result struct {
-	Seed    uint64        `json:"seed"`
-	Entries int           `json:"entries"`
-	Limit   float64       `json:"limit_per_second"`
-	Held    []HeldResult  `json:"held"`
-	Flood   []FloodResult `json:"flood"`
+	Seed    uint64          `json:"seed"`
+	Entries int             `json:"entries"`
+	Limit   float64         `json:"limit_per_second"`
+	Held    []HeldResult    `json:"held"`
+	Flood   []FloodResult   `json:"flood"`
+	Credits []CreditsResult `json:"credits"`
 }
 
 // Execute runs the experiment and prints its result.
@@ -63,8 +65,8 @@
 	switch {
 	case c.Entries < 1, c.Seconds < 30, c.Limit <= 0, c.Targets < 1, c.Slots < 1, c.Accounts < 1:
 		return Result{}, errors.New("limits: entries, limit, targets, slots and accounts must be above 0, seconds at least 30")
-	case c.LossPart < 0, c.LossPart >= 1, c.DelayMS < 0, c.ServiceMS <= 0, c.OthersRate <= 0, c.FloodRate <= 0:
-		return Result{}, errors.New("limits: loss must be 0 or more and below 1, delay 0 or more, service time and rates above 0")
+	case c.LossPart < 0, c.LossPart >= 1, c.DelayMS < 0, c.ServiceMS <= 0, c.OthersRate <= 0, c.FloodRate <= 0, c.CreditPart <= 0:
+		return Result{}, errors.New("limits: loss must be 0 or more and below 1, delay 0 or more, service time, rates and credit part above 0")
 	}
 	result := Result{Seed: c.Seed, Entries: c.Entries, Limit: c.Limit}
 	for _, load := range loads {
@@ -75,6 +77,9 @@
 	for _, policy := range floodPolicies {
 		result.Flood = append(result.Flood, c.runFlood(policy))
 	}
+	for _, policy := range creditPolicies {
+		result.Credits = append(result.Credits, c.runCredits(policy))
+	}
 	return result, nil
 }
 
@@ -92,5 +97,11 @@
 		line("%s\t%.1f\t%.1f\t%.3f\t%d\t%.1f\t%.3f",
 			f.Policy, f.OthersP95BeforeMS, f.OthersP95DuringMS, f.Ratio, f.OthersFailed, f.FloodPerSecond, f.SlotsUsed)
 	}
+	line("")
+	line("credits policy\tused by expiry\tunpaid hours\tinteractive held back\tbatch tokens/s\tcapacity used")
+	for _, x := range r.Credits {
+		line("%s\t%.3f\t%.2f\t%d\t%.1f\t%.3f",
+			x.Policy, x.Used, x.UnpaidHours, x.InteractiveLate, x.BatchTokensPerS, x.CapacityUsed)
+	}
 	return errors.Wrap(table.Flush(), "print result")
 }
--- /dev/null
+++ b/internal/app/load/limits/credits.go
@@ -0,0 +1,152 @@
+package limits
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"quetzalbend/internal/core/limits"
+	"quetzalbend/internal/core/schema"
+)
+
+// CreditsResult says how well one policy used credits by their expiry date.
+type CreditsResult struct {
+	Policy          string  `json:"policy"`
+	Used            float64 `json:"used_of_credits"`          // by the expiry date, at most 1
+	UnpaidHours     float64 `json:"interactive_unpaid_hours"` // served after the credits were gone
+	InteractiveLate int     `json:"interactive_held_back"`
+	BatchTokensPerS float64 `json:"batch_tokens_per_second"`
+	CapacityUsed    float64 `json:"capacity_used"`
+}
+
+// The credits' scenario: a day's swing of interactive work under a capacity, and
+// batch work without end that takes what is idle.
+const (
+	creditDays     = 2
+	creditCapacity = 1000.0 // tokens a second
+	creditMean     = 300.0  // interactive tokens a second
+	creditSwing    = 250.0  // by which it rises and falls in a day
+	creditTokens   = 250    // of a request
+	creditStep     = 20 * time.Second
+)
+
+// fixedBatch stands for the rate that uses the credits if the mean of interactive
+// work is known beforehand.
+const fixedBatch = -1
+
+// creditPolicy is a way to hold batch work back.
+type creditPolicy struct {
+	name  string
+	batch float64 // rate of batch tokens a second; 0: none, +Inf: all that is idle, or fixedBatch
+	paced bool
+}
+
+var creditPolicies = []creditPolicy{
+	{name: "no batch work"},
+	{name: "batch takes all that is idle", batch: math.Inf(1)},
+	{name: "fixed rate of batch", batch: fixedBatch},
+	{name: "quetzalbend", batch: math.Inf(1), paced: true},
+}
+
+// creditRun is one run under a policy.
+type creditRun struct {
+	policy  creditPolicy
+	entries []*limits.Limiter
+	credits schema.Credits
+	left    float64 // tokens that remain paid for
+	result  CreditsResult
+	tokens  float64 // generated in all
+	turn    int     // entry that gets the next request
+}
+
+func (c *Command) runCredits(policy creditPolicy) CreditsResult {
+	start := time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
+	whole := creditDays * 24 * time.Hour
+	paid := creditCapacity * c.CreditPart * whole.Seconds()
+	if policy.batch == fixedBatch {
+		policy.batch = max(creditCapacity*c.CreditPart-creditMean, 0)
+	}
+	r := &creditRun{policy: policy, left: paid, result: CreditsResult{Policy: policy.name}}
+	r.credits = schema.Credits{
+		Tokens: int64(paid), AsOf: start.Format(time.RFC3339), Expires: start.Add(whole).Format(time.RFC3339),
+	}
+	for i := range c.Entries {
+		limiter := limits.New(limits.Config{StaleAfter: 4 * creditStep, Guard: 3 * creditStep})
+		var peers []string
+		for j := range c.Entries {
+			if j != i {
+				peers = append(peers, fmt.Sprint(j))
+			}
+		}
+		limiter.SetPeers(start, peers)
+		r.entries = append(r.entries, limiter)
+	}
+	for at := time.Duration(0); at < whole; at += creditStep {
+		r.step(start.Add(at), at)
+	}
+	r.result.Used = (paid - max(r.left, 0)) / paid
+	r.result.BatchTokensPerS /= whole.Seconds()
+	r.result.CapacityUsed = r.tokens / (creditCapacity * whole.Seconds())
+	return r.result
+}
+
+// step serves the interactive work of one step and then batch work from what is
+// idle.
+func (r *creditRun) step(now time.Time, at time.Duration) {
+	day := 2 * math.Pi * at.Hours() / 24
+	interactive := (creditMean + creditSwing*math.Sin(day)) * creditStep.Seconds()
+	capacity := creditCapacity * creditStep.Seconds()
+	if r.left <= 0 {
+		r.result.UnpaidHours += creditStep.Hours()
+	}
+	var used float64
+	for ; used+creditTokens <= interactive; used += creditTokens {
+		if !r.send(now, schema.Interactive) {
+			r.result.InteractiveLate++
+		}
+	}
+	most := min(capacity, used+r.policy.batch*creditStep.Seconds())
+	for misses := 0; used+creditTokens <= most && misses < len(r.entries) && r.left > 0; {
+		if !r.send(now, schema.Batch) {
+			misses++
+			continue
+		}
+		used += creditTokens
+		r.result.BatchTokensPerS += creditTokens
+	}
+	r.tokens += used
+	r.report(now)
+}
+
+// send offers one request to the next entry in turn.
+func (r *creditRun) send(now time.Time, class schema.Class) bool {
+	r.turn++
+	if !r.policy.paced {
+		r.left -= creditTokens
+		return true
+	}
+	subject := limits.CreditsSubject("team", &r.credits, class, now)
+	grant, _ := r.entries[r.turn%len(r.entries)].Admit(now, limits.Subject{}, limits.Subject{}, subject)
+	if grant == nil {
+		return false
+	}
+	grant.Release(now, creditTokens)
+	r.left -= creditTokens
+	return true
+}
+
+// report lets each entry tell all others.
+func (r *creditRun) report(now time.Time) {
+	if !r.policy.paced {
+		return
+	}
+	for i, from := range r.entries {
+		report := from.Report(now)
+		for j, to := range r.entries {
+			if i != j {
+				to.Receive(now, fmt.Sprint(i), report.Usage)
+				from.Delivered(now, fmt.Sprint(j), report.Number)
+			}
+		}
+	}
+}
--- a/internal/app/load/limits/held.go
+++ b/internal/app/load/limits/held.go
@@ -156,7 +156,7 @@
 	rate := h.Limit * h.load.factor * h.load.weight(entry, h.Entries, h.second)
 	for h.requests.Float64() < rate*step.Seconds()/(1+rate*step.Seconds()) {
 		h.offered[h.second]++
-		if grant, _ := h.entries[entry].Admit(h.now, limits.Subject{}, h.account); grant != nil {
+		if grant, _ := h.entries[entry].Admit(h.now, h.account, limits.Subject{}, limits.Subject{}); grant != nil {
 			grant.Release(h.now, 0)
 			h.admitted[h.second]++
 		}
--- a/internal/app/load/limits/limits_test.go
+++ b/internal/app/load/limits/limits_test.go
@@ -1,28 +1,38 @@
 package limits
 
 import (
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
-func run(t *testing.T) Result {
-	t.Helper()
+// once is the run that all tests look at.
+var once = sync.OnceValues(run)
+
+func run() (Result, error) {
 	command := Command{
 		Seed: 7, Entries: 6, Limit: 60, Seconds: 90, DelayMS: 50, LossPart: 0.02,
-		Targets: 8, Slots: 8, ServiceMS: 500, Accounts: 9, OthersRate: 36, FloodRate: 400,
+		Targets: 8, Slots: 8, ServiceMS: 500, Accounts: 9, OthersRate: 36, FloodRate: 400, CreditPart: 0.7,
 	}
-	result, err := command.Run()
+	return command.Run()
+}
+
+func result(t *testing.T) Result {
+	t.Helper()
+	first, err := once()
 	assert.NilError(t, err)
-	return result
+	return first
 }
 
 func TestSameSeedGivesTheSameFigures(t *testing.T) {
-	assert.DeepEqual(t, run(t), run(t))
+	again, err := run()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, result(t), again)
 }
 
 func TestSharesHoldTheLimitUnderEachLoad(t *testing.T) {
-	for _, held := range run(t).Held {
+	for _, held := range result(t).Held {
 		if held.Policy == "quetzalbend" {
 			assert.Assert(t, held.OfLimit <= 1.02, "%s: %g of the limit", held.Load, held.OfLimit)
 			assert.Assert(t, held.OfLimitInCut <= 1.02, "%s: %g of the limit in the cut", held.Load, held.OfLimitInCut)
@@ -31,7 +41,7 @@
 }
 
 func TestFloodLeavesOthersAlone(t *testing.T) {
-	for _, flood := range run(t).Flood {
+	for _, flood := range result(t).Flood {
 		if flood.Policy == "quetzalbend" {
 			assert.Equal(t, flood.OthersFailed, 0)
 			assert.Assert(t, flood.Ratio <= 1.1, "ratio %g", flood.Ratio)
@@ -40,6 +50,16 @@
 	}
 }
 
+func TestCreditsAreUsedByTheirExpiryAndLastUntilThen(t *testing.T) {
+	for _, credits := range result(t).Credits {
+		assert.Equal(t, credits.InteractiveLate, 0)
+		if credits.Policy == "quetzalbend" {
+			assert.Assert(t, credits.Used >= 0.99, "used %g", credits.Used)
+			assert.Equal(t, credits.UnpaidHours, 0.0)
+		}
+	}
+}
+
 func TestWrongFlagsAreRefused(t *testing.T) {
 	_, err := (&Command{Entries: 0}).Run()
 	assert.ErrorContains(t, err, "above 0")
--- a/internal/core/limits/bucket.go
+++ b/internal/core/limits/bucket.go
@@ -15,9 +15,8 @@
 // refill adds what has accrued at rate a second, up to depth.
 func (b *bucket) refill(rate, depth float64, now time.Time) {
 	if b.updated.IsZero() {
-		b.balance = depth
+		b.balance = min(depth, rate*burst.Seconds()+1)
 		b.updated = now
-		return
 	}
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
 		b.balance += rate * elapsed.Seconds()
--- a/internal/core/limits/limiter.go
+++ b/internal/core/limits/limiter.go
@@ -87,18 +87,22 @@
 	l.view.Store(l.peers.at(now, l.newest.Load()))
 }
 
+// maxSubjects is the number of subjects of one request: its account, its team
+// and the team's credits.
+const maxSubjects = 3
+
 // Grant is an admitted request.
 type Grant struct {
 	limiter  *Limiter
-	subjects [2]string
+	subjects [maxSubjects]string
 	count    int
 }
 
-// Admit counts a request in under its team and account, or returns why not.
-// Every grant must be released once.
-func (l *Limiter) Admit(now time.Time, team, account Subject) (*Grant, *Refusal) {
+// Admit counts a request in under its account, its team and the team's credits,
+// or returns why not. Every grant must be released once.
+func (l *Limiter) Admit(now time.Time, account, team, credits Subject) (*Grant, *Refusal) {
 	grant := &Grant{limiter: l}
-	for _, wanted := range []Subject{account, team} {
+	for _, wanted := range [maxSubjects]Subject{account, team, credits} {
 		if !wanted.Limited() {
 			continue
 		}
@@ -120,9 +124,13 @@
 	if v := l.view.Load(); s.viewed != v {
 		s.computeShares(v, l.newest.Load())
 	}
-	refusal := s.admit(now)
-	if refusal != nil {
-		refusal.Subject = wanted.Name
+	refusal := s.admit(now, wanted.ChargeOnly)
+	if refusal == nil {
+		return nil
+	}
+	refusal.Subject = wanted.Name
+	if wanted.Savings > 0 {
+		refusal.Code = CodeCreditsPace
 	}
 	return refusal
 }
@@ -252,6 +260,7 @@
 	}
 	if wanted.Limited() && found.limits != wanted.Limits {
 		found.limits = wanted.Limits
+		found.savings = max(wanted.Savings, burst)
 		found.viewed = nil
 	}
 	return found
--- a/internal/core/limits/limiter_test.go
+++ b/internal/core/limits/limiter_test.go
@@ -87,7 +87,7 @@
 			for i, l := range c.limiters {
 				due := (step+1)*rate[i]/steps - step*rate[i]/steps
 				for range due {
-					if grant, _ := l.Admit(c.now, Subject{}, c.account); grant != nil {
+					if grant, _ := l.Admit(c.now, c.account, Subject{}, Subject{}); grant != nil {
 						grant.Release(c.now, 0)
 						admitted[n]++
 					}
@@ -180,17 +180,17 @@
 	l := New(Config{})
 	now := time.Unix(1000, 0)
 	account := AccountSubject("team", "account", schema.Limits{Concurrent: 2, TokensPerSecond: 100})
-	first, _ := l.Admit(now, Subject{}, account)
-	second, _ := l.Admit(now, Subject{}, account)
-	_, refusal := l.Admit(now, Subject{}, account)
+	first, _ := l.Admit(now, account, Subject{}, Subject{})
+	second, _ := l.Admit(now, account, Subject{}, Subject{})
+	_, refusal := l.Admit(now, account, Subject{}, Subject{})
 	assert.Equal(t, refusal.Code, CodeConcurrency)
 	first.Release(now, 400)
 	second.Release(now, 0)
-	_, refusal = l.Admit(now, Subject{}, account)
+	_, refusal = l.Admit(now, account, Subject{}, Subject{})
 	assert.Equal(t, refusal.Code, CodeTokenRate)
 	assert.Equal(t, refusal.RetryAfter, 3*time.Second)
 	now = now.Add(refusal.RetryAfter)
-	third, refusal := l.Admit(now, Subject{}, account)
+	third, refusal := l.Admit(now, account, Subject{}, Subject{})
 	assert.Assert(t, refusal == nil)
 	third.Release(now, 0)
 }
@@ -200,13 +200,13 @@
 	now := time.Unix(1000, 0)
 	team := TeamSubject("team", schema.Limits{RequestsPerSecond: 1})
 	account := AccountSubject("team", "account", schema.Limits{RequestsPerSecond: 2, Concurrent: 1})
-	grant, _ := l.Admit(now, team, account)
+	grant, _ := l.Admit(now, account, team, Subject{})
 	grant.Release(now, 0)
 	for range 10 {
-		_, refusal := l.Admit(now, team, account)
+		_, refusal := l.Admit(now, account, team, Subject{})
 		assert.Equal(t, refusal.Subject, "team")
 	}
-	grant, refusal := l.Admit(now, Subject{}, account)
+	grant, refusal := l.Admit(now, account, Subject{}, Subject{})
 	assert.Assert(t, refusal == nil)
 	grant.Release(now, 0)
 }
@@ -215,7 +215,7 @@
 	l := New(Config{})
 	now := time.Unix(1000, 0)
 	for i := range 45_000 {
-		grant, _ := l.Admit(now, Subject{}, AccountSubject("team", fmt.Sprint(i), schema.Limits{RequestsPerSecond: 5}))
+		grant, _ := l.Admit(now, AccountSubject("team", fmt.Sprint(i), schema.Limits{RequestsPerSecond: 5}), Subject{}, Subject{})
 		grant.Release(now, 1)
 	}
 	now = now.Add(interval)
@@ -240,7 +240,7 @@
 	var i int
 	for b.Loop() {
 		now = now.Add(time.Microsecond)
-		if grant, _ := l.Admit(now, team, subjects[i%len(subjects)]); grant != nil {
+		if grant, _ := l.Admit(now, subjects[i%len(subjects)], team, Subject{}); grant != nil {
 			grant.Release(now, 10)
 		}
 		i++
--- a/internal/core/limits/resource.go
+++ b/internal/core/limits/resource.go
@@ -1,6 +1,10 @@
 package limits
 
-import "quetzalbend/internal/core/schema"
+import (
+	"time"
+
+	"quetzalbend/internal/core/schema"
+)
 
 // Resource is what a limit bounds.
 type Resource int
@@ -16,10 +20,15 @@
 // Amounts holds one amount of each resource.
 type Amounts [resources]float64
 
-// Subject is a team or an account with its limits. Zero is no limit.
+// Subject is a team, an account or a team's credits, with limits. Zero is no
+// limit.
 type Subject struct {
-	Name   string // "TEAM" or "TEAM/ACCOUNT"
+	Name   string // "TEAM", "TEAM/ACCOUNT" or "TEAM/"
 	Limits Amounts
+	// Savings is how long a share may be saved up; 0 for a second.
+	Savings time.Duration
+	// ChargeOnly counts use without ever refusing.
+	ChargeOnly bool
 }
 
 // TeamSubject returns the subject for a team.
@@ -47,6 +56,7 @@
 	CodeRequestRate Code = "request_rate_limit"
 	CodeTokenRate   Code = "token_rate_limit"
 	CodeConcurrency Code = "concurrency_limit"
+	CodeCreditsPace Code = "credits_pace" // batch work only
 )
 
 var codes = [resources]Code{Requests: CodeRequestRate, Tokens: CodeTokenRate, Concurrent: CodeConcurrency}
--- a/internal/core/limits/subject.go
+++ b/internal/core/limits/subject.go
@@ -7,7 +7,7 @@
 	// assumedPart is the part of an equal share that an entry may use, and that
 	// others assume it uses, without any report.
 	assumedPart = 0.1
-	// burst is how long a share may be saved up.
+	// burst is how long a share may be saved up, unless the subject says more.
 	burst = time.Second
 	// growth is how much more than it uses a subject asks for once refused.
 	growth = 1.5
@@ -24,6 +24,7 @@
 // subject is the state of one team or account at this entry.
 type subject struct {
 	limits  Amounts
+	savings time.Duration // how long a share may be saved up
 	share   Amounts
 	viewed  *view // that share was computed from
 	buckets [resources]bucket
@@ -137,9 +138,24 @@
 }
 
 // admit counts a request in, or returns why not.
-func (s *subject) admit(now time.Time) *Refusal {
+func (s *subject) admit(now time.Time, chargeOnly bool) *Refusal {
 	s.used = now
 	s.offered++
+	if !chargeOnly {
+		if refusal := s.check(now); refusal != nil {
+			return refusal
+		}
+	}
+	if s.limits[Requests] > 0 {
+		s.buckets[Requests].balance--
+	}
+	s.running++
+	s.peak = max(s.peak, s.running)
+	return nil
+}
+
+// check returns why a request is over a share, or nil.
+func (s *subject) check(now time.Time) *Refusal {
 	if s.limits[Concurrent] > 0 && float64(s.running+1) > max(1, s.share[Concurrent]) {
 		return s.refuse(Concurrent, burst)
 	}
@@ -152,24 +168,24 @@
 			return s.refuse(r, s.buckets[r].wait(need, s.share[r]))
 		}
 	}
-	if s.limits[Requests] > 0 {
-		s.buckets[Requests].balance--
-	}
-	s.running++
-	s.peak = max(s.peak, s.running)
 	return nil
 }
 
 // refill brings the bucket of a rate up to date and returns the balance that a
 // request needs. Tokens are charged when they are known.
 func (s *subject) refill(r Resource, now time.Time) float64 {
-	depth := s.share[r] * burst.Seconds()
+	depth := s.share[r] * s.savings.Seconds()
 	need := 0.0
 	if r == Requests {
 		depth = max(1, depth)
 		need = 1
 	}
-	s.buckets[r].refill(s.share[r], depth, now)
+	b := &s.buckets[r]
+	b.refill(s.share[r], depth, now)
+	if s.savings > burst {
+		// Use that is never refused must not put off the rest for ever.
+		b.balance = max(b.balance, -depth)
+	}
 	return need
 }
 
@@ -199,5 +215,5 @@
 
 // idle reports whether the subject can be forgotten.
 func (s *subject) idle(now time.Time) bool {
-	return s.running == 0 && now.Sub(s.used) > idleAfter && s.buckets[Tokens].balance >= 0
+	return s.running == 0 && now.Sub(s.used) > max(idleAfter, s.savings) && s.buckets[Tokens].balance >= 0
 }
--- a/internal/core/schema/check_team.go
+++ b/internal/core/schema/check_team.go
@@ -50,11 +50,23 @@
 	if t.Credits == nil {
 		return
 	}
-	if t.Credits.Tokens < 0 {
-		c.Add("credits.tokens", t.Credits.Tokens, "0 or more generated tokens")
+	c.credits(t.Credits)
+}
+
+func (c *checker) credits(credits *Credits) {
+	if credits.Tokens < 0 {
+		c.Add("credits.tokens", credits.Tokens, "0 or more generated tokens")
+	}
+	asOf, err := time.Parse(time.RFC3339, credits.AsOf)
+	if err != nil {
+		c.Add("credits.as_of", credits.AsOf, "a time such as 2027-03-01T00:00:00Z")
+	}
+	expires, expiresErr := time.Parse(time.RFC3339, credits.Expires)
+	if expiresErr != nil {
+		c.Add("credits.expires", credits.Expires, "a time such as 2027-03-31T00:00:00Z")
 	}
-	if _, err := time.Parse(time.RFC3339, t.Credits.Expires); err != nil {
-		c.Add("credits.expires", t.Credits.Expires, "a time such as 2027-03-31T00:00:00Z")
+	if err == nil && expiresErr == nil && !expires.After(asOf) {
+		c.Addf("credits.expires", credits.Expires, "a time after as_of, which is %s", credits.AsOf)
 	}
 }
 
--- a/internal/core/schema/types.go
+++ b/internal/core/schema/types.go
@@ -71,9 +71,11 @@
 	Concurrent        int     `json:"concurrent,omitempty"`
 }
 
-// Credits are provider credits that expire.
+// Credits are provider credits that expire. Batch work is paced so that the
+// team's tokens, those of all classes together, use them by then.
 type Credits struct {
-	Tokens  int64  `json:"tokens"`  // generated tokens that remain paid for
+	Tokens  int64  `json:"tokens"`  // generated tokens that remained paid for at the time AsOf
+	AsOf    string `json:"as_of"`   // RFC 3339 time
 	Expires string `json:"expires"` // RFC 3339 time
 }
 
