Start the balance of experts and its experiment

Shares by maximum flow, replacements and exchanges of slots, a repack near the present placement, and quetzalbend-load skew with three policies.

--- /dev/null
+++ b/internal/app/load/skew/options.go
@@ -0,0 +1,73 @@
+package skew
+
+import "github.com/pkg/errors"
+
+// Options are the sizes and the shape of one run.
+type Options struct {
+	Seed          uint64  `long:"seed" default:"1" description:"seed of the workload and the noise"`
+	Ranks         int     `long:"ranks" default:"256" description:"ranks of the group"`
+	Experts       int     `long:"experts" default:"256" description:"experts a layer"`
+	Layers        int     `long:"layers" default:"2" description:"layers with experts"`
+	SlotsPerRank  int     `long:"slots-per-rank" default:"2" description:"expert slots of each rank for a layer"`
+	SpareSlots    int     `long:"spare-slots" default:"-1" description:"slots beyond one for each expert, spread over the ranks; replaces --slots-per-rank"`
+	Steps         int     `long:"steps" default:"108000" description:"steps of the trace"`
+	Drift         string  `long:"drift" default:"season" choice:"season" choice:"daily" choice:"shift" choice:"alternate" description:"how the load drifts"`
+	Period        int     `long:"period" default:"0" description:"steps of a day, or of two alternating topics; 0 for half the trace, or a ninth"`
+	Spread        float64 `long:"spread" default:"1" description:"standard deviation of the log popularity of experts"`
+	TopicWeight   float64 `long:"topic-weight" default:"0.5" description:"part of the variance of popularity that belongs to the topic, 0 to 1"`
+	Straggler     bool    `long:"straggler" description:"one rank at half speed for the middle third of the trace"`
+	Lag           int     `long:"lag" default:"50" description:"age of a load report in steps"`
+	Noise         float64 `long:"noise" default:"0.03" description:"standard deviation of a reported load, relative"`
+	ReportSteps   int     `long:"report-steps" default:"25" description:"steps between load reports"`
+	IntervalSteps int     `long:"interval-steps" default:"250" description:"steps between plans"`
+	StoreRate     float64 `long:"weight-store-bytes-per-second" default:"10e9" description:"rate of the weight store for the group"`
+	CopyRate      float64 `long:"copy-bytes-per-second" default:"25e9" description:"rate at which a rank takes staged weights in when a map is activated"`
+	ExpertBytes   float64 `long:"expert-bytes" default:"44e6" description:"weights of one expert of a layer"`
+	StepMS        float64 `long:"step-ms" default:"40" description:"step time of a perfectly balanced group"`
+	StallMS       float64 `long:"stall-ms" default:"2" description:"stall of the group when a map is activated"`
+	Slowdown      float64 `long:"transfer-slowdown" default:"0.02" description:"part by which steps slow down while weights are fetched"`
+	JSON          bool    `long:"json" description:"print JSON"`
+	Plot          string  `long:"plot" value-name:"FILE.svg" description:"draw the skew over the trace"`
+}
+
+func (o *Options) check() error {
+	switch {
+	case o.Ranks < 1 || o.Experts < 1 || o.Layers < 1:
+		return errors.New("--ranks, --experts and --layers must be at least 1")
+	case o.ReportSteps < 1 || o.IntervalSteps < o.ReportSteps:
+		return errors.New("--report-steps must be at least 1, --interval-steps no less than it")
+	case o.Steps < o.IntervalSteps:
+		return errors.New("--steps must be at least --interval-steps")
+	case o.Lag < 0 || o.Noise < 0 || o.Period < 0:
+		return errors.New("--lag, --noise and --period must not be negative")
+	case o.StoreRate <= 0 || o.CopyRate <= 0 || o.StepMS <= 0:
+		return errors.New("rates and --step-ms must be positive")
+	case o.TopicWeight < 0 || o.TopicWeight > 1:
+		return errors.New("--topic-weight must be from 0 to 1")
+	}
+	return nil
+}
+
+func (o *Options) slots() int {
+	if o.SpareSlots >= 0 {
+		return o.Experts + o.SpareSlots
+	}
+	return o.Ranks * o.SlotsPerRank
+}
+
+func (o *Options) period() int {
+	switch {
+	case o.Period > 0:
+		return o.Period
+	case o.Drift == driftAlternate:
+		return max(1, o.Steps/alternations)
+	default:
+		return max(1, o.Steps/2)
+	}
+}
+
+// ahead returns the reports between the moment that a report tells of and the
+// middle of the interval in which a plan made from it is used.
+func (o *Options) ahead() float64 {
+	return (float64(o.Lag) + float64(o.IntervalSteps)/2) / float64(o.ReportSteps)
+}
--- /dev/null
+++ b/internal/app/load/skew/run.go
@@ -0,0 +1,250 @@
+package skew
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"quetzalbend/internal/core/balance"
+)
+
+const msPerSecond = 1000
+
+// Result holds the figures of one policy.
+type Result struct {
+	Policy      string  `json:"policy"`
+	MeanSkew    float64 `json:"mean_skew"`
+	P99Skew     float64 `json:"p99_skew"`
+	LowerBound  float64 `json:"lower_bound"`
+	MovedBytes  float64 `json:"moved_bytes"`
+	Moves       int     `json:"moves"`
+	LateMoves   int     `json:"late_moves"`
+	Activations int     `json:"activations"`
+	StallMS     float64 `json:"stall_ms"`
+	PlanP99MS   float64 `json:"plan_ms_p99"`
+	StepMeanMS  float64 `json:"step_time_mean_ms"`
+	trace       []float64
+}
+
+// report is what ranks told about one moment.
+type report struct {
+	loads  [][]float64 // by layer and expert
+	speeds []float64
+}
+
+// group is the simulated group under one policy.
+type group struct {
+	options   Options
+	shape     balance.Shape
+	layers    []*layer
+	now       float64 // virtual time in milliseconds
+	storeFree float64 // virtual time at which the weight store is free
+	result    Result
+	planMS    []float64
+	stepped   float64 // sum of step times in milliseconds
+}
+
+type layer struct {
+	policy  policy
+	current balance.Map
+	pending *balance.Map
+	ready   float64
+}
+
+// Run plays one trace and returns the figures of each policy.
+func Run(o Options) ([]Result, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	shape, err := balance.EvenShape(o.Ranks, o.Experts, o.slots())
+	if err != nil {
+		return nil, err
+	}
+	loads := make([]*workload, o.Layers)
+	for l := range loads {
+		loads[l] = newWorkload(o, rand.New(rand.NewPCG(o.Seed, uint64(l))))
+	}
+	groups := []*group{
+		newGroup(o, shape, policyStatic, loads),
+		newGroup(o, shape, policyFullRepack, loads),
+		newGroup(o, shape, policyPlanner, loads),
+	}
+	play(o, loads, groups)
+	results := make([]Result, len(groups))
+	for i, g := range groups {
+		results[i] = g.finish()
+	}
+	return results, nil
+}
+
+func newGroup(o Options, shape balance.Shape, name string, loads []*workload) *group {
+	g := &group{options: o, shape: shape, result: Result{Policy: name}}
+	for _, w := range loads {
+		start := slices.Clone(w.at(0))
+		speeds := o.speeds(0)
+		g.layers = append(g.layers, &layer{
+			policy:  newPolicy(o, shape, name, start, speeds),
+			current: balance.Pack(shape, start, speeds),
+		})
+	}
+	return g
+}
+
+func newPolicy(o Options, shape balance.Shape, name string, loads, speeds []float64) policy {
+	switch name {
+	case policyFullRepack:
+		return &fullRepack{shape: shape, loads: balance.NewEstimator(loads, o.ahead()), speeds: balance.NewEstimator(speeds, 0)}
+	case policyPlanner:
+		cfg := balance.DefaultConfig()
+		cfg.Ahead = o.ahead()
+		cfg.StallMS = o.StallMS
+		cfg.MoveMS = o.ExpertBytes / o.CopyRate * msPerSecond
+		cfg.ExpertBytes = o.ExpertBytes
+		cfg.ByteMS = o.Slowdown / o.StoreRate * msPerSecond
+		return &planned{balance.NewPlanner(cfg, shape, loads, speeds), o.StepMS / float64(o.Layers)}
+	default:
+		return static{}
+	}
+}
+
+// play runs the trace; loads and speeds stay the same between two reports.
+func play(o Options, loads []*workload, groups []*group) {
+	random := rand.New(rand.NewPCG(o.Seed, 1<<32))
+	var waiting []report
+	delay := (o.Lag + o.ReportSteps - 1) / o.ReportSteps
+	for step := 0; step < o.Steps; step += o.ReportSteps {
+		now := moment(o, loads, step)
+		for _, g := range groups {
+			g.advance(now)
+		}
+		waiting = append(waiting, noisy(now, o.Noise, random))
+		if len(waiting) <= delay {
+			continue
+		}
+		for _, g := range groups {
+			g.observe(waiting[0])
+			if step%o.IntervalSteps < o.ReportSteps {
+				g.plan()
+			}
+		}
+		waiting = waiting[1:]
+	}
+}
+
+func moment(o Options, loads []*workload, step int) report {
+	r := report{speeds: o.speeds(step)}
+	for _, w := range loads {
+		r.loads = append(r.loads, slices.Clone(w.at(step)))
+	}
+	return r
+}
+
+func noisy(r report, noise float64, random *rand.Rand) report {
+	out := report{speeds: slices.Clone(r.speeds)}
+	for _, loads := range r.loads {
+		reported := make([]float64, len(loads))
+		for e, l := range loads {
+			reported[e] = max(0, l*(1+noise*random.NormFloat64()))
+		}
+		out.loads = append(out.loads, reported)
+	}
+	return out
+}
+
+// advance runs the steps up to the next report.
+func (g *group) advance(now report) {
+	g.activate()
+	slowest, mean, bound := 0.0, 0.0, 0.0
+	for l, layer := range g.layers {
+		loads := now.loads[l]
+		slowest += g.shape.Slowest(layer.current, loads, now.speeds)
+		mean += balance.MeanTime(loads, now.speeds)
+		bound += balance.LowerBound(loads, now.speeds, g.shape.TotalSlots())
+	}
+	g.result.trace = append(g.result.trace, slowest/mean)
+	g.result.LowerBound += bound / mean
+	stepMS := slowest * g.options.StepMS / float64(len(g.layers))
+	if g.storeFree > g.now {
+		stepMS *= 1 + g.options.Slowdown
+	}
+	g.stepped += stepMS * float64(g.options.ReportSteps)
+	g.now += stepMS * float64(g.options.ReportSteps)
+}
+
+// activate takes the maps into use whose weights have arrived.
+func (g *group) activate() {
+	for _, layer := range g.layers {
+		if layer.pending == nil || layer.ready > g.now {
+			continue
+		}
+		next := layer.policy.arrived(*layer.pending)
+		busiest := slices.Max(g.shape.MovesByRank(layer.current.Placement, next.Placement))
+		stall := g.options.StallMS + float64(busiest)*g.options.ExpertBytes/g.options.CopyRate*msPerSecond
+		g.result.StallMS += stall
+		g.result.Activations++
+		g.now += stall
+		layer.current, layer.pending = next, nil
+	}
+}
+
+func (g *group) observe(r report) {
+	for l, layer := range g.layers {
+		layer.policy.observe(r.loads[l], r.speeds)
+	}
+}
+
+// plan asks the policy for each layer that waits for no weights.
+func (g *group) plan() {
+	for _, layer := range g.layers {
+		if layer.pending != nil {
+			continue
+		}
+		started := time.Now()
+		d := layer.policy.decide(layer.current.Placement)
+		g.planMS = append(g.planMS, float64(time.Since(started).Microseconds())/msPerSecond)
+		if d.change {
+			g.fetch(layer, d.next)
+		}
+	}
+}
+
+// fetch queues the weights of a map at the weight store.
+func (g *group) fetch(layer *layer, next balance.Map) {
+	moves := g.shape.Moves(layer.current.Placement, next.Placement)
+	layer.pending = &next
+	layer.ready = g.now
+	if moves == 0 {
+		return
+	}
+	bytes := float64(moves) * g.options.ExpertBytes
+	g.storeFree = max(g.storeFree, g.now) + bytes/g.options.StoreRate*msPerSecond
+	layer.ready = g.storeFree
+	g.result.Moves += moves
+	g.result.MovedBytes += bytes
+	if len(g.result.trace) > g.options.Steps/g.options.ReportSteps/2 {
+		g.result.LateMoves += moves
+	}
+}
+
+func (g *group) finish() Result {
+	r := g.result
+	n := float64(len(r.trace))
+	for _, skew := range r.trace {
+		r.MeanSkew += skew / n
+	}
+	r.LowerBound /= n
+	r.P99Skew = percentile99(r.trace)
+	r.PlanP99MS = percentile99(g.planMS)
+	steps := n * float64(g.options.ReportSteps)
+	r.StepMeanMS = (g.stepped + r.StallMS) / steps
+	return r
+}
+
+func percentile99(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[len(sorted)*99/100]
+}
--- /dev/null
+++ b/internal/core/balance/flow.go
@@ -0,0 +1,244 @@
+package balance
+
+// tolerance is the load, as a part of a rank's mean, below which flow is zero.
+const tolerance = 1e-7
+
+// solver finds the best shares of a placement: a maximum flow from experts
+// over their slots to ranks, each rank with a capacity of time × speed.
+type solver struct {
+	shape       Shape
+	placement   Placement
+	rankOf      []int32   // rank by slot
+	first       []int32   // first slot by rank, and one more
+	expertSlots [][]int32 // slots by expert
+	loads       []float64
+	speeds      []float64
+	flow        []float64 // load by slot
+	unserved    []float64 // load by expert that has no place yet
+	room        []float64 // capacity left by rank
+	limit       float64   // time allowed to each rank
+	epsilon     float64
+
+	expertLevel []int32 // 0: not reached
+	rankLevel   []int32
+	expertNext  []int32
+	rankNext    []int32
+	queue       []int32
+	roomiest    []int32 // ranks by room
+	trials      int     // exchanges that may still be tried out
+}
+
+func newSolver(shape Shape, placement Placement, loads, speeds []float64) *solver {
+	ranks, slots := shape.Ranks(), len(placement)
+	s := &solver{
+		shape:       shape,
+		placement:   placement.Clone(),
+		rankOf:      make([]int32, slots),
+		first:       make([]int32, ranks+1),
+		expertSlots: make([][]int32, shape.Experts),
+		loads:       loads,
+		speeds:      speeds,
+		flow:        make([]float64, slots),
+		unserved:    append([]float64(nil), loads...),
+		room:        make([]float64, ranks),
+		epsilon:     tolerance * MeanTime(loads, speeds),
+		expertLevel: make([]int32, shape.Experts),
+		rankLevel:   make([]int32, ranks),
+		expertNext:  make([]int32, shape.Experts),
+		rankNext:    make([]int32, ranks),
+		queue:       make([]int32, 0, shape.Experts),
+	}
+	slot := int32(0)
+	for r, n := range shape.Slots {
+		s.first[r] = slot
+		for range n {
+			s.rankOf[slot] = int32(r)
+			slot++
+		}
+	}
+	s.first[ranks] = slot
+	for i, e := range s.placement {
+		if e != Empty {
+			s.expertSlots[e] = append(s.expertSlots[e], int32(i))
+		}
+	}
+	return s
+}
+
+// raise allows each rank the given time, which must not fall, and serves what
+// then fits.
+func (s *solver) raise(limit float64) {
+	for r, speed := range s.speeds {
+		s.room[r] += (limit - s.limit) * speed
+	}
+	s.limit = limit
+	s.augment()
+}
+
+// augment serves as much unserved load as possible.
+func (s *solver) augment() {
+	for s.search() {
+		copyFirst(s.rankNext, s.first)
+		clear(s.expertNext)
+		for e, left := range s.unserved {
+			if left > s.epsilon {
+				s.unserved[e] -= s.pushExpert(int32(e), left)
+			}
+		}
+	}
+}
+
+func copyFirst(dst, src []int32) { copy(dst, src[:len(dst)]) }
+
+// search levels all experts and ranks that unserved load can reach, and
+// reports whether one of those ranks has room.
+func (s *solver) search() bool {
+	clear(s.expertLevel)
+	clear(s.rankLevel)
+	s.queue = s.queue[:0]
+	for e, left := range s.unserved {
+		if left > s.epsilon {
+			s.expertLevel[e] = 1
+			s.queue = append(s.queue, int32(e))
+		}
+	}
+	room := false
+	for head := 0; head < len(s.queue); head++ {
+		e := s.queue[head]
+		level := s.expertLevel[e] + 1
+		for _, slot := range s.expertSlots[e] {
+			r := s.rankOf[slot]
+			if s.rankLevel[r] != 0 {
+				continue
+			}
+			s.rankLevel[r] = level
+			room = room || s.room[r] > s.epsilon
+			s.reachExperts(r, level+1)
+		}
+	}
+	return room
+}
+
+func (s *solver) reachExperts(rank, level int32) {
+	for slot := s.first[rank]; slot < s.first[rank+1]; slot++ {
+		x := s.placement[slot]
+		if x == Empty || s.flow[slot] <= s.epsilon || s.expertLevel[x] != 0 {
+			continue
+		}
+		s.expertLevel[x] = level
+		s.queue = append(s.queue, x)
+	}
+}
+
+// pushExpert sends up to amount of an expert's load down the level graph and
+// returns what was placed.
+func (s *solver) pushExpert(e int32, amount float64) float64 {
+	placed := 0.0
+	slots := s.expertSlots[e]
+	for int(s.expertNext[e]) < len(slots) {
+		slot := slots[s.expertNext[e]]
+		r := s.rankOf[slot]
+		if s.rankLevel[r] == s.expertLevel[e]+1 {
+			part := s.pushRank(r, amount-placed)
+			s.flow[slot] += part
+			placed += part
+			if amount-placed <= s.epsilon {
+				return placed
+			}
+		}
+		s.expertNext[e]++
+	}
+	return placed
+}
+
+func (s *solver) pushRank(r int32, amount float64) float64 {
+	placed := min(amount, max(0, s.room[r]))
+	s.room[r] -= placed
+	for amount-placed > s.epsilon && s.rankNext[r] < s.first[r+1] {
+		slot := s.rankNext[r]
+		x := s.placement[slot]
+		if x != Empty && s.flow[slot] > s.epsilon && s.expertLevel[x] == s.rankLevel[r]+1 {
+			part := s.pushExpert(x, min(amount-placed, s.flow[slot]))
+			s.flow[slot] -= part
+			placed += part
+			if amount-placed <= s.epsilon {
+				return placed
+			}
+		}
+		s.rankNext[r]++
+	}
+	return placed
+}
+
+// left returns the load that is not served.
+func (s *solver) left() float64 {
+	total := 0.0
+	for _, l := range s.unserved {
+		if l > s.epsilon {
+			total += l
+		}
+	}
+	return total
+}
+
+// solve finds the smallest time, at least the given one, at which all load is
+// served: as long as some load cannot be served, the experts and ranks that it
+// reaches form the tightest group, and its own mean is the next time to try.
+func (s *solver) solve(limit float64) float64 {
+	const rounds = 64
+	s.raise(max(limit, s.limit))
+	for range rounds {
+		if s.left() <= s.epsilon {
+			break
+		}
+		next := s.groupMean()
+		if next <= s.limit {
+			break
+		}
+		s.raise(next)
+	}
+	return s.limit
+}
+
+// groupMean returns the mean time of the group that the last search reached.
+func (s *solver) groupMean() float64 {
+	work, speed := 0.0, 0.0
+	for e, level := range s.expertLevel {
+		if level != 0 {
+			work += s.loads[e]
+		}
+	}
+	for r, level := range s.rankLevel {
+		if level != 0 {
+			speed += s.speeds[r]
+		}
+	}
+	return work / speed
+}
+
+// result returns the map that carries the flow.
+func (s *solver) result() Map {
+	m := Map{Placement: s.placement.Clone(), Shares: make([]float64, len(s.placement))}
+	for e, slots := range s.expertSlots {
+		total := 0.0
+		for _, slot := range slots {
+			total += s.flow[slot]
+		}
+		for _, slot := range slots {
+			if total > s.epsilon && s.loads[e] > 0 {
+				m.Shares[slot] = s.flow[slot] / total
+			} else {
+				m.Shares[slot] = 1 / float64(len(slots))
+			}
+		}
+	}
+	return m
+}
+
+// Shares returns the map with the best shares for a placement, and the time of
+// its slowest rank.
+func Shares(shape Shape, placement Placement, loads, speeds []float64) (Map, float64) {
+	s := newSolver(shape, placement, loads, speeds)
+	slowest := s.solve(MeanTime(loads, speeds))
+	return s.result(), slowest
+}
--- /dev/null
+++ b/internal/core/balance/repack.go
@@ -0,0 +1,161 @@
+package balance
+
+import "slices"
+
+// repackNear places all experts anew but keeps what it can of the present
+// placement. It pairs, for each rank, an expert that fits as a whole with a
+// part of one that does not (Walker's alias construction), and prefers the
+// experts that the rank already holds. It reports false where ranks do not
+// have two slots each or experts outnumber the ranks.
+func repackNear(shape Shape, present Placement, loads, speeds []float64) (Placement, bool) {
+	if shape.Experts > shape.Ranks() {
+		return nil, false
+	}
+	for _, n := range shape.Slots {
+		if n != 2 {
+			return nil, false
+		}
+	}
+	p := newPairing(present, loads, speeds)
+	for p.pass(p.keepBoth) > 0 {
+	}
+	p.pass(p.keepOne)
+	p.pass(p.keepNone)
+	return p.finish()
+}
+
+// pairing is the state of one run of repackNear.
+type pairing struct {
+	present Placement
+	next    Placement
+	speeds  []float64
+	rest    []float64 // load of each expert that is not yet placed
+	placed  []int     // slots of each expert
+	filled  []bool    // by rank
+	limit   float64
+	least   float64
+}
+
+func newPairing(present Placement, loads, speeds []float64) *pairing {
+	p := &pairing{
+		present: present,
+		next:    make(Placement, len(present)),
+		speeds:  speeds,
+		rest:    slices.Clone(loads),
+		placed:  make([]int, len(loads)),
+		filled:  make([]bool, len(speeds)),
+		limit:   MeanTime(loads, speeds),
+	}
+	p.least = tolerance * p.limit
+	for i := range p.next {
+		p.next[i] = Empty
+	}
+	return p
+}
+
+// pass offers each rank that is not filled to fill, and returns how many it
+// filled.
+func (p *pairing) pass(fill func(rank int) bool) int {
+	count := 0
+	for r, done := range p.filled {
+		if !done && fill(r) {
+			p.filled[r] = true
+			count++
+		}
+	}
+	return count
+}
+
+// keepBoth fills a rank with the two experts that it has.
+func (p *pairing) keepBoth(rank int) bool {
+	a, b := p.present[2*rank], p.present[2*rank+1]
+	return p.pair(rank, a, b) || p.pair(rank, b, a)
+}
+
+// keepOne fills a rank with one of its experts and the best partner.
+func (p *pairing) keepOne(rank int) bool {
+	for _, e := range p.present[2*rank : 2*rank+2] {
+		if p.pair(rank, e, p.largest()) || p.pair(rank, p.smallest(), e) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pairing) keepNone(rank int) bool {
+	if p.pair(rank, p.smallest(), p.largest()) {
+		return true
+	}
+	p.put(2*rank, p.largest(), p.limit*p.speeds[rank])
+	return true
+}
+
+// pair places all that is left of small and fills the rank with large. It
+// reports false where that does not fill the rank exactly.
+func (p *pairing) pair(rank int, small, large int32) bool {
+	room := p.limit * p.speeds[rank]
+	if small == Empty || large == Empty || small == large {
+		return false
+	}
+	if p.rest[small] <= p.least || p.rest[small] > room || p.rest[large] < room-p.rest[small]-p.least {
+		return false
+	}
+	room -= p.rest[small]
+	p.put(2*rank, small, p.rest[small])
+	p.put(2*rank+1, large, room)
+	return true
+}
+
+func (p *pairing) put(slot int, expert int32, amount float64) {
+	if expert == Empty || amount <= p.least {
+		return
+	}
+	p.next[slot] = expert
+	p.rest[expert] = max(0, p.rest[expert]-amount)
+	p.placed[expert]++
+}
+
+func (p *pairing) largest() int32 {
+	best := Empty
+	for e, l := range p.rest {
+		if l > p.least && (best == Empty || l > p.rest[best]) {
+			best = int32(e)
+		}
+	}
+	return best
+}
+
+func (p *pairing) smallest() int32 {
+	best := Empty
+	for e, l := range p.rest {
+		if l > p.least && (best == Empty || l < p.rest[best]) {
+			best = int32(e)
+		}
+	}
+	return best
+}
+
+// finish gives free slots what the rank held there before, moves kept experts
+// to the slots that they had, and checks that each expert has a slot.
+func (p *pairing) finish() (Placement, bool) {
+	for r := range p.filled {
+		p.align(p.next[2*r:2*r+2], p.present[2*r:2*r+2])
+	}
+	for e, n := range p.placed {
+		if n == 0 && !contains(p.next, int32(e)) {
+			return nil, false
+		}
+	}
+	return p.next, true
+}
+
+func (p *pairing) align(next, held Placement) {
+	if (next[0] != Empty && next[0] == held[1]) || (next[1] != Empty && next[1] == held[0]) {
+		next[0], next[1] = next[1], next[0]
+	}
+	for i := range next {
+		if next[i] == Empty && !contains(next, held[i]) {
+			next[i] = held[i]
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/balance/types.go
@@ -0,0 +1,151 @@
+package balance
+
+import "github.com/pkg/errors"
+
+// Empty marks a slot that holds no expert.
+const Empty int32 = -1
+
+// Shape is the size of one layer of a group.
+type Shape struct {
+	Experts int
+	Slots   []int // slots of each rank
+}
+
+// EvenShape spreads slots over ranks as evenly as possible.
+func EvenShape(ranks, experts, slots int) (Shape, error) {
+	if ranks < 1 || experts < 1 {
+		return Shape{}, errors.Errorf("shape of %d ranks and %d experts: both must be at least 1", ranks, experts)
+	}
+	if slots < experts {
+		return Shape{}, errors.Errorf("%d slots cannot hold %d experts", slots, experts)
+	}
+	shape := Shape{Experts: experts, Slots: make([]int, ranks)}
+	for r := range shape.Slots {
+		shape.Slots[r] = slots / ranks
+		if r < slots%ranks {
+			shape.Slots[r]++
+		}
+	}
+	return shape, nil
+}
+
+// Ranks returns the number of ranks.
+func (s Shape) Ranks() int { return len(s.Slots) }
+
+// TotalSlots returns the number of slots over all ranks.
+func (s Shape) TotalSlots() int {
+	total := 0
+	for _, n := range s.Slots {
+		total += n
+	}
+	return total
+}
+
+// Placement names the expert in each slot. Slots are numbered through all
+// ranks: first those of rank 0, then those of rank 1, and so on.
+type Placement []int32
+
+// Clone returns a copy.
+func (p Placement) Clone() Placement { return append(Placement(nil), p...) }
+
+// Map is an expert map of one layer: a placement and, for each slot, the
+// fraction of its expert's load that the slot carries.
+type Map struct {
+	Placement Placement
+	Shares    []float64 // sum to 1 over the slots of an expert
+}
+
+// Moves returns the number of slots of next that need weights which their rank
+// does not hold under p.
+func (s Shape) Moves(p, next Placement) int {
+	moves := 0
+	first := 0
+	for _, n := range s.Slots {
+		moves += missing(p[first:first+n], next[first:first+n])
+		first += n
+	}
+	return moves
+}
+
+// changes lists the moves from p to next.
+func (s Shape) changes(p, next Placement) []Move {
+	var moves []Move
+	first := 0
+	for _, n := range s.Slots {
+		for slot := first; slot < first+n; slot++ {
+			e := next[slot]
+			if e != Empty && e != p[slot] && !contains(p[first:first+n], e) {
+				moves = append(moves, Move{Slot: int32(slot), Expert: e, Was: p[slot]})
+			}
+		}
+		first += n
+	}
+	return moves
+}
+
+// MovesByRank returns the moves from p to next for each rank.
+func (s Shape) MovesByRank(p, next Placement) []int {
+	moves := make([]int, len(s.Slots))
+	first := 0
+	for r, n := range s.Slots {
+		moves[r] = missing(p[first:first+n], next[first:first+n])
+		first += n
+	}
+	return moves
+}
+
+func missing(held, wanted Placement) int {
+	count := 0
+	for i, e := range wanted {
+		if e == Empty || held[i] == e {
+			continue
+		}
+		if !contains(held, e) {
+			count++
+		}
+	}
+	return count
+}
+
+func contains(p Placement, expert int32) bool {
+	for _, e := range p {
+		if e == expert {
+			return true
+		}
+	}
+	return false
+}
+
+// RankTimes returns the time that each rank needs for the loads under m.
+func (s Shape) RankTimes(m Map, loads, speeds []float64) []float64 {
+	times := make([]float64, len(s.Slots))
+	slot := 0
+	for r, n := range s.Slots {
+		work := 0.0
+		for range n {
+			if e := m.Placement[slot]; e != Empty {
+				work += m.Shares[slot] * loads[e]
+			}
+			slot++
+		}
+		times[r] = work / speeds[r]
+	}
+	return times
+}
+
+// Slowest returns the time of the slowest rank for the loads under m.
+func (s Shape) Slowest(m Map, loads, speeds []float64) float64 {
+	slowest := 0.0
+	for _, t := range s.RankTimes(m, loads, speeds) {
+		slowest = max(slowest, t)
+	}
+	return slowest
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
