--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -12,6 +12,7 @@
 	"quetzalbend/internal/app/load/layout"
 	"quetzalbend/internal/app/load/limits"
 	"quetzalbend/internal/app/load/overhead"
+	"quetzalbend/internal/app/load/skew"
 	"quetzalbend/internal/program"
 )
 
@@ -21,6 +22,7 @@
 	layout.Register,
 	limits.Register,
 	overhead.Register,
+	skew.Register,
 }
 
 func main() {
