--- a/internal/settingssync/store.go
+++ b/internal/settingssync/store.go
@@ -64,13 +64,13 @@
 	return s.state.Clone()
 }
 
-// install replaces the state by one at a higher offset and reports whether it
-// did. The writes were judged on the way from the offset from to it.
-func (s *store) install(state *settings.State, from int64, judged []settings.Judged) bool {
+// install replaces the state by one at a higher offset; a lower one is dropped.
+// The writes were judged on the way from the offset from to it.
+func (s *store) install(state *settings.State, from int64, judged []settings.Judged) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state != nil && state.Offset() <= s.state.Offset() {
-		return false
+		return
 	}
 	s.state = state
 	s.from = from
@@ -78,7 +78,6 @@
 		s.remember(j)
 	}
 	s.publish()
-	return true
 }
 
 // apply folds records in offset order and skips those already folded. It
