Add quetzalbend-load departure on an in-process fleet

Three failure domains of entries, agents and stand-ins run in one process, on real listeners, with forwarders that cut or kill a domain and a balancer that follows readiness. A killed domain's connections break and its engines drop what they run; its agents are replaced by new ones before it returns.

--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -8,6 +8,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/load/departure"
 	"quetzalbend/internal/app/load/limits"
 	"quetzalbend/internal/app/load/overhead"
 	"quetzalbend/internal/program"
@@ -16,6 +17,7 @@
 // experiments add their subcommands to the parser.
 var experiments = []func(parser *flags.Parser) error{
 	limits.Register,
+	departure.Register,
 	overhead.Register,
 }
 
--- /dev/null
+++ b/internal/app/load/departure/run.go
@@ -0,0 +1,222 @@
+package departure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"quetzalbend/internal/app/entry"
+	"quetzalbend/internal/app/load/caller"
+	"quetzalbend/internal/app/load/fleet"
+	"quetzalbend/internal/app/load/openloop"
+	"quetzalbend/internal/app/standin/engine"
+	"quetzalbend/internal/core/schema"
+)
+
+const (
+	leavingTime    = 3 * time.Second
+	warmUpTime     = 6 * time.Second
+	startTimeout   = 30 * time.Second
+	callerPatience = 8 * time.Second // until a caller stops repeating a request
+	attemptTimeout = 5 * time.Second
+	conversations  = 1000 // different prompts
+)
+
+// variant is a policy.
+type variant struct {
+	strategy  string
+	admission bool
+}
+
+var variants = map[string]variant{
+	"quetzalbend":     {strategy: entry.StrategyAffinity, admission: true},
+	"round_robin":     {strategy: entry.StrategyRoundRobin},
+	"own_outstanding": {strategy: entry.StrategyOwnOutstanding},
+}
+
+var domains = []string{"d0", "d1", "d2"}
+
+// departing is the domain that leaves.
+const departing = "d1"
+
+// experiment is one run.
+type experiment struct {
+	command *Command
+	fleet   *fleet.Fleet
+	mode    Mode
+	samples *samples
+
+	mu       sync.Mutex
+	keys     map[string]bool // keys that were answered
+	outAt    time.Time
+	lastWork int64 // milliseconds after outAt
+	err      error
+}
+
+// run measures one variant under one mode.
+func (c *Command) run(ctx context.Context, name string, mode Mode) (*Run, error) {
+	started, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	v := variants[name]
+	f, err := fleet.Start(started, fleet.Config{
+		Domains: domains, Entries: c.Entries, Engines: c.Engines, Services: c.Services,
+		Engine: engine.Config{
+			FirstTokenMS: c.FirstTokenMS, BetweenTokensMS: c.BetweenTokensMS, Slots: c.MaxLimit, ColdLimit: c.ColdLimit,
+		},
+		MaxLimit: c.MaxLimit, Queue: c.MaxLimit, Strategy: v.strategy, Admission: v.admission,
+	})
+	if err != nil {
+		return nil, err
+	}
+	e := &experiment{command: c, fleet: f, mode: mode, keys: make(map[string]bool)}
+	run := e.measure(ctx)
+	run.Variant, run.Mode = name, string(mode)
+	if err := f.Close(); err != nil {
+		return nil, err
+	}
+	return run, e.err
+}
+
+func (e *experiment) measure(ctx context.Context) *Run {
+	phase := e.command.phase()
+	t := &timeline{start: time.Now(), spans: []span{
+		{WarmUp, warmUpTime},
+		{Before, warmUpTime + phase},
+		{Leaving, warmUpTime + phase + leavingTime},
+		{Out, warmUpTime + 2*phase},
+		{Returning, warmUpTime + 4*phase},
+	}}
+	e.samples = newSamples(t)
+	var running sync.WaitGroup
+	running.Go(func() { e.depart(ctx, t) })
+	for class, rate := range e.rates() {
+		running.Go(func() { e.drive(ctx, class, rate, t.spans[len(t.spans)-1].end) })
+	}
+	running.Wait()
+	run := &Run{Cells: e.samples.report()}
+	e.readTruth(run)
+	return run
+}
+
+func (e *experiment) rates() map[Class]float64 {
+	c := e.command
+	return map[Class]float64{Interactive: c.Interactive, Certificate: c.Certificate, Lookup: c.Lookup, Batch: c.Batch}
+}
+
+// depart takes the domain out and brings it back at the ends of phases.
+func (e *experiment) depart(ctx context.Context, t *timeline) {
+	openloop.SleepUntil(ctx, t.start.Add(t.spans[1].end))
+	switch e.mode {
+	case ByCut:
+		e.note(e.fleet.Break(departing, fleet.Cut))
+	case ByKill:
+		e.note(e.fleet.Break(departing, fleet.Killed))
+	case BySetting:
+	}
+	at, err := e.fleet.SetDomain(ctx, departing, schema.Out)
+	e.note(err)
+	e.mu.Lock()
+	e.outAt = at
+	e.mu.Unlock()
+	openloop.SleepUntil(ctx, t.start.Add(t.spans[3].end))
+	e.recordLastWork()
+	e.note(e.fleet.Replace(departing))
+	_, err = e.fleet.SetDomain(ctx, departing, schema.In)
+	e.note(err)
+}
+
+func (e *experiment) note(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.err == nil {
+		e.err = err
+	}
+}
+
+// drive sends the requests of one class.
+func (e *experiment) drive(ctx context.Context, class Class, rate float64, length time.Duration) {
+	if rate <= 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(e.command.Seed, uint64(len(class))))
+	schedule := openloop.Schedule{Rate: rate, Count: int(rate * length.Seconds())}
+	prompts := make([]int, schedule.Count)
+	for i := range prompts {
+		prompts[i] = random.IntN(conversations)
+	}
+	openloop.Run(ctx, schedule, func(n int, due time.Time) {
+		request := e.request(class, n, prompts[n])
+		patience, cancel := context.WithTimeout(ctx, callerPatience)
+		defer cancel()
+		outcome, _ := caller.SendUntilDone(patience, e.fleet.Balancer.Clients(), request)
+		e.samples.add(class, due, &outcome)
+		if outcome.Whole && request.Key != "" {
+			e.mu.Lock()
+			e.keys[request.Key] = true
+			e.mu.Unlock()
+		}
+	})
+}
+
+func (e *experiment) request(class Class, n, prompt int) caller.Request {
+	request := caller.Request{Timeout: attemptTimeout, Service: fleet.ServiceName, Tokens: e.command.Tokens}
+	switch class {
+	case Interactive:
+		request.Kind, request.Workload = caller.ChatStream, fleet.Drafts
+	case Batch:
+		request.Kind, request.Workload = caller.ChatStream, fleet.Batch
+	case Certificate:
+		request.Kind, request.Path, request.Key = caller.Confirm, "/confirm", fmt.Sprintf("key-%d-%d", e.command.Seed, n)
+	case Lookup:
+		request.Kind, request.Path = caller.Lookup, "/status"
+	}
+	request.Content = fmt.Sprintf("conversation %d", prompt)
+	return request
+}
+
+// readTruth fills in what the stand-ins saw.
+func (e *experiment) readTruth(run *Run) {
+	runs := make(map[string]int)
+	for _, s := range e.fleet.Services {
+		for key, count := range s.Truth().Runs {
+			runs[key] += count
+		}
+	}
+	for _, count := range runs {
+		if count > 1 {
+			run.Doubled++
+		}
+	}
+	for key := range e.keys {
+		if runs[key] == 0 {
+			run.Lost++
+		}
+	}
+	for _, c := range run.Cells {
+		run.Lost += c.Lost
+	}
+	for _, engine := range e.fleet.Engines {
+		truth := engine.Truth()
+		run.ColdOverrun = max(run.ColdOverrun, truth.MaxRunningCold-truth.ColdLimit)
+		run.FellOver += truth.FellOver
+	}
+	run.LastNewWorkAfterOutMS = e.lastWork
+}
+
+// recordLastWork notes when the targets of the departed domain last got work.
+func (e *experiment) recordLastWork() {
+	last := int64(0)
+	for _, engine := range e.fleet.Engines {
+		if engine.Domain == departing {
+			last = max(last, engine.Truth().LastRequestUnixMS)
+		}
+	}
+	for _, service := range e.fleet.Services {
+		if service.Domain == departing {
+			last = max(last, service.Truth().LastRequestUnixMS)
+		}
+	}
+	e.lastWork = max(0, last-e.outAt.UnixMilli())
+}
--- /dev/null
+++ b/internal/app/load/fleet/agents.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/agent"
+	"quetzalbend/internal/core/schema"
+)
+
+// agentProcess is the agent of one target. It can be replaced by a new one
+// with empty memory.
+type agentProcess struct {
+	name   string // of the target
+	domain string
+	kind   schema.TargetKind
+	addr   string // through the network
+	cfg    agent.Config
+	stop   context.CancelFunc
+	ended  chan struct{}
+}
+
+func (f *Fleet) startAgents(context.Context) error {
+	for _, e := range f.Engines {
+		cfg := agent.Config{Name: e.Target, FailureDomain: e.Domain, Engine: e.url}
+		if err := f.addAgent(schema.ModelTarget, cfg); err != nil {
+			return err
+		}
+	}
+	for _, s := range f.Services {
+		cfg := agent.Config{Name: s.Target, FailureDomain: s.Domain, Service: s.url, ServiceName: ServiceName, Team: Team}
+		if err := f.addAgent(schema.ServiceTarget, cfg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) addAgent(kind schema.TargetKind, cfg agent.Config) error {
+	var err error
+	if cfg.Listen, err = freeAddress(); err != nil {
+		return err
+	}
+	if cfg.HTTPListen, err = freeAddress(); err != nil {
+		return err
+	}
+	cfg.Platform = f.platformURL
+	cfg.GraceMS = 1
+	a := &agentProcess{name: cfg.Name, domain: cfg.FailureDomain, kind: kind, cfg: cfg}
+	if a.addr, err = f.network.Forward(a.domain, cfg.Listen); err != nil {
+		return err
+	}
+	f.agents = append(f.agents, a)
+	return f.runAgent(a)
+}
+
+// runAgent starts a new agent in place of one that has ended.
+func (f *Fleet) runAgent(a *agentProcess) error {
+	started, err := agent.New(a.cfg)
+	if err != nil {
+		return errors.Wrapf(err, "agent %s", a.name)
+	}
+	ctx, stop := context.WithCancel(f.ctx)
+	ended := make(chan struct{})
+	a.stop, a.ended = stop, ended
+	f.group.Go(func() error {
+		defer close(ended)
+		return started.Run(ctx)
+	})
+	return nil
+}
+
+// freeAddress returns an address on loopback that nobody listens on.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	return listener.Addr().String(), errors.Wrap(listener.Close(), "find a free port")
+}
+
+// Break cuts a domain off or kills it. Engines of a killed domain drop what
+// they run.
+func (f *Fleet) Break(domain string, condition Condition) error {
+	f.network.Set(domain, condition)
+	f.cutPlatform(domain, condition != Open)
+	if condition != Killed {
+		return nil
+	}
+	return f.turnCold(domain)
+}
+
+// Replace brings a domain back with new agents and cold engines, as after its
+// VMs were replaced.
+func (f *Fleet) Replace(domain string) error {
+	if err := f.turnCold(domain); err != nil {
+		return err
+	}
+	for _, a := range f.agents {
+		if a.domain != domain {
+			continue
+		}
+		a.stop()
+		<-a.ended
+		if err := f.runAgent(a); err != nil {
+			return err
+		}
+	}
+	f.network.Set(domain, Open)
+	f.cutPlatform(domain, false)
+	return nil
+}
+
+// turnCold makes the engines of a domain drop their requests and start cold.
+func (f *Fleet) turnCold(domain string) error {
+	for _, e := range f.Engines {
+		if e.Domain != domain {
+			continue
+		}
+		response, err := http.Post(e.url+"/standin/fault", "application/json", strings.NewReader(`{"cold":true}`))
+		if err != nil {
+			return errors.Wrapf(err, "turn %s cold", e.Target)
+		}
+		_ = response.Body.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/app/load/fleet/entries.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/entry"
+	"quetzalbend/internal/core/check"
+	"quetzalbend/internal/settingssync"
+)
+
+// entryProcess is one entry.
+type entryProcess struct {
+	*entry.Entry
+
+	domain    string
+	operators string // base URL of its operators listener, through the network
+}
+
+const readyPoll = 20 * time.Millisecond
+
+// startEntries starts all entries, each with all others as peers.
+func (f *Fleet) startEntries(context.Context) error {
+	var all []settingssync.Peer
+	var leads []func(string)
+	for _, domain := range f.cfg.Domains {
+		for range f.cfg.Entries {
+			addr, lead, err := f.network.Reserve(domain)
+			if err != nil {
+				return err
+			}
+			all = append(all, settingssync.Peer{Name: f.name("e", len(all)), Addr: addr, FailureDomain: domain})
+			leads = append(leads, lead)
+		}
+	}
+	for i, self := range all {
+		peers := slices.Delete(slices.Clone(all), i, i+1)
+		e, err := f.startEntry(self.Name, self.FailureDomain, peers)
+		if err != nil {
+			return err
+		}
+		leads[i](e.PeersAddr())
+		f.entries = append(f.entries, e)
+	}
+	return nil
+}
+
+func (f *Fleet) startEntry(name, domain string, peers []settingssync.Peer) (*entryProcess, error) {
+	cfg := entry.Config{
+		Name:                         name,
+		FailureDomain:                domain,
+		CallersListen:                loopback,
+		OperatorsListen:              loopback,
+		PeersListen:                  loopback,
+		Peers:                        peers,
+		DialFrom:                     f.dialFrom[domain],
+		Platform:                     f.platformURL,
+		BootstrapOperatorTokenSHA256: digest(operatorToken),
+		Routing:                      entry.Routing{Strategy: f.cfg.Strategy},
+		NoticeMS:                     1,
+		GraceMS:                      1,
+	}
+	if problems := entry.Check(&cfg); len(problems) > 0 {
+		return nil, &check.Error{Problems: problems}
+	}
+	started, err := entry.New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	f.group.Go(func() error { return started.Run(f.ctx) })
+	callers, err := f.network.Forward(domain, started.CallersAddr())
+	if err != nil {
+		return nil, err
+	}
+	operators, err := f.network.Forward(domain, started.OperatorsAddr())
+	if err != nil {
+		return nil, err
+	}
+	e := &entryProcess{Entry: started, domain: domain, operators: "http://" + operators}
+	f.Balancer.Add(newClient("http://"+callers), e.operators)
+	return e, nil
+}
+
+// awaitReady waits until every entry is ready with the settings in force.
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	for _, e := range f.entries {
+		for !f.Balancer.ready(ctx, e.operators+"/readyz") {
+			if !pause(ctx, readyPoll) {
+				return errors.Wrap(ctx.Err(), "wait for entries")
+			}
+		}
+	}
+	return f.settings.awaitInForce(ctx)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/app/load/fleet/fleet.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"quetzalbend/internal/app/load/caller"
+	"quetzalbend/internal/app/standin/engine"
+	"quetzalbend/internal/app/standin/platform"
+)
+
+const (
+	loopback          = "127.0.0.1:0"
+	idleConnsPerEntry = 1024
+)
+
+// Names in the fleet's settings.
+const (
+	Team          = "team"
+	Drafts        = "drafts"  // workload of the class interactive
+	Batch         = "batch"   // workload of the class batch
+	ServiceName   = "records" // GET /status is idempotent, POST /confirm is not
+	modelName     = "model"
+	accountToken  = "account"
+	operatorToken = "operator"
+)
+
+// Config of a fleet. Numbers are for each failure domain.
+type Config struct {
+	Domains   []string
+	Entries   int
+	Engines   int
+	Services  int
+	Engine    engine.Config
+	MaxLimit  int    // concurrent requests of a warm engine
+	Queue     int    // requests that wait at an agent
+	Strategy  string // of the entries
+	Admission bool   // whether agents hold back what a target cannot bear
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Engines  []*Engine
+	Services []*Service
+	Balancer *Balancer
+
+	cfg         Config
+	ctx         context.Context
+	stop        context.CancelFunc
+	group       *errgroup.Group
+	network     *Network
+	dialFrom    map[string]string // by domain
+	platform    *platform.Platform
+	platformURL string
+	agents      []*agentProcess
+	entries     []*entryProcess
+	settings    *settingsWriter
+}
+
+// Start starts a fleet. Its context bounds the start only.
+func Start(ctx context.Context, cfg Config) (*Fleet, error) {
+	f := &Fleet{cfg: cfg, network: NewNetwork(), dialFrom: make(map[string]string), Balancer: NewBalancer()}
+	running, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	f.group, f.ctx = errgroup.WithContext(running)
+	for _, domain := range cfg.Domains {
+		f.dialFrom[domain] = f.network.AddDomain(domain)
+	}
+	for _, step := range []func(context.Context) error{
+		f.startStandins, f.startAgents, f.startEntries, f.putSettings, f.awaitReady,
+	} {
+		if err := step(ctx); err != nil {
+			return nil, errors.Wrap(errors.WithMessage(err, fmt.Sprint(f.Close())), "start fleet")
+		}
+	}
+	f.group.Go(func() error { return f.Balancer.Run(f.ctx) })
+	return f, nil
+}
+
+// Close ends the fleet without grace and waits for it.
+func (f *Fleet) Close() error {
+	f.stop()
+	f.network.Close()
+	err := f.group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// name names the target with a number.
+func (f *Fleet) name(kind string, number int) string { return fmt.Sprintf("%s%02d", kind, number) }
+
+// newClient returns a caller's client of the entry at a base URL.
+func newClient(url string) *caller.Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerEntry, DisableCompression: true}
+	return &caller.Client{BaseURL: url, Token: accountToken, HTTP: &http.Client{Transport: transport}}
+}
--- a/internal/app/load/fleet/network.go
+++ b/internal/app/load/fleet/network.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,23 +57,38 @@
 
 // Forward listens on an address that leads to a listener of a domain.
 func (n *Network) Forward(domain, addr string) (string, error) {
+	reserved, lead, err := n.Reserve(domain)
+	if err == nil {
+		lead(addr)
+	}
+	return reserved, err
+}
+
+// Reserve is Forward for a listener that does not exist yet: the returned
+// function tells its address.
+func (n *Network) Reserve(domain string) (reserved string, lead func(addr string), err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", errors.Wrapf(err, "forward to %s", addr)
+		return "", nil, errors.Wrapf(err, "forward into %s", domain)
 	}
 	n.mu.Lock()
 	n.listeners = append(n.listeners, listener)
 	n.mu.Unlock()
+	var target atomic.Pointer[string]
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go n.carry(conn, domain, addr)
+			if addr := target.Load(); addr != nil {
+				go n.carry(conn, domain, *addr)
+			} else {
+				reset(conn)
+			}
 		}
 	}()
-	return listener.Addr().String(), nil
+	return listener.Addr().String(), func(addr string) { target.Store(&addr) }, nil
 }
 
 // Set changes the condition of a domain.
