--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -8,7 +8,9 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/load/demo"
 	"quetzalbend/internal/app/load/departure"
+	"quetzalbend/internal/app/load/layout"
 	"quetzalbend/internal/app/load/limits"
 	"quetzalbend/internal/app/load/overhead"
 	"quetzalbend/internal/program"
@@ -16,6 +18,8 @@
 
 // experiments add their subcommands to the parser.
 var experiments = []func(parser *flags.Parser) error{
+	demo.Register,
+	layout.Register,
 	limits.Register,
 	departure.Register,
 	overhead.Register,
