--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/app/load/demo"
+	"quetzalbend/internal/app/load/departure"
 	"quetzalbend/internal/app/load/layout"
 	"quetzalbend/internal/app/load/limits"
 	"quetzalbend/internal/app/load/overhead"
@@ -21,6 +22,7 @@
 	demo.Register,
 	layout.Register,
 	limits.Register,
+	departure.Register,
 	overhead.Register,
 	skew.Register,
 }
