Retry the first requests of a new entry and the refusals of resumed streams

Cause: scenarios/target_dies: two engines killed under streams. The resumed stream was refused by the other dead engine's agent, and the retry budget of an entry that had served two requests was empty, so the caller's stream was cut. The failure then named target_unreachable though agents had answered.

Ruled out: the position of the resumed stream (right), the strikes (one).

A failure keeps the last agent's refusal.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -8,9 +8,18 @@
 	balance atomic.Int64
 }
 
+// NewBudget returns a budget with a small balance, so that a process that has
+// just started can retry its first requests.
+func NewBudget() *Budget {
+	b := &Budget{}
+	b.balance.Store(initialBalance)
+	return b
+}
+
 const (
-	depositPerRequest = 100    // thousandths of a retry earned by each request
+	depositPerRequest = 80     // thousandths of a retry earned by each request
 	costOfRetry       = 1000   // thousandths
+	initialBalance    = 10000  // thousandths
 	balanceLimit      = 100000 // thousandths that can be saved up
 )
 
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -20,6 +20,7 @@
 	Repeatable bool // idempotent, or a model call
 	Number     int  // attempts made so far, this one included
 	Breaks     int  // of them, those that ended Failed, Broken or Malformed
+	Started    bool // the caller has a part of the answer, which would be cut
 	Now        time.Time
 	Deadline   time.Time
 }
@@ -42,7 +43,8 @@
 )
 
 // Decide returns what to do after an attempt. Only refusals are charged to the
-// budget: the others did not add load, or the load they added is gone.
+// budget: the others did not add load, or the load they added is gone. A refusal
+// of a stream that is being resumed is not charged either: its load was there.
 func Decide(a Attempt, budget *Budget) Action {
 	mayHaveRun := a.Outcome != NotSent && a.Outcome != NotRun
 	if a.Outcome == Failed && !a.Repeatable {
@@ -57,7 +59,7 @@
 	if a.Deadline.Sub(a.Now) < minTimeLeft {
 		return GiveUp
 	}
-	if a.Outcome == NotRun && !budget.Withdraw() {
+	if a.Outcome == NotRun && !a.Started && !budget.Withdraw() {
 		return GiveUp
 	}
 	return Retry
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -62,3 +62,15 @@
 		}
 	})
 }
+
+func TestAStartedStreamIsResumedWithoutABudget(t *testing.T) {
+	now := time.Unix(1, 0)
+	refused := Attempt{Outcome: NotRun, Repeatable: true, Started: true, Number: 2, Now: now, Deadline: now.Add(time.Hour)}
+	assert.Equal(t, Decide(refused, &Budget{}), Retry)
+}
+
+func TestANewProcessRetriesItsFirstRequests(t *testing.T) {
+	now := time.Unix(1, 0)
+	refused := Attempt{Outcome: NotRun, Repeatable: true, Number: 1, Now: now, Deadline: now.Add(time.Hour)}
+	assert.Equal(t, Decide(refused, NewBudget()), Retry)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,7 +32,7 @@
 // Dispatcher carries requests to targets. It is safe for concurrent use.
 type Dispatcher struct {
 	cfg    Config
-	budget retry.Budget
+	budget *retry.Budget
 }
 
 // New returns a dispatcher.
@@ -43,7 +43,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
-	return &Dispatcher{cfg: cfg}
+	return &Dispatcher{cfg: cfg, budget: retry.NewBudget()}
 }
 
 // Do runs a request on a target of the table and returns its whole answer. A
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -25,6 +25,7 @@
 	breaks   int
 	tried    []string
 	last     *routing.Member
+	refusal  *Failure // the last one of an agent
 }
 
 // step makes one attempt. Of its results one is set: the answer, an action
@@ -59,10 +60,10 @@
 	r.learn(member, result, now)
 	failure := r.failure(result.code, result.err)
 	failure.RetryAfter = result.retryAfter
-	if result.callerGone {
-		return nil, retry.GiveUp, failure
+	if result.outcome == retry.NotRun {
+		r.refusal = failure
 	}
-	if result.final {
+	if result.callerGone || result.final {
 		return nil, retry.GiveUp, failure
 	}
 	action := retry.Decide(retry.Attempt{
@@ -70,9 +71,10 @@
 		Repeatable: r.req.repeatable(),
 		Number:     r.attempts,
 		Breaks:     r.breaks,
+		Started:    r.started,
 		Now:        now,
 		Deadline:   r.req.Deadline,
-	}, &r.d.budget)
+	}, r.d.budget)
 	if action != retry.Ask && ctx.Err() != nil {
 		return nil, retry.GiveUp, r.interrupted(ctx)
 	}
@@ -148,7 +150,12 @@
 	return failure
 }
 
+// noTarget is the failure of a request that no target is left for: the last
+// refusal, if there was one.
 func (r *run) noTarget() *Failure {
+	if r.refusal != nil && r.breaks == 0 {
+		return r.refusal
+	}
 	failure := r.failure(CodeNoTarget, nil)
 	failure.RetryAfter = time.Second
 	if r.attempts > 0 && r.breaks == 0 {
