Resume broken streams also where targets restart; prove it on a fleet

Ruled out: the strikes, which did not hold it back, and the deadline (20 s).

Change: only refusals for want of room (at_limit, queue_full) are charged, and not those of a request that was broken off elsewhere; such a request waits 50 ms and longer before it tries all targets again, six times at most. An answer that the target broke off counts as one strike, since agents don't see that an engine died where it is back at once.

--- a/internal/app/load/fleet/entries.go
+++ b/internal/app/load/fleet/entries.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/app/entry"
+	"quetzalbend/internal/app/load/caller"
 	"quetzalbend/internal/core/check"
 	"quetzalbend/internal/settingssync"
 )
@@ -17,7 +18,8 @@
 	*entry.Entry
 
 	domain    string
-	operators string // base URL of its operators listener, through the network
+	client    *caller.Client // through the network
+	operators string         // base URL of its operators listener, through the network
 }
 
 const readyPoll = 20 * time.Millisecond
@@ -79,8 +81,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &entryProcess{Entry: started, domain: domain, operators: "http://" + operators}
-	f.Balancer.Add(newClient("http://"+callers), e.operators)
+	e := &entryProcess{Entry: started, domain: domain, client: newClient("http://" + callers), operators: "http://" + operators}
+	f.Balancer.Add(e.client, e.operators)
 	return e, nil
 }
 
--- /dev/null
+++ b/internal/app/load/fleet/fleet_test.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/app/load/caller"
+	"quetzalbend/internal/app/standin/engine"
+	"quetzalbend/internal/core/schema"
+)
+
+const tokens = 20
+
+// mostDeaths is how many targets one request may cost, where agents cannot
+// tell whether a target that broke an answer off has died.
+const mostDeaths = 4
+
+func startFleet(t *testing.T, cfg Config) *Fleet {
+	t.Helper()
+	log.SetLevel(log.FatalLevel)
+	cfg.Domains = []string{"a", "b"}
+	cfg.Entries, cfg.MaxLimit, cfg.Queue, cfg.Admission = 1, 64, 64, true
+	cfg.Engine = engine.Config{Warm: true, FirstTokenMS: 5, BetweenTokensMS: 5, ColdLimit: 64, RestartMS: 1}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	f, err := Start(ctx, cfg)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, f.Close()) })
+	return f
+}
+
+func (e *Engine) fault(t *testing.T, faults string) {
+	t.Helper()
+	response, err := http.Post(e.url+"/standin/fault", "application/json", strings.NewReader(faults))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+}
+
+func (f *Fleet) draft(n int) caller.Request {
+	return caller.Request{
+		Kind: caller.ChatStream, Workload: Drafts, Content: fmt.Sprint("draft ", n), Tokens: tokens, Timeout: 20 * time.Second,
+	}
+}
+
+// drafts sends streamed drafts at once and returns their outcomes.
+func (f *Fleet) drafts(count int, meanwhile func()) []caller.Outcome {
+	outcomes := make([]caller.Outcome, count)
+	var sent sync.WaitGroup
+	for n := range count {
+		sent.Go(func() { outcomes[n] = f.entries[0].client.Send(context.Background(), f.draft(n)) })
+	}
+	meanwhile()
+	sent.Wait()
+	return outcomes
+}
+
+func assertWhole(t *testing.T, outcomes []caller.Outcome) {
+	t.Helper()
+	for n, outcome := range outcomes {
+		assert.Assert(t, outcome.Whole, "draft %d: %v", n, outcome.Err)
+		assert.Equal(t, outcome.Text, engine.Text(fmt.Sprint("draft ", n), tokens), "draft %d", n)
+	}
+}
+
+func (f *Fleet) running() int {
+	sum := 0
+	for _, e := range f.Engines {
+		truth := e.Truth()
+		sum += truth.Requests - truth.Finished - truth.Cancelled
+	}
+	return sum
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for !holds() {
+		if !pause(ctx, time.Millisecond) {
+			t.Fatalf("never came true: %s", what)
+		}
+	}
+}
+
+func TestStreamsThatBreakAreResumedElsewhere(t *testing.T) {
+	f := startFleet(t, Config{Engines: 2})
+	for _, e := range f.Engines {
+		e.fault(t, `{"break_after":7}`)
+	}
+	assertWhole(t, f.drafts(20, func() {}))
+}
+
+func TestKilledDomainCostsNoStream(t *testing.T) {
+	f := startFleet(t, Config{Engines: 2})
+	outcomes := f.drafts(30, func() {
+		eventually(t, "drafts run", func() bool { return f.running() >= 20 })
+		assert.NilError(t, f.Break("b", Killed))
+	})
+	assertWhole(t, outcomes)
+}
+
+func TestDomainThatIsOutGetsNoNewWork(t *testing.T) {
+	f := startFleet(t, Config{Engines: 1})
+	assertWhole(t, f.drafts(4, func() {}))
+	_, err := f.SetDomain(context.Background(), "a", schema.Out)
+	assert.NilError(t, err)
+	assert.NilError(t, f.settings.awaitInForce(context.Background()))
+	before := f.Engines[0].Truth().Requests
+	assertWhole(t, f.drafts(10, func() {}))
+	assert.Equal(t, f.Engines[0].Truth().Requests, before)
+	assert.Equal(t, f.Engines[0].Domain, "a")
+}
+
+func TestRequestThatKillsEnginesCostsFewAndNoInnocents(t *testing.T) {
+	f := startFleet(t, Config{Engines: 3})
+	for _, e := range f.Engines {
+		e.fault(t, `{"die_on":"poison"}`)
+	}
+	poison := f.draft(0)
+	poison.Content = "poison"
+	innocents := f.drafts(30, func() {
+		for range 5 {
+			outcome := f.entries[0].client.Send(context.Background(), poison)
+			assert.Assert(t, !outcome.Whole)
+		}
+	})
+	died := 0
+	for _, e := range f.Engines {
+		died += e.Truth().Died
+	}
+	assert.Assert(t, died <= mostDeaths, "%d engines died", died)
+	assertWhole(t, innocents)
+	outcome := f.entries[0].client.Send(context.Background(), poison)
+	assert.Equal(t, outcome.Code, "request_kills_targets")
+	assert.Equal(t, outcome.Ran, caller.RanNo)
+}
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -8,7 +8,8 @@
 // Outcomes of an attempt that was not whole.
 const (
 	NotSent   Outcome = iota // the call never reached the target's agent
-	NotRun                   // the agent refused it: it did not run and will not
+	NotRun                   // the agent refused it for want of room: it did not run and will not
+	NotTaken                 // the agent refused it for another reason: it did not run and will not
 	Failed                   // it ran or may have run, and the agent said so
 	Broken                   // the connection broke after sending
 	Malformed                // the agent broke the protocol
@@ -35,16 +36,28 @@
 )
 
 const (
-	maxAttempts = 8
+	maxAttempts = 16
 	maxBreaks   = 4
+	maxRounds   = 6
+	firstPause  = 50 * time.Millisecond
 	// minTimeLeft is the time to the deadline below which a retry is vain.
 	minTimeLeft = 2 * time.Millisecond
 )
 
-// Decide returns what to do after an attempt. Only refusals are charged to the
-// budget: the others did not add load, or the load they added is gone.
+// Pause returns how long to wait before the targets are tried for another
+// round, or false where enough rounds were made.
+func Pause(round int) (time.Duration, bool) {
+	if round >= maxRounds {
+		return 0, false
+	}
+	return firstPause << round, true
+}
+
+// Decide returns what to do after an attempt. Only refusals for want of room are
+// charged to the budget, and not those of a request that has been broken off
+// elsewhere: all others did not add load, or the load they added is gone.
 func Decide(a Attempt, budget *Budget) Action {
-	mayHaveRun := a.Outcome != NotSent && a.Outcome != NotRun
+	mayHaveRun := a.Outcome == Failed || a.Outcome == Broken || a.Outcome == Malformed
 	if a.Outcome == Failed && !a.Repeatable {
 		return GiveUp // the agent has said all it knows
 	}
@@ -57,7 +70,7 @@
 	if a.Deadline.Sub(a.Now) < minTimeLeft {
 		return GiveUp
 	}
-	if a.Outcome == NotRun && !budget.Withdraw() {
+	if a.Outcome == NotRun && a.Breaks == 0 && !budget.Withdraw() {
 		return GiveUp
 	}
 	return Retry
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -17,6 +17,7 @@
 	}{
 		{NotSent, false, Retry},
 		{NotRun, false, Retry},
+		{NotTaken, false, Retry},
 		{Failed, false, GiveUp},
 		{Broken, false, Ask},
 		{Malformed, false, Ask},
@@ -62,3 +63,25 @@
 		}
 	})
 }
+
+func TestOnlyRefusalsForWantOfRoomAreCharged(t *testing.T) {
+	now := time.Unix(1, 0)
+	attempt := Attempt{Repeatable: true, Number: 2, Now: now, Deadline: now.Add(time.Hour)}
+	for outcome, want := range map[Outcome]Action{NotRun: GiveUp, NotTaken: Retry, NotSent: Retry, Failed: Retry} {
+		attempt.Outcome = outcome
+		assert.Equal(t, Decide(attempt, &Budget{}), want)
+	}
+	attempt.Outcome, attempt.Breaks = NotRun, 1
+	assert.Equal(t, Decide(attempt, &Budget{}), Retry)
+}
+
+func TestPausesGrowAndEnd(t *testing.T) {
+	last := time.Duration(0)
+	for round := range maxRounds {
+		pause, ok := Pause(round)
+		assert.Assert(t, ok && pause > last)
+		last = pause
+	}
+	_, ok := Pause(maxRounds)
+	assert.Assert(t, !ok)
+}
--- a/internal/core/strike/table.go
+++ b/internal/core/strike/table.go
@@ -11,6 +11,7 @@
 const (
 	TargetDied     = 2 // the agent saw its target die
 	ConnectionLost = 1 // the target or only the way to it may be gone
+	AnswerCut      = 1 // the target broke the answer off, with or without dying
 )
 
 const (
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -247,10 +247,15 @@
 		code = CodeRefusedByTarget
 	}
 	_, final := a.run.d.cfg.NoRetryCodes[code]
+	outcome := retry.NotTaken
+	if code == reasonAtLimit || code == reasonQueueFull {
+		outcome = retry.NotRun
+	}
 	return result{
-		outcome:    retry.NotRun,
+		outcome:    outcome,
 		code:       code,
 		final:      final,
+		silent:     code == reasonTargetRefused || code == reasonTargetUnreachable,
 		retryAfter: time.Duration(refused.GetRetryAfterMs()) * time.Millisecond,
 		err:        detail(refused.GetDetail()),
 	}
@@ -258,11 +263,14 @@
 
 func (a *attempt) failed(failed *wire.Failed) result {
 	ended := result{outcome: retry.Failed, code: failed.GetReason(), ran: failed.GetRan(), err: detail(failed.GetDetail())}
-	if failed.GetTargetDied() {
+	switch {
+	case failed.GetTargetDied():
 		ended.strikes = strike.TargetDied
+	case failed.GetReason() == reasonAnswerCut:
+		ended.strikes = strike.AnswerCut
 	}
 	if failed.GetRan() == wire.Ran_RAN_NO && a.check.chunks == 0 {
-		ended.outcome = retry.NotRun
+		ended.outcome = retry.NotTaken
 	}
 	return ended
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -23,6 +23,7 @@
 	ran      wire.Ran
 	attempts int
 	breaks   int
+	rounds   int // waits after all targets were tried
 	tried    []string
 	last     *routing.Member
 }
@@ -36,9 +37,9 @@
 		r.d.cfg.Counter.Count("refused." + CodeCrashesTargets)
 		return nil, retry.GiveUp, r.failure(CodeCrashesTargets, nil)
 	}
-	member := r.pick(now)
+	member := r.pickOrWait(ctx, now)
 	if member == nil {
-		return nil, retry.GiveUp, r.noTarget()
+		return nil, retry.GiveUp, r.noTarget(ctx)
 	}
 	r.attempts++
 	r.last = member
@@ -86,7 +87,10 @@
 	case retry.NotSent:
 		member.State.Avoid(now.Add(r.d.cfg.Avoid))
 		return
-	case retry.NotRun:
+	case retry.NotRun, retry.NotTaken:
+		if result.silent {
+			member.State.Avoid(now.Add(r.d.cfg.Avoid))
+		}
 		return
 	case retry.Failed, retry.Broken, retry.Malformed:
 	}
@@ -116,16 +120,25 @@
 	if !r.req.repeatable() {
 		return routing.First(r.table.ForKey(r.req.name(), r.key()), query)
 	}
-	pool := r.pool()
-	if member := pool.Pick(r.d.cfg.Strategy, query); member != nil {
-		return member
-	}
-	// Every target was tried: those that broke may serve again by now.
-	query.Exclude = nil
-	if r.breaks == 0 {
-		return nil
+	return r.pool().Pick(r.d.cfg.Strategy, query)
+}
+
+// pickOrWait picks a target. A request that was broken off and has tried all
+// targets waits a little and tries them again.
+func (r *run) pickOrWait(ctx context.Context, now time.Time) *routing.Member {
+	for {
+		member := r.pick(now)
+		if member != nil || r.breaks == 0 || !r.req.repeatable() {
+			return member
+		}
+		pause, ok := retry.Pause(r.rounds)
+		if !ok || !wait(ctx, pause) {
+			return nil
+		}
+		r.rounds++
+		r.tried = nil
+		now = r.d.cfg.Now()
 	}
-	return pool.Pick(r.d.cfg.Strategy, query)
 }
 
 func (r *run) pool() *routing.Pool {
@@ -148,7 +161,10 @@
 	return failure
 }
 
-func (r *run) noTarget() *Failure {
+func (r *run) noTarget(ctx context.Context) *Failure {
+	if ctx.Err() != nil {
+		return r.interrupted(ctx)
+	}
 	failure := r.failure(CodeNoTarget, nil)
 	failure.RetryAfter = time.Second
 	if r.attempts > 0 && r.breaks == 0 {
