--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -13,6 +13,7 @@
 	"quetzalbend/internal/app/load/layout"
 	"quetzalbend/internal/app/load/limits"
 	"quetzalbend/internal/app/load/overhead"
+	"quetzalbend/internal/app/load/skew"
 	"quetzalbend/internal/program"
 )
 
@@ -23,6 +24,7 @@
 	limits.Register,
 	departure.Register,
 	overhead.Register,
+	skew.Register,
 }
 
 func main() {
