--- a/internal/app/load/skew/command.go
+++ b/internal/app/load/skew/command.go
@@ -65,10 +65,10 @@
 
 func printTable(w io.Writer, results []Result) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(table, "policy\tmean skew\tp99 skew\tlower bound\tmoved GB\tmoves\tlate moves\tstall ms\tplan ms p99\tstep ms\t")
+	_, _ = fmt.Fprintln(table, "policy\tmean skew\tp99 skew\tlower bound\tmoved GB\tmoves\tlate moves\treturned\tstall ms\tplan ms p99\tstep ms\t")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(table, "%s\t%.4f\t%.4f\t%.4f\t%.1f\t%d\t%d\t%.0f\t%.3f\t%.3f\t\n",
-			r.Policy, r.MeanSkew, r.P99Skew, r.LowerBound, r.MovedBytes/1e9, r.Moves, r.LateMoves, r.StallMS, r.PlanP99MS, r.StepMeanMS)
+		_, _ = fmt.Fprintf(table, "%s\t%.4f\t%.4f\t%.4f\t%.1f\t%d\t%d\t%d\t%.0f\t%.3f\t%.3f\t\n",
+			r.Policy, r.MeanSkew, r.P99Skew, r.LowerBound, r.MovedBytes/1e9, r.Moves, r.LateMoves, r.Returns, r.StallMS, r.PlanP99MS, r.StepMeanMS)
 	}
 	return errors.Wrap(table.Flush(), "print figures")
 }
--- a/internal/app/load/skew/options.go
+++ b/internal/app/load/skew/options.go
@@ -12,7 +12,8 @@
 	SpareSlots    int     `long:"spare-slots" default:"-1" description:"slots beyond one for each expert, spread over the ranks; replaces --slots-per-rank"`
 	Steps         int     `long:"steps" default:"108000" description:"steps of the trace"`
 	Drift         string  `long:"drift" default:"season" choice:"season" choice:"daily" choice:"shift" choice:"alternate" description:"how the load drifts"`
-	Period        int     `long:"period" default:"0" description:"steps of a day, or of two alternating topics; 0 for half the trace, or a ninth"`
+	Period        int     `long:"period" default:"0" description:"steps of a day, or of two alternating topics; 0 for half the trace, or a third"`
+	Transition    int     `long:"transition-steps" default:"4000" description:"steps that one of two alternating topics takes to give way to the other"`
 	Spread        float64 `long:"spread" default:"1" description:"standard deviation of the log popularity of experts"`
 	TopicWeight   float64 `long:"topic-weight" default:"0.5" description:"part of the variance of popularity that belongs to the topic, 0 to 1"`
 	Straggler     bool    `long:"straggler" description:"one rank at half speed for the middle third of the trace"`
--- a/internal/app/load/skew/policy.go
+++ b/internal/app/load/skew/policy.go
@@ -18,6 +18,8 @@
 // policy decides for one layer.
 type policy interface {
 	observe(loads, speeds []float64)
+	// urgent reports whether a plan should not wait for the interval's end.
+	urgent(present balance.Map) bool
 	decide(present balance.Placement) decision
 	// arrived returns the map to activate once the weights of a decision are
 	// there.
@@ -26,9 +28,10 @@
 
 type static struct{}
 
-func (static) observe(_, _ []float64)                 {}
-func (static) decide(balance.Placement) decision      { return decision{} }
-func (static) arrived(next balance.Map) balance.Map   { return next }
+func (static) observe(_, _ []float64)               {}
+func (static) urgent(balance.Map) bool              { return false }
+func (static) decide(balance.Placement) decision    { return decision{} }
+func (static) arrived(next balance.Map) balance.Map { return next }
 
 type fullRepack struct {
 	shape  balance.Shape
@@ -41,6 +44,8 @@
 	p.speeds.Observe(speeds)
 }
 
+func (p *fullRepack) urgent(balance.Map) bool { return false }
+
 func (p *fullRepack) decide(balance.Placement) decision {
 	return decision{next: balance.Pack(p.shape, p.loads.Values(), p.speeds.Values()), change: true}
 }
@@ -57,6 +62,8 @@
 
 func (p *planned) observe(loads, speeds []float64) { p.planner.Observe(loads, speeds) }
 
+func (p *planned) urgent(present balance.Map) bool { return p.planner.Urgent(present) }
+
 func (p *planned) decide(present balance.Placement) decision {
 	plan := p.planner.Plan(present, p.perTime)
 	return decision{next: plan.Map, change: true}
--- a/internal/app/load/skew/run.go
+++ b/internal/app/load/skew/run.go
@@ -19,6 +19,7 @@
 	MovedBytes  float64 `json:"moved_bytes"`
 	Moves       int     `json:"moves"`
 	LateMoves   int     `json:"late_moves"`
+	Returns     int     `json:"returned_moves"`
 	Activations int     `json:"activations"`
 	StallMS     float64 `json:"stall_ms"`
 	PlanP99MS   float64 `json:"plan_ms_p99"`
@@ -49,6 +50,13 @@
 	current balance.Map
 	pending *balance.Map
 	ready   float64
+	dropped map[holding]int // step at which a rank gave up an expert
+}
+
+// holding is an expert on a rank.
+type holding struct {
+	rank   int
+	expert int32
 }
 
 // Run plays one trace and returns the figures of each policy.
@@ -85,6 +93,7 @@
 		g.layers = append(g.layers, &layer{
 			policy:  newPolicy(o, shape, name, start, speeds),
 			current: balance.Pack(shape, start, speeds),
+			dropped: map[holding]int{},
 		})
 	}
 	return g
@@ -123,9 +132,7 @@
 		}
 		for _, g := range groups {
 			g.observe(waiting[0])
-			if step%o.IntervalSteps < o.ReportSteps {
-				g.plan()
-			}
+			g.plan(step%o.IntervalSteps < o.ReportSteps)
 		}
 		waiting = waiting[1:]
 	}
@@ -193,10 +200,11 @@
 	}
 }
 
-// plan asks the policy for each layer that waits for no weights.
-func (g *group) plan() {
+// plan asks the policy for each layer that waits for no weights, at the end of
+// an interval or if the policy cannot wait.
+func (g *group) plan(due bool) {
 	for _, layer := range g.layers {
-		if layer.pending != nil {
+		if layer.pending != nil || !due && !layer.policy.urgent(layer.current) {
 			continue
 		}
 		started := time.Now()
@@ -220,12 +228,40 @@
 	g.storeFree = max(g.storeFree, g.now) + bytes/g.options.StoreRate*msPerSecond
 	layer.ready = g.storeFree
 	g.result.Moves += moves
+	g.result.Returns += g.returns(layer, next)
 	g.result.MovedBytes += bytes
 	if len(g.result.trace) > g.options.Steps/g.options.ReportSteps/2 {
 		g.result.LateMoves += moves
 	}
 }
 
+// returnSteps is the time within which a move that is undone counts as a
+// return: it was undone before it had paid.
+const returnSteps = 5000
+
+// returns counts the experts that go back to a rank which gave them up a short
+// time ago, and notes what ranks give up now.
+func (g *group) returns(layer *layer, next balance.Map) int {
+	step := len(g.result.trace) * g.options.ReportSteps
+	count, first := 0, 0
+	for r, n := range g.shape.Slots {
+		before := layer.current.Placement[first : first+n]
+		after := next.Placement[first : first+n]
+		for _, e := range after {
+			if at, ok := layer.dropped[holding{r, e}]; ok && !slices.Contains(before, e) && step-at < returnSteps {
+				count++
+			}
+		}
+		for _, e := range before {
+			if !slices.Contains(after, e) {
+				layer.dropped[holding{r, e}] = step
+			}
+		}
+		first += n
+	}
+	return count
+}
+
 func (g *group) finish() Result {
 	r := g.result
 	n := float64(len(r.trace))
--- a/internal/app/load/skew/workload.go
+++ b/internal/app/load/skew/workload.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	alternations   = 9 // periods of a trace of alternating topics
+	alternations   = 3 // periods of a trace of alternating topics
 	seasonWaves    = 3
 	topics         = 3
 	stragglerSpeed = 0.5
@@ -89,8 +89,8 @@
 	case driftShift:
 		return w.topics[min(topics-1, int(part*topics))][e]
 	case driftAlternate:
-		half := max(1, w.options.period()/2)
-		return w.topics[step/half%2][e]
+		part := w.mix(step)
+		return w.topics[0][e]*(1-part) + w.topics[1][e]*part
 	default:
 		value := 0.0
 		for i := range w.waves {
@@ -101,6 +101,19 @@
 	}
 }
 
+// mix returns the part of the second of two alternating topics.
+func (w *workload) mix(step int) float64 {
+	half := max(1, w.options.period()/2)
+	into := min(1, float64(step%half+1)/float64(max(1, w.options.Transition)))
+	if step/half%2 == 1 {
+		return into
+	}
+	if step < half {
+		return 0
+	}
+	return 1 - into
+}
+
 // speeds returns the speed of each rank at a step.
 func (o *Options) speeds(step int) []float64 {
 	speeds := make([]float64, o.Ranks)
--- a/internal/core/balance/exchange.go
+++ b/internal/core/balance/exchange.go
@@ -7,7 +7,7 @@
 	exchangeRanks   = 8  // ranks with room that are looked at
 	exchangeOuter   = 2  // slots of each such rank
 	exchangeTrials  = 6  // exchanges tried out for one expert
-	exchangeExperts = 8  // experts with unserved load that are looked at
+	exchangeExperts = 6  // experts with unserved load that are looked at
 	trialsPerPlan   = 24 // exchanges tried out in one plan
 )
 
--- a/internal/core/balance/planner.go
+++ b/internal/core/balance/planner.go
@@ -5,6 +5,8 @@
 type Config struct {
 	Trigger       float64 // imbalance above the bound at which moves are looked for
 	Goal          float64 // imbalance above the bound that moves aim for
+	Far           float64 // imbalance above the bound at which a layer is packed anew
+	Urgent        float64 // imbalance above the bound at which a plan does not wait for the interval's end
 	MovesPerPlan  int     // moves that one plan may make
 	HorizonSteps  float64 // steps over which a move has to pay
 	StallMS       float64 // stall of the whole group for an activation with moves
@@ -21,7 +23,9 @@
 	return Config{
 		Trigger:       0.015,
 		Goal:          0.004,
-		MovesPerPlan:  64,
+		Far:           0.5,
+		Urgent:        0.03,
+		MovesPerPlan:  48,
 		HorizonSteps:  5000,
 		StallMS:       2,
 		MoveMS:        1,
@@ -57,6 +61,14 @@
 	p.speeds.Observe(speeds)
 }
 
+// Urgent reports whether the present map has become so bad that a plan should
+// not wait for the interval's end.
+func (p *Planner) Urgent(present Map) bool {
+	loads, speeds := p.loads.Values(), p.speeds.Values()
+	bound := LowerBound(loads, speeds, p.shape.TotalSlots())
+	return p.shape.Slowest(present, loads, speeds) > bound*(1+p.cfg.Urgent)
+}
+
 // Plan is the outcome of one round.
 type Plan struct {
 	Map    Map     // the map to use; with moves, once their weights are there
@@ -85,7 +97,10 @@
 	if now <= bound*(1+p.cfg.Trigger) {
 		return stay
 	}
-	best := p.better(stay, p.improved(present, bound), now, msPerTime)
+	best := stay
+	if now <= bound*(1+p.cfg.Far) {
+		best = p.better(stay, p.improved(present, bound), now, msPerTime)
+	}
 	if best.After > bound*(1+p.cfg.Trigger) {
 		best = p.better(best, p.repacked(present), now, msPerTime)
 	}
@@ -111,7 +126,7 @@
 	loads, speeds := p.loads.Values(), p.speeds.Values()
 	next, ok := repackNear(p.shape, present, loads, speeds)
 	if !ok {
-		return Plan{}
+		return p.improved(present, LowerBound(loads, speeds, p.shape.TotalSlots()))
 	}
 	m, after := Shares(p.shape, next, loads, speeds)
 	return Plan{Map: m, Moves: p.shape.changes(present, next), After: after}
