--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -1,25 +1,52 @@
-// Command quetzalbend-load generates load and runs the experiments.
+// Command quetzalbend-load generates load and runs experiments, one subcommand
+// for each.
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/load/demo"
+	"quetzalbend/internal/app/load/departure"
+	"quetzalbend/internal/app/load/layout"
+	"quetzalbend/internal/app/load/limits"
+	"quetzalbend/internal/app/load/overhead"
 	"quetzalbend/internal/app/load/skew"
+	"quetzalbend/internal/program"
 )
 
+// experiments add their subcommands to the parser.
+var experiments = []func(parser *flags.Parser) error{
+	demo.Register,
+	layout.Register,
+	limits.Register,
+	departure.Register,
+	overhead.Register,
+	skew.Register,
+}
+
 func main() {
-	parser := flags.NewParser(nil, flags.Default)
-	if err := skew.Register(parser); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	if _, err := parser.Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			return
+	parser := flags.NewNamedParser("quetzalbend-load", flags.Default)
+	for _, register := range experiments {
+		if err := register(parser); err != nil {
+			os.Exit(int(program.ExitFailed))
 		}
-		os.Exit(1)
 	}
+	_, err := parser.Parse()
+	os.Exit(int(exitCode(err)))
+}
+
+func exitCode(err error) program.ExitCode {
+	var flagsError *flags.Error
+	switch {
+	case err == nil:
+		return program.ExitOK
+	case errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp:
+		return program.ExitOK
+	case errors.As(err, &flagsError):
+		return program.ExitUsage
+	}
+	return program.ExitFailed
 }
--- /dev/null
+++ b/internal/adapter/engine/answer.go
@@ -0,0 +1,185 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	maxLine    = 1 << 20                // bytes of one line of a stream
+	maxPiece   = 64 << 10               // bytes read at once
+	endTimeout = 100 * time.Millisecond // for the end of the body after a whole answer
+)
+
+// Piece is a part of an answer's body.
+type Piece struct {
+	Data     []byte
+	Position int64 // tokens of the answer up to and with this piece
+}
+
+// Answer is the answer to one completion.
+type Answer struct {
+	Status int
+	Header http.Header
+
+	peer     string
+	stream   bool
+	body     io.ReadCloser
+	reader   *bufio.Reader
+	position int64
+	finished bool // the event with the finish reason has come
+	done     bool // the body has come to its proper end
+}
+
+func newAnswer(response *http.Response, peer string, completion Completion) *Answer {
+	return &Answer{
+		Status:   response.StatusCode,
+		Header:   response.Header,
+		peer:     peer,
+		stream:   completion.Stream && response.StatusCode == http.StatusOK,
+		body:     response.Body,
+		reader:   bufio.NewReaderSize(response.Body, maxPiece),
+		position: completion.ResumeFrom,
+	}
+}
+
+// Close ends the answer; an unfinished request is cancelled at the engine. Of
+// a whole answer the rest of the body is awaited for a moment, so that the
+// engine has let go of the request and the connection can be used again.
+func (a *Answer) Close() {
+	if a.done {
+		timer := time.AfterFunc(endTimeout, func() { _ = a.body.Close() })
+		_, _ = io.CopyN(io.Discard, a.reader, maxPiece)
+		timer.Stop()
+	}
+	_ = a.body.Close()
+}
+
+// Next returns the next piece, io.EOF after a whole answer, or an error with
+// ErrCut or ErrMalformed in its chain. Each piece of a stream holds one event
+// and so at most one token.
+func (a *Answer) Next() (Piece, error) {
+	switch {
+	case a.done:
+		return Piece{}, io.EOF
+	case a.stream:
+		return a.nextEvent()
+	default:
+		return a.whole()
+	}
+}
+
+// whole reads a body that is not streamed.
+func (a *Answer) whole() (Piece, error) {
+	data, err := io.ReadAll(io.LimitReader(a.reader, maxWholeAnswer+1))
+	if err != nil {
+		return Piece{}, errors.Wrapf(ErrCut, "read answer of engine %s: %v", a.peer, err)
+	}
+	if len(data) > maxWholeAnswer {
+		return Piece{}, errors.Wrapf(ErrMalformed, "answer of engine %s is over %d bytes", a.peer, maxWholeAnswer)
+	}
+	a.done = true
+	if a.Status != http.StatusOK {
+		return Piece{Data: data}, nil
+	}
+	var answer struct {
+		Usage struct {
+			CompletionTokens int64 `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return Piece{}, errors.Wrapf(ErrMalformed, "decode answer of engine %s: %v", a.peer, err)
+	}
+	return Piece{Data: data, Position: answer.Usage.CompletionTokens}, nil
+}
+
+// nextEvent returns the next event as it goes to the caller. The [DONE] event
+// ends the answer and is left out.
+func (a *Answer) nextEvent() (Piece, error) {
+	for {
+		line, err := a.readLine()
+		if err != nil {
+			return Piece{}, err
+		}
+		data, isData := bytes.CutPrefix(line, []byte("data:"))
+		if !isData {
+			continue // blank lines, comments and fields that callers do not need
+		}
+		data = bytes.TrimSpace(data)
+		if err := a.accept(data); err != nil {
+			return Piece{}, err
+		}
+		if a.done {
+			return Piece{}, io.EOF
+		}
+		event := make([]byte, 0, len(data)+len("data: \n\n"))
+		event = append(event, "data: "...)
+		event = append(event, data...)
+		event = append(event, "\n\n"...)
+		return Piece{Data: event, Position: a.position}, nil
+	}
+}
+
+func (a *Answer) readLine() ([]byte, error) {
+	var line []byte
+	for {
+		part, err := a.reader.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > maxLine {
+			return nil, errors.Wrapf(ErrMalformed, "event of engine %s is over %d bytes", a.peer, maxLine)
+		}
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, errors.Wrapf(ErrCut, "read event of engine %s: %v", a.peer, err)
+		}
+		if err == nil {
+			return bytes.TrimRight(line, "\r\n"), nil
+		}
+	}
+}
+
+// event is one server-sent event of a chat completion.
+type event struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Error json.RawMessage `json:"error"`
+}
+
+// accept checks the data of one event and follows the state of the stream.
+func (a *Answer) accept(data []byte) error {
+	if string(data) == "[DONE]" {
+		if !a.finished {
+			return errors.Wrapf(ErrCut, "engine %s ended the stream without a finish reason", a.peer)
+		}
+		a.done = true
+		return nil
+	}
+	var e event
+	if err := json.Unmarshal(data, &e); err != nil {
+		return errors.Wrapf(ErrMalformed, "decode event of engine %s: %v", a.peer, err)
+	}
+	if len(e.Error) > 0 && string(e.Error) != "null" {
+		return errors.Wrapf(ErrCut, "engine %s ended the stream with an error", a.peer)
+	}
+	if len(e.Choices) == 0 {
+		return nil // usage only
+	}
+	choice := e.Choices[0]
+	if choice.Delta.Content != "" {
+		if a.finished {
+			return errors.Wrapf(ErrMalformed, "engine %s sent a token after the finish reason", a.peer)
+		}
+		a.position++
+	}
+	a.finished = a.finished || choice.FinishReason != ""
+	return nil
+}
