--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -9,9 +9,11 @@
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/app/load/demo"
+	"quetzalbend/internal/app/load/departure"
 	"quetzalbend/internal/app/load/layout"
 	"quetzalbend/internal/app/load/limits"
 	"quetzalbend/internal/app/load/overhead"
+	"quetzalbend/internal/app/load/skew"
 	"quetzalbend/internal/program"
 )
 
@@ -20,7 +22,9 @@
 	demo.Register,
 	layout.Register,
 	limits.Register,
+	departure.Register,
 	overhead.Register,
+	skew.Register,
 }
 
 func main() {
