Let teams declare targets and groups in their own subtree

A target at /teams/{team}/targets/{target} serves that team only; names of targets and of groups stay unique over all paths. Operators of other teams cannot read them. Contracts: schema.View's Target and Group give the path, catalog.Target has Path, Catalog has GroupPaths; agents get their target by its path.

--- a/internal/adapter/adminhttp/handler.go
+++ b/internal/adapter/adminhttp/handler.go
@@ -145,7 +145,7 @@
 		return true
 	}
 	parsed, err := schema.ParsePath(path)
-	if err != nil {
+	if err != nil || parsed.Team != "" {
 		return false
 	}
 	switch parsed.Kind {
--- a/internal/adapter/adminhttp/handler_test.go
+++ b/internal/adapter/adminhttp/handler_test.go
@@ -93,6 +93,7 @@
 		{"/teams/red/workloads/w", `{"model":"m"}`},
 		{"/targets/t1", `{"agent":"127.0.0.1:1","failure_domain":"a","kind":"model","serves":["m"],"team":"red"}`},
 		{"/targets/t2", `{"agent":"127.0.0.1:2","failure_domain":"a","kind":"model","serves":["m"],"state":"out"}`},
+		{"/teams/blue/targets/hidden", `{"agent":"127.0.0.1:3","failure_domain":"a","serves":[]}`},
 		{"/operators/red", fmt.Sprintf(`{"token_sha256":%q,"subtree":"/teams/red"}`, hashOf("red-token"))},
 	} {
 		s.entries[setting.path] = settings.Entry{Path: setting.path, Version: int64(i + 1), Value: []byte(setting.value)}
@@ -247,10 +248,13 @@
 		assert.NilError(t, json.Unmarshal([]byte(body), &answer))
 		return answer
 	}
-	assert.Equal(t, len(list("root-token", "").Settings), 8)
+	assert.Equal(t, len(list("root-token", "").Settings), 9)
 	for _, setting := range list("red-token", "").Settings {
-		assert.Assert(t, setting.Path != "/teams/blue" && setting.Path != "/operators/red", setting.Path)
+		assert.Assert(t, !strings.HasPrefix(setting.Path, "/teams/blue") && setting.Path != "/operators/red", setting.Path)
 	}
+	_, targets, _ := call(h, "red-token", "GET", Prefix+"targets", "")
+	assert.Assert(t, cmp.Contains(targets, `"t1"`))
+	assert.Assert(t, !strings.Contains(targets, "hidden"), targets)
 	page := list("root-token", "?prefix=/teams/red&limit=2")
 	assert.Equal(t, page.Next, "/teams/red/models/m")
 	page = list("root-token", "?prefix=/teams/red&limit=2&after="+page.Next)
@@ -289,7 +293,7 @@
 		missing = append(missing, node.Name)
 	}
 	assert.DeepEqual(t, missing, []string{"entry-3", "t2"})
-	assert.Equal(t, answer.Nodes, 5)
+	assert.Equal(t, answer.Nodes, 6)
 	assert.Assert(t, !answer.InForce)
 }
 
--- a/internal/adapter/adminhttp/messages.go
+++ b/internal/adapter/adminhttp/messages.go
@@ -125,13 +125,14 @@
 // Target is a target with its settings and state.
 type Target struct {
 	Name    string        `json:"name"`
+	Path    string        `json:"path"`
 	Serving bool          `json:"serving"` // by settings
 	Reason  string        `json:"reason,omitempty"`
 	Target  schema.Target `json:"target"`
 	Load    *Load         `json:"load,omitempty"` // nil if nothing is known
 }
 
-// Targets lists targets in name order.
+// Targets lists the targets that the operator may read in name order.
 type Targets struct {
 	Targets []Target `json:"targets"`
 }
--- a/internal/adapter/adminhttp/status.go
+++ b/internal/adapter/adminhttp/status.go
@@ -96,7 +96,10 @@
 	answer := Targets{Targets: []Target{}}
 	for _, name := range slices.Sorted(maps.Keys(r.catalog.Targets)) {
 		target := r.catalog.Targets[name]
-		row := Target{Name: name, Serving: target.Serving(), Target: target.Target}
+		if !r.operator.mayRead(target.Path) {
+			continue
+		}
+		row := Target{Name: name, Path: target.Path, Serving: target.Serving(), Target: target.Target}
 		row.Reason = outReason(target)
 		if load, ok := loads[name]; ok {
 			row.Load = &load
--- a/internal/app/ctl/settings.go
+++ b/internal/app/ctl/settings.go
@@ -189,7 +189,10 @@
 
 // run changes the state of a failure domain or target and nothing else of it.
 func (c *memberCommand) run(t *tool) error {
-	path := "/" + c.kind + "/" + c.Args.Name
+	path, err := c.path(t)
+	if err != nil {
+		return err
+	}
 	got, err := t.client.call(t.ctx, http.MethodGet, settingURL(path), nil, nil)
 	if err != nil {
 		return err
@@ -212,5 +215,23 @@
 	return t.wait(result.Offset, c.timeout())
 }
 
+// path returns the path of the failure domain or target. A target may stand in
+// the subtree of a team.
+func (c *memberCommand) path(t *tool) (string, error) {
+	if c.kind != "targets" {
+		return "/" + c.kind + "/" + c.Args.Name, nil
+	}
+	var targets adminhttp.Targets
+	if err := t.client.get(t.ctx, "targets", nil, &targets); err != nil {
+		return "", err
+	}
+	for _, target := range targets.Targets {
+		if target.Name == c.Args.Name {
+			return target.Path, nil
+		}
+	}
+	return "", &exitError{code: ExitNotFound, text: "there is no target " + c.Args.Name}
+}
+
 // settingURL returns the API's path of a setting.
 func settingURL(path string) string { return "settings/" + strings.TrimPrefix(path, "/") }
--- a/internal/core/catalog/build.go
+++ b/internal/core/catalog/build.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -65,6 +66,7 @@
 	c.Teams = make(map[string]schema.Team)
 	c.Domains = make(map[string]schema.Domain)
 	c.Groups = make(map[string]schema.Group)
+	c.GroupPaths = make(map[string]string)
 	c.Targets = make(map[string]*Target)
 	c.Models = make(map[TeamName]schema.Model)
 	c.Workloads = make(map[TeamName]*Workload)
@@ -95,12 +97,21 @@
 			c.OperatorNames[value.TokenSHA256] = name.Name
 		}
 	case *schema.Group:
+		if _, taken := c.Groups[name.Name]; taken {
+			c.Unreadable = append(c.Unreadable, i.path)
+			return
+		}
 		c.Groups[name.Name] = *value
+		c.GroupPaths[name.Name] = i.path
 	case *schema.Team:
 		c.Teams[name.Name] = *value
 	case *schema.Model:
 		c.Models[name] = *value
 	case *Target:
+		if _, taken := c.Targets[value.Name]; taken {
+			c.Unreadable = append(c.Unreadable, i.path)
+			return
+		}
 		c.Targets[value.Name] = value
 	case *Workload:
 		c.Workloads[name] = value
@@ -114,7 +125,7 @@
 func (c *Catalog) markDomains() {
 	for i := range c.items {
 		target, ok := c.items[i].value.(*Target)
-		if !ok {
+		if !ok || c.Targets[target.Name] != target {
 			continue
 		}
 		out := c.Domains[target.FailureDomain].State == schema.Out
@@ -134,11 +145,8 @@
 	c.ServiceTargets = make(map[TeamName][]*Target)
 	modelTeams := teamsByName(c.Models)
 	serviceTeams := teamsByName(c.Services)
-	for i := range c.items {
-		target, ok := c.items[i].value.(*Target)
-		if !ok {
-			continue
-		}
+	for _, name := range slices.Sorted(maps.Keys(c.Targets)) {
+		target := c.Targets[name]
 		if target.Kind == schema.ServiceTarget {
 			addServing(c.ServiceTargets, serviceTeams, target)
 		} else {
--- a/internal/core/catalog/build_test.go
+++ b/internal/core/catalog/build_test.go
@@ -64,6 +64,22 @@
 	assert.Equal(t, len(c.Unreadable), 0)
 }
 
+func TestTargetOfATeamServesThatTeamOnly(t *testing.T) {
+	target := `{"agent":"127.0.0.1:9","failure_domain":"a","serves":["m"]}`
+	c := Build(settings.NewSnapshot(12, append(small(),
+		entry("/teams/blue/targets/t1", 10, target),
+		entry("/teams/red/targets/own", 11, target),
+		entry("/teams/red/groups/g", 12, `{"ranks":["own"]}`),
+	)))
+	assert.Equal(t, c.Targets["own"].Team, "red")
+	assert.Equal(t, c.Targets["own"].Path, "/teams/red/targets/own")
+	assert.Equal(t, c.GroupPaths["g"], "/teams/red/groups/g")
+	assert.Equal(t, len(c.ModelTargets[TeamName{"red", "m"}]), 3)
+	// The name t1 is taken by an earlier path.
+	assert.Equal(t, c.Targets["t1"].Path, "/targets/t1")
+	assert.DeepEqual(t, c.Unreadable, []string{"/teams/blue/targets/t1"})
+}
+
 func TestRebuildReusesWhatHasNotChanged(t *testing.T) {
 	first := Build(settings.NewSnapshot(9, small()))
 	entries := small()
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -26,9 +26,10 @@
 	schema.Service
 }
 
-// Target is a target with its name.
+// Target is a target with its name and path. Team is set to the path's.
 type Target struct {
 	Name string
+	Path string
 	schema.Target
 	DomainOut bool // its failure domain is out
 }
@@ -49,6 +50,7 @@
 	Teams          map[string]schema.Team
 	Domains        map[string]schema.Domain
 	Groups         map[string]schema.Group
+	GroupPaths     map[string]string // by name
 	Targets        map[string]*Target
 	Models         map[TeamName]schema.Model
 	Workloads      map[TeamName]*Workload
@@ -57,7 +59,7 @@
 	ServiceTargets map[TeamName][]*Target     // by team and service, in name order
 	Operators      map[string]schema.Operator // by hex SHA-256 of the token
 	OperatorNames  map[string]string          // by hex SHA-256 of the token
-	Unreadable     []string                   // paths whose accepted value this version cannot read
+	Unreadable     []string                   // paths whose accepted value this version cannot read, or whose name an earlier path has
 
 	snapshot *settings.Snapshot
 	items    []item // of all paths, in path order
--- a/internal/core/catalog/item.go
+++ b/internal/core/catalog/item.go
@@ -62,9 +62,7 @@
 		value := &schema.Operator{}
 		return value, read(data, value, nil)
 	case schema.KindTarget:
-		value := &Target{Name: path.Name}
-		err := read(data, &value.Target, func() error { value.SetDefaults(); return knownTarget(&value.Target) })
-		return value, err
+		return decodeTarget(path, data)
 	case schema.KindGroup:
 		value := &schema.Group{}
 		return value, read(data, value, nil)
@@ -87,6 +85,15 @@
 	return nil, errors.Errorf("unknown kind %q", path.Kind)
 }
 
+func decodeTarget(path schema.Path, data []byte) (any, error) {
+	value := &Target{Name: path.Name, Path: path.String()}
+	err := read(data, &value.Target, func() error { value.SetDefaults(); return knownTarget(&value.Target) })
+	if path.Team != "" {
+		value.Team = path.Team
+	}
+	return value, err
+}
+
 // read decodes data into value and then calls finish, if there is one.
 func read(data []byte, value any, finish func() error) error {
 	if err := json.Unmarshal(data, value); err != nil {
--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -26,18 +26,18 @@
 }
 
 // Target implements schema.View.
-func (v view) Target(name string) (schema.Target, bool) {
+func (v view) Target(name string) (schema.Target, string, bool) {
 	target, ok := v.catalog.Targets[name]
 	if !ok {
-		return schema.Target{}, false
+		return schema.Target{}, "", false
 	}
-	return target.Target, true
+	return target.Target, target.Path, true
 }
 
 // Group implements schema.View.
-func (v view) Group(name string) (schema.Group, bool) {
+func (v view) Group(name string) (schema.Group, string, bool) {
 	group, ok := v.catalog.Groups[name]
-	return group, ok
+	return group, v.catalog.GroupPaths[name], ok
 }
 
 // Model implements schema.View.
--- a/internal/core/schema/check.go
+++ b/internal/core/schema/check.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return []Problem{{Path: path, Want: err.Error()}}
 	}
-	c := checker{path: parsed, view: view, Report: check.NewReport(path)}
+	c := checker{at: path, path: parsed, view: view, Report: check.NewReport(path)}
 	switch parsed.Kind {
 	case KindDomain:
 		return checkValue(&c, path, value, c.domain)
@@ -77,6 +77,7 @@
 type checker struct {
 	*check.Report
 
+	at   string
 	path Path
 	view View // nil if references are not checked
 }
@@ -113,7 +114,7 @@
 }
 
 // tokenHash checks a hash of a bearer token, which no other path may hold.
-func (c *checker) tokenHash(hash, path string) {
+func (c *checker) tokenHash(hash string) {
 	if !isSHA256(hash) {
 		c.Add("token_sha256", hash, "the SHA-256 of the bearer token as 64 lower-case hex digits")
 		return
@@ -121,7 +122,7 @@
 	if c.view == nil {
 		return
 	}
-	if owner, taken := c.view.TokenOwner(hash); taken && owner != path {
+	if owner, taken := c.view.TokenOwner(hash); taken && owner != c.at {
 		c.Addf("token_sha256", hash, "a token of its own; %s has this one", owner)
 	}
 }
--- a/internal/core/schema/check_capacity.go
+++ b/internal/core/schema/check_capacity.go
@@ -47,7 +47,7 @@
 	if c.view == nil {
 		return
 	}
-	if owner, taken := c.view.AgentOwner(address); taken && owner != targetPath(c.path.Name) {
+	if owner, taken := c.view.AgentOwner(address); taken && owner != c.at {
 		c.Addf("agent", address, "an agent of its own; %s has this one", owner)
 	}
 }
@@ -61,6 +61,13 @@
 	}
 }
 
+// ownName checks that no other path holds a target or group of this name.
+func (c *checker) ownName(holder string, taken bool) {
+	if taken && holder != c.at {
+		c.Addf("", nil, "a name of its own; %s has this one", holder)
+	}
+}
+
 func (c *checker) serves(t *Target) {
 	kind := t.Kind
 	switch kind {
@@ -81,15 +88,33 @@
 	if c.view == nil {
 		return
 	}
-	if _, ok := c.view.Team(t.Team); t.Team != "" && !ok {
-		c.Addf("team", t.Team, "a team that exists; there is no /teams/%s", t.Team)
+	_, holder, taken := c.view.Target(c.path.Name)
+	c.ownName(holder, taken)
+	team, ok := c.targetTeam(t.Team)
+	if !ok {
 		return
 	}
 	for _, name := range t.Serves {
-		if !c.view.Declared(kind, t.Team, name) {
-			c.Addf("serves", name, "a %s that %s declares", kind, teamOrAny(t.Team))
+		if !c.view.Declared(kind, team, name) {
+			c.Addf("serves", name, "a %s that %s declares", kind, teamOrAny(team))
+		}
+	}
+}
+
+// targetTeam returns the team that a target belongs to, "" for all teams.
+func (c *checker) targetTeam(named string) (string, bool) {
+	if c.path.Team != "" {
+		if named != "" && named != c.path.Team {
+			c.Addf("team", named, "%q or nothing, since the path is in that team's subtree", c.path.Team)
 		}
+		_, ok := c.ownTeam()
+		return c.path.Team, ok
+	}
+	if _, ok := c.view.Team(named); named != "" && !ok {
+		c.Addf("team", named, "a team that exists; there is no /teams/%s", named)
+		return named, false
 	}
+	return named, true
 }
 
 func teamOrAny(team string) string {
@@ -99,8 +124,6 @@
 	return "team " + team
 }
 
-func targetPath(name string) string { return "/targets/" + name }
-
 func (c *checker) group(g *Group) {
 	c.names("ranks", g.Ranks)
 	c.Range("ranks", int64(len(g.Ranks)), 1, maxRanks, "targets")
@@ -111,20 +134,28 @@
 		c.Addf("slots_per_rank", g.SlotsPerRank, "a slot for each of %d experts; %d ranks with %d slots have %d",
 			g.Experts, len(g.Ranks), g.SlotsPerRank, slots)
 	}
-	if c.view != nil {
-		c.ranks(g.Ranks)
+	if c.view == nil {
+		return
+	}
+	if c.path.Team != "" {
+		c.ownTeam()
 	}
+	_, holder, taken := c.view.Group(c.path.Name)
+	c.ownName(holder, taken)
+	c.ranks(g.Ranks)
 }
 
 // ranks checks that the ranks of a group exist and serve the same models.
 func (c *checker) ranks(ranks []string) {
 	var first []string
 	for i, name := range ranks {
-		target, ok := c.view.Target(name)
+		target, _, ok := c.view.Target(name)
 		switch {
 		case !ok:
-			c.Addf("ranks", name, "a target that exists; there is no %s", targetPath(name))
+			c.Add("ranks", name, "a target that exists")
 			continue
+		case c.path.Team != "" && target.Team != c.path.Team:
+			c.Addf("ranks", name, "a target of team %s", c.path.Team)
 		case target.Kind == ServiceTarget:
 			c.Add("ranks", name, "a target of kind model")
 		}
--- a/internal/core/schema/check_team.go
+++ b/internal/core/schema/check_team.go
@@ -25,7 +25,7 @@
 var httpMethods = []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"}
 
 func (c *checker) operator(o *Operator) {
-	c.tokenHash(o.TokenSHA256, "/operators/"+c.path.Name)
+	c.tokenHash(o.TokenSHA256)
 	if o.Subtree == "/" {
 		return
 	}
@@ -83,7 +83,7 @@
 }
 
 func (c *checker) account(a *Account) {
-	c.tokenHash(a.TokenSHA256, "/teams/"+c.path.Team+"/accounts/"+c.path.Name)
+	c.tokenHash(a.TokenSHA256)
 	c.limits(a.Limits)
 	c.class("class", a.Class)
 	team, ok := c.ownTeam()
@@ -136,8 +136,8 @@
 	if w.Group == "" {
 		return
 	}
-	if _, ok := c.view.Group(w.Group); !ok {
-		c.Addf("group", w.Group, "a group that exists; there is no /groups/%s", w.Group)
+	if _, _, ok := c.view.Group(w.Group); !ok {
+		c.Add("group", w.Group, "a group that exists")
 	}
 }
 
--- a/internal/core/schema/doc.go
+++ b/internal/core/schema/doc.go
@@ -13,4 +13,8 @@
 //	/teams/{team}/models/{model}         Model
 //	/teams/{team}/workloads/{workload}   Workload
 //	/teams/{team}/services/{service}     Service
+//	/teams/{team}/targets/{target}       Target of this team only
+//	/teams/{team}/groups/{group}         Group of this team's targets
+//
+// The names of targets are unique over all paths, and so are those of groups.
 package schema
--- a/internal/core/schema/path.go
+++ b/internal/core/schema/path.go
@@ -39,6 +39,8 @@
 		"models":    KindModel,
 		"workloads": KindWorkload,
 		"services":  KindService,
+		"targets":   KindTarget,
+		"groups":    KindGroup,
 	}
 )
 
@@ -49,9 +51,25 @@
 	Name string
 }
 
+// String returns the path's text.
+func (p Path) String() string {
+	segments := topSegments
+	prefix := "/"
+	if p.Team != "" && p.Kind != KindTeam {
+		segments = teamSegments
+		prefix = "/teams/" + p.Team + "/"
+	}
+	for segment, kind := range segments {
+		if kind == p.Kind {
+			return prefix + segment + "/" + p.Name
+		}
+	}
+	return ""
+}
+
 // ErrPath reports a path that holds no setting.
 var ErrPath = errors.New("want /domains/NAME, /operators/NAME, /targets/NAME, /groups/NAME, /teams/TEAM " +
-	"or /teams/TEAM/accounts|models|workloads|services/NAME, each name of a-z, 0-9, '.', '_' and '-'")
+	"or /teams/TEAM/accounts|models|workloads|services|targets|groups/NAME, each name of a-z, 0-9, '.', '_' and '-'")
 
 // ParsePath returns the kind and names of a settings path. The error is ErrPath.
 func ParsePath(path string) (Path, error) {
--- a/internal/core/schema/view.go
+++ b/internal/core/schema/view.go
@@ -5,8 +5,8 @@
 type View interface {
 	Domain(name string) bool
 	Team(name string) (Team, bool)
-	Target(name string) (Target, bool)
-	Group(name string) (Group, bool)
+	Target(name string) (target Target, path string, ok bool)
+	Group(name string) (group Group, path string, ok bool)
 	Model(team, name string) (Model, bool)
 	// Declared reports whether the team declares a model or service.
 	Declared(kind TargetKind, team, name string) bool
--- a/internal/settingssync/agents.go
+++ b/internal/settingssync/agents.go
@@ -44,11 +44,13 @@
 
 // subtreesOf returns the sorted subtrees that one target's agent needs.
 func subtreesOf(c *catalog.Catalog, target *catalog.Target, groups []string, services map[string][]string) []string {
-	subtrees := []string{"/domains/" + target.FailureDomain, "/targets/" + target.Name}
+	subtrees := []string{"/domains/" + target.FailureDomain, target.Path}
 	for _, group := range groups {
-		subtrees = append(subtrees, "/groups/"+group)
+		subtrees = append(subtrees, c.GroupPaths[group])
 		for _, rank := range c.Groups[group].Ranks {
-			subtrees = append(subtrees, "/targets/"+rank)
+			if target := c.Targets[rank]; target != nil {
+				subtrees = append(subtrees, target.Path)
+			}
 		}
 	}
 	if target.Kind == schema.ServiceTarget {
