--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -222,15 +222,18 @@
 	if err != nil {
 		return err
 	}
-	response, err := w.http.Post(process.Base+"/standin/fault", "application/json", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode/100 != 2 {
-		return errors.Errorf("fault of %s: status %d", name, response.StatusCode)
-	}
-	return nil
+	// A stand-in that was just started may not listen yet.
+	return eventually(startLimit, func() error {
+		response, err := w.http.Post(process.Base+"/standin/fault", "application/json", bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		_ = response.Body.Close()
+		if response.StatusCode/100 != 2 {
+			return errors.Errorf("fault of %s: status %d", name, response.StatusCode)
+		}
+		return nil
+	})
 }
 
 // cmdReadiness waits until a process's /readyz gives the status:
