Bound the traffic between entries: rounds grow with the peers

At 8 messages a second an entry with 7 peers tells each of them once a second, one with 419 peers once in 52 s; the times after which shares of limits shrink and grow stretch alike. New strikes go to at most 32 peers at once.

--- a/internal/app/entry/bench_test.go
+++ b/internal/app/entry/bench_test.go
@@ -17,12 +17,17 @@
 	"quetzalbend/internal/wire"
 )
 
+const tokensOfBench = 16
+
 // BenchmarkStream measures one streamed request of 16 tokens from caller to
 // agent, with caller, entry and agent in one process.
 func BenchmarkStream(b *testing.B) {
 	e := benchEntry(b)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-	body := []byte(`{"model":"draft","stream":true,"messages":[{"role":"user","content":"hi"}]}`)
+	benchRequests(b, e, client, []byte(`{"model":"draft","stream":true,"messages":[{"role":"user","content":"hi"}]}`))
+}
+
+func benchRequests(b *testing.B, e *Entry, client *http.Client, body []byte) {
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
@@ -49,7 +54,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
 	w.agent = listener.Addr().String()
-	agent := link.NewServer(link.Config{}, tokens(16))
+	agent := link.NewServer(link.Config{}, agentWith(tokensOfBench))
 	go func() { _ = agent.Serve(listener) }()
 	w.putDefaults()
 	e, _, _ := w.start("e0", nil)
@@ -59,8 +64,8 @@
 	return e
 }
 
-// tokens plays an agent that answers each call with count tokens at once.
-func tokens(count int) link.Handler {
+// agentWith plays an agent that answers each call with count tokens at once.
+func agentWith(count int) link.Handler {
 	return func(_ context.Context, open *wire.Open, stream *link.Stream) {
 		call := open.GetCall()
 		if call == nil {
@@ -87,3 +92,10 @@
 		}
 	}
 }
+
+// BenchmarkWhole measures one request whose answer is one JSON object.
+func BenchmarkWhole(b *testing.B) {
+	e := benchEntry(b)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	benchRequests(b, e, client, []byte(`{"model":"draft","messages":[{"role":"user","content":"hi"}]}`))
+}
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -81,7 +81,7 @@
 		security: security,
 		platform: platform.NewClient(platform.Config{BaseURL: cfg.Platform, Node: cfg.Name}),
 		strikes:  strike.NewTable(cfg.Name + "/" + incarnation),
-		limits:   limits.New(limits.Config{}),
+		limits:   limits.New(limitsConfig(len(cfg.Peers))),
 		settings: gometrics.NewRegistry(),
 	}
 	e.exchange = &exchanger{
@@ -91,6 +91,7 @@
 		pool:        e.pool,
 		limits:      e.limits,
 		strikes:     e.strikes,
+		round:       roundTime(len(cfg.Peers)),
 		struck:      make(chan struct{}, 1),
 	}
 	e.node = settingssync.NewNode(settingssync.Config{
--- a/internal/app/entry/exchange.go
+++ b/internal/app/entry/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -14,15 +15,33 @@
 )
 
 const (
-	exchangeInterval = time.Second
-	exchangeTimeout  = 2 * time.Second
-	exchangesAtOnce  = 32
-	strikesNewFor    = 5 * time.Second // how long a new strike is told in each exchange
-	allStrikesEvery  = 30              // exchanges from one that tells all strikes to the next
-	maxStrikesTold   = 1024
-	noSettingsWanted = int64(1) << 62 // an offset that no peer is above
+	shortestRound      = time.Second
+	tellsPerSecond     = 8 // to peers, unless the shortest round asks for more
+	tellTimeout        = 2 * time.Second
+	tellsAtOnce        = 32
+	peersToldOfStrikes = 32 // at once; the others hear of them in the next round
+	roundsOfNewStrikes = 5  // in which a new strike is told
+	roundsToAllStrikes = 30 // from one that tells all strikes to the next
+	maxStrikesTold     = 1024
+	noSettingsWanted   = int64(1) << 62 // an offset that no peer is above
 )
 
+// roundTime returns the time in which each of some peers is told once. It
+// grows with their number, so that the traffic of a node does not.
+func roundTime(peers int) time.Duration {
+	return max(shortestRound, time.Duration(peers)*time.Second/tellsPerSecond)
+}
+
+// limitsConfig returns how long shares wait for peers that are told of demands
+// once in a round.
+func limitsConfig(peers int) limits.Config {
+	stretch := float64(roundTime(peers)) / float64(shortestRound)
+	return limits.Config{
+		StaleAfter: time.Duration(float64(limits.DefaultStaleAfter) * stretch),
+		Guard:      time.Duration(float64(limits.DefaultGuard) * stretch),
+	}
+}
+
 // exchanger tells all peers the demands on limits and the strikes of this
 // entry, and takes in theirs.
 type exchanger struct {
@@ -33,6 +52,7 @@
 	limits      *limits.Limiter
 	strikes     *strike.Table
 	struck      chan struct{} // a strike that peers are to hear of at once
+	round       time.Duration // in which each peer is told once
 	rounds      int
 }
 
@@ -51,25 +71,49 @@
 		names = append(names, peer.Name)
 	}
 	x.limits.SetPeers(time.Now(), names)
-	ticker := time.NewTicker(exchangeInterval)
+	ticker := time.NewTicker(x.round / time.Duration(max(len(x.peers), 1)))
 	defer ticker.Stop()
-	for {
+	var tells errgroup.Group
+	tells.SetLimit(tellsAtOnce)
+	defer func() { _ = tells.Wait() }()
+	var sync *wire.PeerSync
+	for turn := 0; ; {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-			x.tellAll(ctx, x.report(time.Now()))
 		case <-x.struck:
-			x.tellAll(ctx, x.message(x.newStrikes(time.Now())))
+			x.tellStrikes(ctx, &tells)
+		case <-ticker.C:
+			if turn == 0 {
+				sync = x.report(time.Now())
+			}
+			if turn < len(x.peers) {
+				peer := x.peers[turn]
+				message := sync
+				tells.Go(func() error { x.tell(ctx, peer, message); return nil })
+			}
+			turn = (turn + 1) % max(len(x.peers), 1)
 		}
 	}
 }
 
+// tellStrikes tells some peers of new strikes at once.
+func (x *exchanger) tellStrikes(ctx context.Context, tells *errgroup.Group) {
+	sync := x.message(x.newStrikes(time.Now()))
+	for i, n := range rand.Perm(len(x.peers)) {
+		if i == peersToldOfStrikes {
+			return
+		}
+		peer := x.peers[n]
+		tells.Go(func() error { x.tell(ctx, peer, sync); return nil })
+	}
+}
+
 // report returns the regular message with the demands on limits.
 func (x *exchanger) report(now time.Time) *wire.PeerSync {
 	strikes := x.newStrikes(now)
 	x.rounds++
-	if x.rounds%allStrikesEvery == 0 {
+	if x.rounds%roundsToAllStrikes == 0 {
 		strikes = x.strikes.Counts(now)
 	}
 	sync := x.message(strikes)
@@ -87,7 +131,7 @@
 }
 
 func (x *exchanger) newStrikes(now time.Time) []strike.Count {
-	return x.strikes.CountsSince(now.Add(-strikesNewFor), now)
+	return x.strikes.CountsSince(now.Add(-roundsOfNewStrikes*x.round), now)
 }
 
 func (x *exchanger) message(strikes []strike.Count) *wire.PeerSync {
@@ -103,32 +147,20 @@
 	return sync
 }
 
-func (x *exchanger) tellAll(ctx context.Context, sync *wire.PeerSync) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+// tell sends a message to one peer and notes its delivery. A peer that cannot
+// be told is told again in the next round.
+func (x *exchanger) tell(ctx context.Context, peer settingssync.Peer, sync *wire.PeerSync) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	var group errgroup.Group
-	group.SetLimit(exchangesAtOnce)
-	for _, peer := range x.peers {
-		group.Go(func() error {
-			if x.tell(ctx, peer, sync) == nil && sync.GetReport() > 0 {
-				x.limits.Delivered(time.Now(), peer.Name, sync.GetReport())
-			}
-			return nil
-		})
-	}
-	_ = group.Wait()
-}
-
-func (x *exchanger) tell(ctx context.Context, peer settingssync.Peer, sync *wire.PeerSync) error {
 	stream, err := x.pool.Open(ctx, peer.Addr, &wire.Open{Purpose: &wire.Open_Peer{Peer: sync}})
 	if err != nil {
-		return err
+		return
 	}
 	defer func() { _ = stream.Close() }()
-	if err := stream.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
-		return err
+	_ = stream.SetDeadline(time.Now().Add(tellTimeout))
+	if stream.Receive(&wire.SettingsUpdate{}) == nil && sync.GetReport() > 0 {
+		x.limits.Delivered(time.Now(), peer.Name, sync.GetReport())
 	}
-	return stream.Receive(&wire.SettingsUpdate{})
 }
 
 // take takes in what a peer tells.
--- /dev/null
+++ b/internal/app/entry/exchange_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/core/limits"
+	"quetzalbend/internal/settingssync"
+)
+
+func TestRoundsGrowWithThePeersAndLimitsWithTheRounds(t *testing.T) {
+	assert.Equal(t, roundTime(7), time.Second)
+	assert.Equal(t, limitsConfig(7).StaleAfter, limits.DefaultStaleAfter)
+	assert.Equal(t, roundTime(400), 50*time.Second)
+	assert.Equal(t, limitsConfig(400).Guard, 50*limits.DefaultGuard)
+}
+
+// Two entries that hear each other share a limit: together they admit about as
+// much as one alone.
+func TestEntriesShareALimit(t *testing.T) {
+	w := newWorld(t)
+	w.putDefaults()
+	one, _, _ := w.start("e1", nil)
+	ready(t, one)
+	two, _, _ := w.start("e2", func(c *Config) {
+		c.Peers = []settingssync.Peer{{Name: "e1", Addr: one.PeersAddr(), FailureDomain: "d"}}
+	})
+	ready(t, two)
+	// An entry that never hears of e2 keeps to its part of two entries' limit.
+	one.limits.SetPeers(time.Now(), []string{"e2"})
+	subject := limits.Subject{Name: "t", Limits: limits.Amounts{limits.Concurrent: 40}}
+	admitted := func(e *Entry) int {
+		count := 0
+		for {
+			if _, refusal := e.limits.Admit(time.Now(), subject, limits.Subject{}); refusal != nil {
+				return count
+			}
+			count++
+		}
+	}
+	sum := admitted(one) + admitted(two)
+	assert.Assert(t, sum > 0 && sum <= 40, "%d requests at once", sum)
+}
