--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -64,6 +64,12 @@
 	})
 }
 
+func TestANewProcessRetriesItsFirstRequests(t *testing.T) {
+	now := time.Unix(1, 0)
+	refused := Attempt{Outcome: NotRun, Repeatable: true, Number: 1, Now: now, Deadline: now.Add(time.Hour)}
+	assert.Equal(t, Decide(refused, NewBudget()), Retry)
+}
+
 func TestOnlyRefusalsForWantOfRoomAreCharged(t *testing.T) {
 	now := time.Unix(1, 0)
 	attempt := Attempt{Repeatable: true, Number: 2, Now: now, Deadline: now.Add(time.Hour)}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -26,6 +26,7 @@
 	rounds   int // waits after all targets were tried
 	tried    []string
 	last     *routing.Member
+	refusal  *Failure // the last one of an agent
 }
 
 // step makes one attempt. Of its results one is set: the answer, an action
@@ -60,10 +61,10 @@
 	r.learn(member, result, now)
 	failure := r.failure(result.code, result.err)
 	failure.RetryAfter = result.retryAfter
-	if result.callerGone {
-		return nil, retry.GiveUp, failure
+	if result.outcome == retry.NotRun {
+		r.refusal = failure
 	}
-	if result.final {
+	if result.callerGone || result.final {
 		return nil, retry.GiveUp, failure
 	}
 	action := retry.Decide(retry.Attempt{
@@ -73,7 +74,7 @@
 		Breaks:     r.breaks,
 		Now:        now,
 		Deadline:   r.req.Deadline,
-	}, &r.d.budget)
+	}, r.d.budget)
 	if action != retry.Ask && ctx.Err() != nil {
 		return nil, retry.GiveUp, r.interrupted(ctx)
 	}
@@ -161,10 +162,15 @@
 	return failure
 }
 
+// noTarget is the failure of a request that no target is left for: the last
+// refusal, if there was one.
 func (r *run) noTarget(ctx context.Context) *Failure {
 	if ctx.Err() != nil {
 		return r.interrupted(ctx)
 	}
+	if r.refusal != nil && r.breaks == 0 {
+		return r.refusal
+	}
 	failure := r.failure(CodeNoTarget, nil)
 	failure.RetryAfter = time.Second
 	if r.attempts > 0 && r.breaks == 0 {
