--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -344,3 +345,24 @@
 	resp, _ := send(t, addr, "POST", chatPath, chatBody)
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 }
+
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	stopped := make(chan error, 1)
+	d := &fakeDispatcher{play: func(_ context.Context, out dispatch.StreamWriter) (*dispatch.Answer, error) {
+		piece := []byte("data: " + strings.Repeat("x", 1<<20) + "\n\n")
+		for {
+			if err := out.Write(piece); err != nil {
+				stopped <- err
+				return nil, &dispatch.Failure{Code: dispatch.CodeCallerGone, Streaming: true}
+			}
+		}
+	}}
+	addr := start(t, Config{Dispatcher: d, Bounds: Bounds{WriteTimeout: 50 * time.Millisecond}})
+	conn, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	body := `{"model":"draft","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: %d\r\n\r\n%s", chatPath, len(body), body)
+	assert.NilError(t, err)
+	assert.ErrorIs(t, <-stopped, os.ErrDeadlineExceeded)
+}
--- a/internal/app/load/fleet/fleet_test.go
+++ b/internal/app/load/fleet/fleet_test.go
@@ -142,3 +142,22 @@
 	assert.Equal(t, outcome.Code, "request_kills_targets")
 	assert.Equal(t, outcome.Ran, caller.RanNo)
 }
+
+func TestCallerThatGoesAwayCancelsAtTheEngine(t *testing.T) {
+	f := startFleet(t, Config{Engines: 1})
+	for _, e := range f.Engines {
+		e.fault(t, `{"stall":true}`)
+	}
+	cancelled := func() int { return f.Engines[0].Truth().Cancelled + f.Engines[1].Truth().Cancelled }
+
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		f.entries[0].client.Send(ctx, f.draft(0))
+		close(done)
+	}()
+	eventually(t, "the draft runs", func() bool { return f.running() == 1 })
+	leave()
+	<-done
+	eventually(t, "the engine cancels", func() bool { return cancelled() == 1 && f.running() == 0 })
+}
