Run calls that may not be repeated by claims in the platform's log

The first claim of a key by offset wins; only its incarnation runs the call.

The agent follows settings and the platform's list of VMs and refuses new work while its target, its domain or its VM is leaving.

--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -16,6 +16,8 @@
 	"quetzalbend/internal/adapter/keys"
 	"quetzalbend/internal/adapter/link"
 	"quetzalbend/internal/adapter/service"
+	"quetzalbend/internal/claimlog"
+	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/metrics"
 	"quetzalbend/internal/settingssync"
@@ -24,7 +26,8 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	handBackTime      = time.Second // for streams handed back after the grace
+	flushTime         = 2 * time.Second // for answers not yet recorded
+	handBackTime      = time.Second     // for streams handed back after the grace
 )
 
 var errLeaving = errors.New("the target is leaving")
@@ -38,7 +41,11 @@
 	keys        *keys.Keys      // nil for plain TCP
 	engine      *engine.Client  // nil in front of a service
 	service     *service.Client // nil in front of an engine
-	leaving     atomic.Bool
+	claims      *claimlog.Log   // nil in front of an engine
+	view        atomic.Pointer[catalog.Catalog]
+	leaving     atomic.Bool // by signal
+	out         atomic.Bool // by the settings
+	vmLeaving   atomic.Bool // by the platform's list
 	running     atomic.Int32
 	work        context.Context // of all calls; ends with errLeaving after the grace
 	stopWork    context.CancelCauseFunc
@@ -69,6 +76,7 @@
 		a.engine = engine.New(config.Engine)
 	} else {
 		a.service = service.New(config.Service)
+		a.claims = a.newClaims()
 	}
 	return a, nil
 }
@@ -115,6 +123,13 @@
 	if a.keys != nil {
 		group.Go(func() error { return a.keys.Run(ctx) })
 	}
+	if a.claims != nil {
+		group.Go(func() error { return a.claims.Run(ctx) })
+	}
+	group.Go(func() error { a.followSettings(ctx); return nil })
+	if a.config.Platform != "" {
+		group.Go(func() error { a.followVMs(ctx); return nil })
+	}
 }
 
 func (a *Agent) linkConfig() link.Config {
@@ -135,12 +150,22 @@
 	if err := server.Shutdown(wait); err != nil {
 		log.WithError(err).Warn("left with running work")
 	}
+	if a.claims == nil {
+		return
+	}
+	flush, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	if err := a.claims.Flush(flush); err != nil {
+		log.WithError(err).Warn("left with answers that are not recorded")
+	}
 }
 
 func (a *Agent) handle(ctx context.Context, open *wire.Open, stream *link.Stream) {
 	switch {
 	case open.GetCall() != nil:
 		a.serveCall(ctx, open.GetCall(), stream)
+	case open.GetAsk() != nil:
+		a.serveAsk(open.GetAsk(), stream)
 	case open.GetSettings() != nil:
 		a.settings.Handle(ctx, open, stream)
 	case open.GetStatus() != nil:
@@ -165,7 +190,7 @@
 	return &wire.Load{
 		Incarnation: a.incarnation,
 		Running:     a.running.Load(),
-		Leaving:     a.leaving.Load(),
+		Leaving:     a.refusesNewWork(),
 	}
 }
 
@@ -176,7 +201,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if a.leaving.Load() {
+		if a.refusesNewWork() || a.claims != nil && !a.claims.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/app/agent/call.go
+++ b/internal/app/agent/call.go
@@ -24,7 +24,7 @@
 }
 
 func (a *Agent) run(ctx context.Context, call *wire.Call, out *answer) error {
-	if a.leaving.Load() {
+	if a.refusesNewWork() {
 		return out.refused(&wire.Refused{Reason: reasonLeaving})
 	}
 	a.running.Add(1)
--- /dev/null
+++ b/internal/app/agent/once.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/adapter/link"
+	"quetzalbend/internal/adapter/platform"
+	"quetzalbend/internal/adapter/service"
+	"quetzalbend/internal/claimlog"
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/claims"
+	"quetzalbend/internal/port"
+	"quetzalbend/internal/wire"
+)
+
+const (
+	defaultKeyWindow      = time.Hour
+	defaultServiceTimeout = 10 * time.Second
+)
+
+// newClaims returns the claims of the agent's service.
+func (a *Agent) newClaims() *claimlog.Log {
+	client := platform.NewClient(platform.Config{BaseURL: a.config.Platform, Node: a.config.VM})
+	return claimlog.New(claimlog.Config{
+		Log:         client,
+		Stream:      claimsStream(a.config.Team, a.config.ServiceName),
+		Target:      a.config.Name,
+		Incarnation: a.incarnation,
+		Window:      a.keyWindow,
+	})
+}
+
+// claimsStream names the stream of one service's claims.
+func claimsStream(team, service string) string {
+	return port.ClaimsStreamPrefix + team + "." + service
+}
+
+// settingsOfService returns the service as the settings have it, or nil.
+func (a *Agent) settingsOfService() *catalog.Service {
+	view := a.catalog()
+	if view == nil {
+		return nil
+	}
+	return view.Services[catalog.TeamName{Team: a.config.Team, Name: a.config.ServiceName}]
+}
+
+func (a *Agent) keyWindow() time.Duration {
+	if s := a.settingsOfService(); s != nil && s.KeyWindowMS > 0 {
+		return milliseconds(s.KeyWindowMS)
+	}
+	return defaultKeyWindow
+}
+
+func (a *Agent) serviceTimeout() time.Duration {
+	if s := a.settingsOfService(); s != nil && s.TimeoutMS > 0 {
+		return milliseconds(s.TimeoutMS)
+	}
+	return defaultServiceTimeout
+}
+
+// runOnce runs a call that may not be repeated. Its run goes on to its end when
+// the caller goes away, so that a repeat can have the answer.
+func (a *Agent) runOnce(ctx context.Context, call *wire.Call, out *answer) error {
+	work := call.GetService()
+	request := claimlog.Request{
+		Account:     call.GetAccount(),
+		Key:         work.GetIdempotencyKey(),
+		Fingerprint: claims.FingerprintOf(work.GetMethod(), work.GetPath(), work.GetBody()),
+	}
+	result := a.claims.Do(ctx, request, func() claimlog.Outcome {
+		_ = out.admitted() // the caller may be gone; the run is decided all the same
+		return a.runClaimed(work)
+	})
+	switch {
+	case result.Answer != nil:
+		return relayService(out, fromClaim(result.Answer), result.Replayed)
+	case result.Ran == claimlog.RanNo:
+		return out.refused(&wire.Refused{Reason: string(result.Reason)})
+	case result.Ran == claimlog.RanYes:
+		return out.failed(&wire.Failed{Ran: wire.Ran_RAN_YES, Reason: string(result.Reason)})
+	default:
+		return out.failed(&wire.Failed{Ran: wire.Ran_RAN_UNKNOWN, Reason: string(result.Reason)})
+	}
+}
+
+// runClaimed makes the one call of a claim that has won.
+func (a *Agent) runClaimed(work *wire.ServiceCall) claimlog.Outcome {
+	ctx, cancel := context.WithTimeout(a.work, a.serviceTimeout())
+	defer cancel()
+	response, err := a.service.Do(ctx, serviceCall(work))
+	if errors.Is(err, service.ErrNotSent) {
+		return claimlog.Outcome{NotSent: true}
+	}
+	if err != nil {
+		return claimlog.Outcome{}
+	}
+	return claimlog.Outcome{Answer: toClaim(response)}
+}
+
+// toClaim turns a service's answer into what the log keeps.
+func toClaim(response service.Answer) *claims.Answer {
+	kept := &claims.Answer{Status: response.Status, Body: response.Body}
+	for _, h := range wireHeaders(response.Header) {
+		kept.Headers = append(kept.Headers, claims.Header{Name: h.GetName(), Value: h.GetValue()})
+	}
+	return kept
+}
+
+// fromClaim is the reverse of toClaim.
+func fromClaim(kept *claims.Answer) service.Answer {
+	header := make(http.Header, len(kept.Headers))
+	for _, h := range kept.Headers {
+		header.Add(h.Name, h.Value)
+	}
+	return service.Answer{Status: kept.Status, Header: header, Body: kept.Body}
+}
+
+// serveAsk says what became of a call that may not be repeated.
+func (a *Agent) serveAsk(ask *wire.AskOutcome, stream *link.Stream) {
+	if a.claims == nil || ask.GetService() != a.config.ServiceName || !a.claims.Ready() {
+		_ = stream.Send(&wire.Outcome{Ran: wire.Ran_RAN_UNKNOWN, Running: true})
+		return
+	}
+	_ = stream.Send(outcomeOf(a.claims.Ask(ask.GetAccount(), ask.GetIdempotencyKey())))
+}
+
+// outcomeOf says what is known of a key. A free key is unknown too: a claim
+// may be on its way.
+func outcomeOf(state claims.State) *wire.Outcome {
+	outcome := &wire.Outcome{Ran: wire.Ran_RAN_UNKNOWN}
+	switch state.Phase {
+	case claims.Claimed:
+		outcome.Running = !state.OwnerGone
+	case claims.Answered:
+		outcome.Ran = wire.Ran_RAN_YES
+		if !state.Answer.Dropped {
+			kept := fromClaim(state.Answer)
+			outcome.Head = &wire.Head{Status: int32(kept.Status), Headers: wireHeaders(kept.Header)}
+			outcome.Body = kept.Body
+		}
+	case claims.Free, claims.Unknown:
+	}
+	return outcome
+}
--- a/internal/app/agent/reasons.go
+++ b/internal/app/agent/reasons.go
@@ -1,12 +1,14 @@
 package agent
 
+import "quetzalbend/internal/claimlog"
+
 // Stable codes of refusals and failures.
 const (
 	reasonLeaving       = "leaving"
 	reasonWrongTarget   = "wrong_target"
 	reasonBadCall       = "bad_call"
+	reasonUnreachable   = string(claimlog.NotSent)
 	reasonTargetRefused = "target_refused"
-	reasonUnreachable   = "target_unreachable"
 	reasonTargetDied    = "target_died"
 	reasonCut           = "answer_cut"
 	reasonMalformed     = "answer_malformed"
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -20,6 +20,9 @@
 	if !work.GetIdempotent() && work.GetIdempotencyKey() == "" {
 		return out.refused(&wire.Refused{Reason: reasonBadCall, Detail: "a call that may not be repeated needs an idempotency key"})
 	}
+	if !work.GetIdempotent() {
+		return a.runOnce(ctx, call, out)
+	}
 	if err := out.admitted(); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/app/agent/settings.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/apex/log"
+
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/schema"
+)
+
+// catalog returns the settings in force, nil before the first ones came.
+func (a *Agent) catalog() *catalog.Catalog { return a.view.Load() }
+
+// followSettings keeps the catalog at the newest settings until ctx ends.
+func (a *Agent) followSettings(ctx context.Context) {
+	for {
+		changed := a.settings.Changed()
+		if snapshot := a.settings.Snapshot(); snapshot != nil {
+			a.takeCatalog(catalog.Rebuild(a.view.Load(), snapshot))
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// takeCatalog puts settings in force.
+func (a *Agent) takeCatalog(view *catalog.Catalog) {
+	a.view.Store(view)
+	out := a.isOut(view)
+	if a.out.Swap(out) != out {
+		log.WithFields(log.Fields{"target": a.config.Name, "out": out, "offset": view.Offset}).Info("settings changed the target's state")
+	}
+}
+
+// isOut reports whether the settings keep new work from this target: its own
+// state, or that of the failure domain it is in by either account.
+func (a *Agent) isOut(view *catalog.Catalog) bool {
+	if view.Domains[a.config.FailureDomain].State == schema.Out {
+		return true
+	}
+	target, known := view.Targets[a.config.Name]
+	return known && !target.Serving()
+}
+
+// refusesNewWork reports whether the target is leaving for any reason.
+func (a *Agent) refusesNewWork() bool {
+	return a.leaving.Load() || a.out.Load() || a.vmLeaving.Load()
+}
--- /dev/null
+++ b/internal/claimlog/log_test.go
@@ -0,0 +1,260 @@
+package claimlog
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"quetzalbend/internal/adapter/memorylog"
+	"quetzalbend/internal/core/claims"
+	"quetzalbend/internal/port"
+)
+
+// faultyLog is a log whose faults a test sets.
+type faultyLog struct {
+	port.Log
+	lock     sync.Mutex
+	readErr  error
+	before   error // appends fail and take no effect
+	after    error // appends take effect and fail
+	swallow  bool  // appends neither take effect nor say so
+	appended atomic.Int64
+}
+
+func (f *faultyLog) set(change func(*faultyLog)) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	change(f)
+}
+
+func (f *faultyLog) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	f.lock.Lock()
+	before, after, swallow := f.before, f.after, f.swallow
+	f.lock.Unlock()
+	if before != nil {
+		return 0, before
+	}
+	if swallow {
+		return 0, errors.New("no answer")
+	}
+	offset, err := f.Log.Append(ctx, stream, records)
+	f.appended.Add(1)
+	if after != nil {
+		return 0, after
+	}
+	return offset, err
+}
+
+func (f *faultyLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (port.Page, error) {
+	f.lock.Lock()
+	err := f.readErr
+	f.lock.Unlock()
+	if err != nil {
+		return port.Page{}, err
+	}
+	return f.Log.Read(ctx, stream, from, limit, min(wait, 20*time.Millisecond))
+}
+
+func newFaultyLog() *faultyLog { return &faultyLog{Log: memorylog.New(memorylog.Retention{})} }
+
+// start runs the claims of one agent until the test ends or stop is called.
+func start(t testing.TB, log port.Log, target, incarnation string) (*Log, func()) {
+	t.Helper()
+	l := New(Config{
+		Log: log, Stream: "claims.x", Target: target, Incarnation: incarnation,
+		AppendInterval: time.Millisecond, ClaimTimeout: 300 * time.Millisecond,
+		Window: func() time.Duration { return time.Hour },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = l.Run(ctx)
+	}()
+	stop := func() {
+		cancel()
+		<-ended
+	}
+	t.Cleanup(stop)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if l.Available() {
+			return poll.Success()
+		}
+		return poll.Continue("not caught up")
+	}, poll.WithDelay(time.Millisecond))
+	return l, stop
+}
+
+// service counts its runs.
+type service struct{ runs atomic.Int64 }
+
+func (s *service) run() Outcome {
+	return Outcome{Answer: &claims.Answer{Status: 200, Body: []byte(fmt.Sprint("run ", s.runs.Add(1)))}}
+}
+
+var call = Request{Account: "a", Key: "k"}
+
+func TestRepeatsGetTheOneAnswerFromAnyAgent(t *testing.T) {
+	log := newFaultyLog()
+	var service service
+	first, stop := start(t, log, "t1", "i1")
+	second, _ := start(t, log, "t2", "i2")
+	var group sync.WaitGroup
+	for i := range 20 {
+		agent := []*Log{first, second}[i%2]
+		group.Go(func() {
+			result := agent.Do(t.Context(), call, service.run)
+			assert.Check(t, result.Answer != nil && string(result.Answer.Body) == "run 1", "%+v", result)
+		})
+	}
+	group.Wait()
+	stop()
+	third, _ := start(t, log, "t3", "i3")
+	result := third.Do(t.Context(), call, service.run)
+	assert.Equal(t, string(result.Answer.Body), "run 1")
+	assert.Assert(t, result.Replayed)
+	assert.Equal(t, service.runs.Load(), int64(1))
+
+	reused := call
+	reused.Fingerprint = claims.FingerprintOf("POST", "/", []byte("another"))
+	assert.DeepEqual(t, third.Do(t.Context(), reused, service.run), notRun(KeyReused))
+	other := call
+	other.Account = "b"
+	assert.Equal(t, string(third.Do(t.Context(), other, service.run).Answer.Body), "run 2")
+}
+
+func TestLostAnswerOfAnAppendIsNoLoss(t *testing.T) {
+	log := newFaultyLog()
+	var service service
+	agent, _ := start(t, log, "t1", "i1")
+	log.set(func(f *faultyLog) { f.after = errors.New("answer lost") })
+	assert.Equal(t, string(agent.Do(t.Context(), call, service.run).Answer.Body), "run 1")
+	log.set(func(f *faultyLog) { f.after = nil })
+	other, _ := start(t, log, "t2", "i2")
+	assert.Equal(t, string(other.Do(t.Context(), call, service.run).Answer.Body), "run 1")
+	assert.Equal(t, service.runs.Load(), int64(1))
+}
+
+func TestOutageRefusesNewKeysAndReplaysOldOnes(t *testing.T) {
+	log := newFaultyLog()
+	var service service
+	agent, _ := start(t, log, "t1", "i1")
+	assert.Equal(t, agent.Do(t.Context(), call, service.run).Ran, RanYes)
+	log.set(func(f *faultyLog) {
+		f.readErr = errors.New("down")
+		f.before = errors.Wrap(port.ErrNotAppended, "down")
+	})
+	fresh := Request{Account: "a", Key: "fresh"}
+	assert.DeepEqual(t, agent.Do(t.Context(), fresh, service.run), notRun(Unavailable))
+	assert.Assert(t, agent.Do(t.Context(), call, service.run).Replayed)
+	log.set(func(f *faultyLog) { f.readErr, f.before = nil, nil })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if agent.Do(t.Context(), fresh, service.run).Ran == RanYes {
+			return poll.Success()
+		}
+		return poll.Continue("refused")
+	}, poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, service.runs.Load(), int64(2))
+}
+
+func TestClaimWithoutVerdictIsGivenUpForGood(t *testing.T) {
+	log := newFaultyLog()
+	var service service
+	agent, _ := start(t, log, "t1", "i1")
+	log.set(func(f *faultyLog) { f.swallow = true })
+	result := agent.Do(t.Context(), call, service.run)
+	assert.Equal(t, result.Ran, RanNo)
+	log.set(func(f *faultyLog) { f.swallow = false })
+	late, err := claims.Batch{
+		Target: "t1", Incarnation: "i1",
+		Ops: []claims.Op{{Kind: claims.KindClaim, Key: claims.KeyOf("a", "k"), Serial: 1}},
+	}.Encode()
+	assert.NilError(t, err)
+	_, err = log.Append(t.Context(), "claims.x", [][]byte{late})
+	assert.NilError(t, err)
+	other, _ := start(t, log, "t2", "i2")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		if other.Do(ctx, call, service.run).Ran == RanYes {
+			return poll.Success()
+		}
+		return poll.Continue("the late claim still holds the key")
+	}, poll.WithDelay(time.Millisecond))
+	assert.Equal(t, service.runs.Load(), int64(1))
+}
+
+func TestRunWithoutAnswerIsUnknownAndNeverRunsAgain(t *testing.T) {
+	log := newFaultyLog()
+	agent, stop := start(t, log, "t1", "i1")
+	started := make(chan struct{})
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	go agent.Do(context.Background(), call, func() Outcome {
+		close(started)
+		<-hold
+		return Outcome{}
+	})
+	<-started
+	stop() // as good as dead: it appends nothing any more
+	var service service
+	next, _ := start(t, log, "t1", "i2")
+	result := next.Do(t.Context(), call, service.run)
+	assert.DeepEqual(t, result, Result{Reason: OutcomeUnknown})
+	assert.Equal(t, service.runs.Load(), int64(0))
+}
+
+func TestCallThatWasNotSentCanRunLater(t *testing.T) {
+	log := newFaultyLog()
+	agent, _ := start(t, log, "t1", "i1")
+	result := agent.Do(t.Context(), call, func() Outcome { return Outcome{NotSent: true} })
+	assert.DeepEqual(t, result, notRun(NotSent))
+	var service service
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if agent.Do(t.Context(), call, service.run).Ran == RanYes {
+			return poll.Success()
+		}
+		return poll.Continue("the key is still held")
+	}, poll.WithDelay(time.Millisecond))
+	assert.Equal(t, service.runs.Load(), int64(1))
+}
+
+// BenchmarkClaims reports the claims a second of one agent at the usual append
+// interval with many callers at once, and the appends that they cost.
+func BenchmarkClaims(b *testing.B) {
+	log := newFaultyLog()
+	agent := New(Config{
+		Log: log, Stream: "claims.x", Target: "t1", Incarnation: "i1",
+		Window: func() time.Duration { return time.Hour },
+	})
+	go func() { _ = agent.Run(b.Context()) }()
+	poll.WaitOn(b, func(poll.LogT) poll.Result {
+		if agent.Available() {
+			return poll.Success()
+		}
+		return poll.Continue("not caught up")
+	}, poll.WithDelay(time.Millisecond))
+	var service service
+	var serial atomic.Int64
+	b.SetParallelism(64)
+	before := log.appended.Load()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			request := Request{Account: "a", Key: fmt.Sprint(serial.Add(1))}
+			if agent.Do(b.Context(), request, service.run).Ran != RanYes {
+				b.Error("refused")
+			}
+		}
+	})
+	seconds := b.Elapsed().Seconds()
+	b.ReportMetric(float64(b.N)/seconds, "claims/s")
+	b.ReportMetric(float64(log.appended.Load()-before)/seconds, "appends/s")
+}
--- /dev/null
+++ b/internal/core/claims/record.go
@@ -0,0 +1,131 @@
+package claims
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+const digestSize = 16 // bytes
+
+// digest is a shortened SHA-256, in hex within records.
+type digest [digestSize]byte
+
+// Key names a call within one service: a digest of account and idempotency key.
+type Key digest
+
+// Fingerprint is a digest of what a call asks for.
+type Fingerprint digest
+
+// KeyOf returns the key of an account's idempotency key.
+func KeyOf(account, idempotencyKey string) Key {
+	return Key(digestOf([]byte(account), []byte(idempotencyKey)))
+}
+
+// FingerprintOf returns the fingerprint of a call.
+func FingerprintOf(method, path string, body []byte) Fingerprint {
+	return Fingerprint(digestOf([]byte(method), []byte(path), body))
+}
+
+// digestOf hashes the digests of its parts, so that no two lists of parts run
+// into each other.
+func digestOf(parts ...[]byte) digest {
+	hash := sha256.New()
+	for _, part := range parts {
+		sum := sha256.Sum256(part)
+		hash.Write(sum[:])
+	}
+	return digest(hash.Sum(nil)[:digestSize])
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) { return digest(k).text(), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Key) UnmarshalText(text []byte) error { return (*digest)(k).parse(text) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (f Fingerprint) MarshalText() ([]byte, error) { return digest(f).text(), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error { return (*digest)(f).parse(text) }
+
+func (d digest) text() []byte { return hex.AppendEncode(nil, d[:]) }
+
+func (d *digest) parse(text []byte) error {
+	decoded, err := hex.AppendDecode(nil, text)
+	if err != nil || len(decoded) != digestSize {
+		return errors.Errorf("digest %q: want %d hex bytes", text, digestSize)
+	}
+	copy(d[:], decoded)
+	return nil
+}
+
+// ID names one claim. No two claims share it: an incarnation never counts the
+// same serial twice, and a restarted agent has another incarnation.
+type ID struct {
+	Incarnation string
+	Serial      int64
+}
+
+// Kind is the kind of an Op.
+type Kind string
+
+// Kinds of Op.
+const (
+	KindClaim   Kind = "claim"   // asks to run the call of a key
+	KindRelease Kind = "release" // says that a claim has not run its call and never will
+	KindAnswer  Kind = "answer"  // records the answer of the run
+	KindUnknown Kind = "unknown" // says that the call was sent and no answer came
+)
+
+// Op is one step of one claim.
+type Op struct {
+	Kind        Kind        `json:"kind"`
+	Key         Key         `json:"key"`
+	Serial      int64       `json:"serial"` // of the claim
+	Fingerprint Fingerprint `json:"fingerprint,omitzero"`
+	Answer      *Answer     `json:"answer,omitempty"`
+}
+
+// Header is one header line of an answer.
+type Header struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// Answer is the answer of the one run of a key.
+type Answer struct {
+	Status  int      `json:"status"`
+	Headers []Header `json:"headers,omitempty"`
+	Body    []byte   `json:"body,omitempty"`
+	Dropped bool     `json:"dropped,omitempty"` // the body is not kept
+}
+
+// Batch is one record of the stream: ops of one incarnation.
+type Batch struct {
+	Target      string `json:"target"`      // of the agent
+	Incarnation string `json:"incarnation"` // of the agent
+	Start       bool   `json:"start,omitempty"`
+	StampMS     int64  `json:"stamp_ms"` // author's clock, Unix milliseconds
+	Ops         []Op   `json:"ops,omitempty"`
+}
+
+// Encode returns the record of a batch.
+func (b Batch) Encode() ([]byte, error) {
+	data, err := json.Marshal(b)
+	return data, errors.Wrap(err, "encode claims")
+}
+
+// DecodeBatch reads a record. Unknown fields are left out.
+func DecodeBatch(data []byte) (Batch, error) {
+	var b Batch
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if err := decoder.Decode(&b); err != nil {
+		return Batch{}, errors.Wrap(err, "decode claims")
+	}
+	return b, nil
+}
