--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -187,7 +187,7 @@
 		Bounds:     e.cfg.Bounds.callers(),
 		Tables:     e.tables,
 		Dispatcher: e.newDispatcher(),
-		Limiter:    limiter{e.limits},
+		Limiter:    newLimiter(e.limits),
 		Recorder:   recorder{e.registry},
 		Leaving:    e.health.isLeaving,
 	})
@@ -225,6 +225,8 @@
 	switch r.Strategy {
 	case StrategyLeastOutstanding:
 		return routing.LeastOutstanding{}
+	case StrategyOwnOutstanding:
+		return routing.OwnOutstanding{}
 	case StrategyRoundRobin:
 		return &routing.RoundRobin{}
 	}
