--- /dev/null
+++ b/internal/core/expertmap/message.go
@@ -0,0 +1,90 @@
+package expertmap
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/wire"
+)
+
+// Kind is the kind of a message.
+type Kind string
+
+// Kinds of requests, and of the answers to them.
+const (
+	KindHello   Kind = "hello"
+	KindPrepare Kind = "prepare"
+	KindStage   Kind = "stage"
+	KindHold    Kind = "hold"
+	KindConfirm Kind = "confirm"
+	KindDecide  Kind = "decide"
+
+	KindState    Kind = "state"    // to hello
+	KindPromise  Kind = "promise"  // to prepare
+	KindStaged   Kind = "staged"   // to stage
+	KindHeld     Kind = "held"     // to hold
+	KindTooLate  Kind = "too-late" // to hold: the step has run, or the instance is over
+	KindStands   Kind = "stands"   // to confirm
+	KindFollowed Kind = "followed" // to decide
+	// KindNotFollowed answers a decision that the engine cannot follow.
+	KindNotFollowed Kind = "not-followed"
+	KindRefused  Kind = "refused"  // to any: a higher ballot is promised
+	KindUnknown  Kind = "unknown"  // to any: meant for another incarnation
+)
+
+// Message is one message between a coordinator and an acceptor.
+type Message struct {
+	Kind            Kind
+	From, To        int
+	FromIncarnation string
+	ToIncarnation   string
+	Ballot          Ballot
+	Body            Body
+}
+
+// Body holds what a kind of message needs besides the address.
+type Body struct {
+	Map      *Map         `json:"map,omitempty"`
+	Hold     *Hold        `json:"hold,omitempty"`
+	Decision *Decision    `json:"decision,omitempty"`
+	State    *EngineState `json:"state,omitempty"`
+	Promised Ballot       `json:"promised,omitempty"`
+}
+
+// Encode returns the message in its form between processes.
+func Encode(group string, m Message) (*wire.MapMessage, error) {
+	payload, err := json.Marshal(m.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode %s message", m.Kind)
+	}
+	return &wire.MapMessage{
+		Group:           group,
+		FromRank:        int32(m.From),
+		ToRank:          int32(m.To),
+		ToIncarnation:   m.ToIncarnation,
+		FromIncarnation: m.FromIncarnation,
+		Ballot:          int64(m.Ballot),
+		Payload:         payload,
+		Kind:            string(m.Kind),
+	}, nil
+}
+
+// Decode reads a message that Encode has written. Unknown fields are ignored.
+func Decode(w *wire.MapMessage) (Message, error) {
+	m := Message{
+		Kind:            Kind(w.GetKind()),
+		From:            int(w.GetFromRank()),
+		To:              int(w.GetToRank()),
+		FromIncarnation: w.GetFromIncarnation(),
+		ToIncarnation:   w.GetToIncarnation(),
+		Ballot:          Ballot(w.GetBallot()),
+	}
+	if len(w.GetPayload()) == 0 {
+		return m, nil
+	}
+	if err := json.Unmarshal(w.GetPayload(), &m.Body); err != nil {
+		return Message{}, errors.Wrapf(err, "decode %s message of rank %d", m.Kind, m.From)
+	}
+	return m, nil
+}
