--- a/internal/app/entry/exchange_test.go
+++ b/internal/app/entry/exchange_test.go
@@ -34,7 +34,7 @@
 	admitted := func(e *Entry) int {
 		count := 0
 		for {
-			if _, refusal := e.limits.Admit(time.Now(), subject, limits.Subject{}); refusal != nil {
+			if _, refusal := e.limits.Admit(time.Now(), subject, limits.Subject{}, limits.Subject{}); refusal != nil {
 				return count
 			}
 			count++
