--- a/internal/adapter/adminhttp/handler.go
+++ b/internal/adapter/adminhttp/handler.go
@@ -119,23 +119,43 @@
 	return operator{name: current.OperatorNames[hash], subtree: found.Subtree}, ok
 }
 
-// current returns the settings in force; nil before there are any.
+// current returns the settings in force with their catalog; nil before there are
+// any. The entry's catalog may be behind the snapshot for a moment; a write that
+// was answered must show in the next read all the same.
 func (h *handler) current() (*settings.Snapshot, *catalog.Catalog) {
+	current := h.lastCatalog()
 	snapshot := h.cfg.Settings.Snapshot()
 	if snapshot == nil {
 		return nil, nil
 	}
+	if current == nil || current.Offset < snapshot.Offset() {
+		current = catalog.Rebuild(current, snapshot)
+		h.keep(current)
+	}
+	return snapshot, current
+}
+
+// lastCatalog returns the entry's catalog, or the last one that was built here if
+// the entry has none.
+func (h *handler) lastCatalog() *catalog.Catalog {
 	if h.cfg.Catalog != nil {
-		if current := h.cfg.Catalog(); current != nil && current.Offset == snapshot.Offset() {
-			return snapshot, current
-		}
+		return h.cfg.Catalog()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.built
+}
+
+// keep remembers a catalog that was built here if the entry has none.
+func (h *handler) keep(built *catalog.Catalog) {
+	if h.cfg.Catalog != nil {
+		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.built == nil || h.built.Offset < snapshot.Offset() {
-		h.built = catalog.Rebuild(h.built, snapshot)
+	if h.built == nil || h.built.Offset < built.Offset {
+		h.built = built
 	}
-	return snapshot, h.built
 }
 
 // mayRead reports whether the operator may read path. What teams share can be
--- a/internal/adapter/adminhttp/handler_test.go
+++ b/internal/adapter/adminhttp/handler_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
+	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/settingssync"
 )
@@ -308,6 +309,22 @@
 	assert.Equal(t, answer.Candidates[1].Reason, "target is out")
 }
 
+// The entry publishes its catalog a moment after the node has the settings.
+func TestWriteShowsInTheNextReadAlthoughTheCatalogIsBehind(t *testing.T) {
+	s := newStore()
+	behind := catalog.Build(s.Snapshot())
+	h := NewHandler(Config{
+		Settings: s, Catalog: func() *catalog.Catalog { return behind }, BootstrapOperatorTokenSHA256: hashOf("root-token"),
+	})
+	status, body, _ := call(h, "root-token", "PUT", Prefix+"settings/domains/b", "{}")
+	assert.Equal(t, status, http.StatusOK, body)
+	target := `{"agent":"127.0.0.1:9","failure_domain":"b","kind":"model","serves":["m"],"team":"red"}`
+	status, body, _ = call(h, "root-token", "PUT", Prefix+"settings/targets/t9", target)
+	assert.Equal(t, status, http.StatusOK, body)
+	_, body, _ = call(h, "root-token", "GET", Prefix+"targets", "")
+	assert.Assert(t, cmp.Contains(body, "t9"))
+}
+
 func TestNoSettingsYet(t *testing.T) {
 	h, _ := newHandler(&store{})
 	status, _, _ := call(h, "root-token", "GET", Prefix+"status", "")
--- a/internal/app/ctl/main_test.go
+++ b/internal/app/ctl/main_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/pem"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -156,6 +158,19 @@
 	assert.Assert(t, !strings.Contains(out, "entry-1"), out)
 }
 
+func TestCertificatesOfEntriesAreChecked(t *testing.T) {
+	b := newBench(t)
+	server := httptest.NewTLSServer(http.NotFoundHandler())
+	defer server.Close()
+	b.url = server.URL
+	b.ctl(ExitUnavailable, "status")
+	der := server.Certificate().Raw
+	authority := b.write("ca.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})))
+	out := b.ctl(ExitUnavailable, "--ca-file", authority, "status")
+	assert.Assert(t, cmp.Contains(out, "404"), out)
+	b.ctl(program.ExitConfig, "--ca-file", b.file, "status")
+}
+
 func TestOutcomeOfAnEarlierWrite(t *testing.T) {
 	b := newBench(t)
 	b.ctl(program.ExitOK, "put", "/domains/a", "-")
