Rebuild the catalog by comparing paths and versions

Test first: TestRebuildTakesInOldEntriesThatAreNewToIt fails before and passes now.

Ruled out: a full merge only where the number of paths differs; as many entries can leave an agent's part as join it.

--- a/internal/adapter/adminhttp/validate.go
+++ b/internal/adapter/adminhttp/validate.go
@@ -59,8 +59,8 @@
 		changed[proposal.Path] = proposal
 	}
 	offset := r.snapshot.Offset()
-	var entries []settings.Entry
-	for _, entry := range r.snapshot.List("/") {
+	entries := make([]settings.Entry, 0, r.snapshot.Len()+len(proposals))
+	for entry := range r.snapshot.All() {
 		if _, replaced := changed[entry.Path]; !replaced {
 			entries = append(entries, entry)
 		}
--- a/internal/core/catalog/build.go
+++ b/internal/core/catalog/build.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/core/settings"
@@ -15,42 +14,38 @@
 }
 
 // Rebuild returns the catalog of a snapshot and reuses what has not changed
-// since previous, which may be nil and must be of an earlier snapshot. A path
-// whose accepted value cannot be read keeps the value that previous had for it.
+// since previous, which may be nil. A path whose accepted value cannot be read
+// keeps the value that previous had for it. Entries are told apart by path and
+// version alone: the snapshots of an agent hold a part of the settings, which may
+// grow by entries that are older than the previous snapshot.
 func Rebuild(previous *Catalog, snapshot *settings.Snapshot) *Catalog {
 	if previous == nil {
-		previous = &Catalog{Offset: settings.NoOffset, snapshot: settings.NewSnapshot(settings.NoOffset, nil)}
+		previous = &Catalog{snapshot: settings.NewSnapshot(settings.NoOffset, nil)}
 	}
-	changed := snapshot.ChangedSince(previous.Offset)
 	c := &Catalog{Offset: snapshot.Offset(), snapshot: snapshot}
-	items, accounts := mergeItems(previous.items, changed, snapshot.Len())
+	items, accounts := mergeItems(previous.items, snapshot)
 	c.items = items
-	if len(c.items) != snapshot.Len() {
-		c.items = slices.DeleteFunc(c.items, func(i item) bool {
-			_, exists := snapshot.Get(i.path)
-			return !exists
-		})
-	}
 	c.accounts = previous.accounts.next(previous, c, accounts)
 	c.index()
 	return c
 }
 
-// mergeItems returns items with the changed entries in their place, and the
-// accounts among these.
-func mergeItems(items []item, changed []settings.Entry, length int) ([]item, []changedAccount) {
-	merged := make([]item, 0, max(length, len(items)))
+// mergeItems returns the items of a snapshot and the accounts among those that
+// have changed. Unchanged items are taken over.
+func mergeItems(items []item, snapshot *settings.Snapshot) ([]item, []changedAccount) {
+	merged := make([]item, 0, snapshot.Len())
 	var accounts []changedAccount
-	for _, entry := range changed {
-		at, exists := slices.BinarySearchFunc(items, entry.Path, func(i item, path string) int {
-			return strings.Compare(i.path, path)
-		})
-		merged = append(merged, items[:at]...)
-		items = items[at:]
+	for entry := range snapshot.All() {
+		for len(items) > 0 && items[0].path < entry.Path {
+			items = items[1:]
+		}
 		var before *item
-		if exists {
+		if len(items) > 0 && items[0].path == entry.Path {
 			before = &items[0]
-			items = items[1:]
+		}
+		if before != nil && before.version == entry.Version {
+			merged = append(merged, *before)
+			continue
 		}
 		now, account := newItem(entry, before)
 		merged = append(merged, now)
@@ -58,7 +53,7 @@
 			accounts = append(accounts, changedAccount{path: entry.Path, account: account})
 		}
 	}
-	return append(merged, items...), accounts
+	return merged, accounts
 }
 
 // index fills everything but the accounts.
--- a/internal/core/catalog/build_test.go
+++ b/internal/core/catalog/build_test.go
@@ -114,6 +114,16 @@
 	assert.Equal(t, len(third.Unreadable), 3)
 }
 
+// The part of the settings that an agent needs grows by entries that are older
+// than what it had, while others leave it.
+func TestRebuildTakesInOldEntriesThatAreNewToIt(t *testing.T) {
+	all := small()
+	first := Build(settings.NewSnapshot(9, all[:5]))
+	second := Rebuild(first, settings.NewSnapshot(9, append(all[1:5:5], all[5])))
+	assert.Assert(t, second.Targets["t2"] != nil)
+	assert.Equal(t, len(second.Domains), 0)
+}
+
 func TestAccountMovesToItsNewToken(t *testing.T) {
 	first := Build(settings.NewSnapshot(9, small()))
 	entries := append(small(), entry("/teams/red/accounts/x", 10, account(hashY)))
--- a/internal/core/settings/snapshot.go
+++ b/internal/core/settings/snapshot.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"iter"
 	"sort"
 	"strings"
 )
@@ -81,6 +82,19 @@
 	return entries[i], true
 }
 
+// All visits all entries in path order.
+func (s *Snapshot) All() iter.Seq[Entry] {
+	return func(yield func(Entry) bool) {
+		for _, b := range s.blocks {
+			for _, entry := range b.entries {
+				if !yield(entry) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // List returns the entries at and below prefix in path order.
 func (s *Snapshot) List(prefix string) []Entry {
 	prefix = strings.TrimSuffix(prefix, "/")
