Wait a little for an outcome that is on its way to the agents asked

An agent that is asked about a key may not have read the claim or answer that another one wrote a moment ago. An unknown outcome counts only after 1 s, within the deadline. Refusals that any agent would repeat are not tried elsewhere.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -26,6 +26,18 @@
 // askInterval is the time between two questions for the outcome of a call.
 const askInterval = 100 * time.Millisecond
 
+// unknownWait is how long agents may take to read what another one wrote about
+// a call.
+const unknownWait = time.Second
+
+// finalRefusals are those that any other agent would repeat.
+var finalRefusals = map[string]struct{}{
+	"bad_call":       {},
+	"key_reused":     {},
+	"key_expired":    {},
+	"key_from_ahead": {},
+}
+
 // agentDialTimeout bounds connecting to an agent or another entry, which is a
 // few milliseconds away.
 const agentDialTimeout = 500 * time.Millisecond
@@ -199,17 +211,19 @@
 func (e *Entry) newDispatcher() *dispatch.Dispatcher {
 	r := e.cfg.Routing
 	return dispatch.New(dispatch.Config{
-		Entry:       e.cfg.Name,
-		Links:       links{e.pool},
-		Strategy:    r.strategy(),
-		Strikes:     e.strikes,
-		Counter:     recorder{e.registry},
-		OnStrike:    e.exchange.onStrike,
-		AskInterval: askInterval,
-		FirstFrame:  milliseconds(r.FirstFrameMS),
-		Stall:       milliseconds(r.StallMS),
-		Avoid:       milliseconds(r.AvoidMS),
-		AnswerBytes: int(e.cfg.Bounds.AnswerBytes),
+		Entry:        e.cfg.Name,
+		Links:        links{e.pool},
+		Strategy:     r.strategy(),
+		Strikes:      e.strikes,
+		Counter:      recorder{e.registry},
+		OnStrike:     e.exchange.onStrike,
+		AskInterval:  askInterval,
+		UnknownWait:  unknownWait,
+		NoRetryCodes: finalRefusals,
+		FirstFrame:   milliseconds(r.FirstFrameMS),
+		Stall:        milliseconds(r.StallMS),
+		Avoid:        milliseconds(r.AvoidMS),
+		AnswerBytes:  int(e.cfg.Bounds.AnswerBytes),
 	})
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -197,3 +197,22 @@
 	assert.Assert(t, failure == nil, "%v", failure)
 	assert.Equal(t, text, "abcdef")
 }
+
+func TestOutcomeThatIsOnItsWayToOtherAgentsIsAwaited(t *testing.T) {
+	asked := 0
+	other := func(open *wire.Open) ([]proto.Message, error) {
+		if open.GetCall() != nil {
+			return frames(&wire.Admitted{}), io.EOF
+		}
+		asked++
+		if asked < 4 {
+			return []proto.Message{&wire.Outcome{Ran: wire.Ran_RAN_UNKNOWN}}, io.EOF
+		}
+		return []proto.Message{&wire.Outcome{Ran: wire.Ran_RAN_YES, Head: &wire.Head{Status: 200}, Body: []byte("done")}}, io.EOF
+	}
+	f := newFixture(t, other, other)
+	f.dispatcher.cfg.UnknownWait = time.Minute
+	answer, _, failure := f.do(confirmRequest())
+	assert.Assert(t, failure == nil, "%v", failure)
+	assert.Equal(t, string(answer.Body), "done")
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,6 +26,7 @@
 	Now          func() time.Time    // time.Now if nil
 	Random       func() uint64       // rand.Uint64 if nil
 	AskInterval  time.Duration       // between questions for an outcome
+	UnknownWait  time.Duration       // until an outcome that no agent knows is taken as unknown
 	NoRetryCodes map[string]struct{} // refusals that hold at every target
 }
 
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"quetzalbend/internal/core/routing"
@@ -14,17 +15,39 @@
 // call first, until one knows or the deadline passes.
 func (r *run) ask(ctx context.Context) (*Answer, error) {
 	r.d.cfg.Counter.Count("outcome_asked")
+	members := r.table.ForKey(r.req.name(), r.key())
+	order := append([]*routing.Member{r.last}, without(members, r.last)...)
+	start := r.d.cfg.Now()
 	for {
-		outcome, peer := r.askAll(ctx)
-		if outcome != nil && !outcome.GetRunning() {
+		outcome, peer := r.askAny(ctx, order)
+		if outcome != nil && r.settled(outcome, start) {
 			return r.concluded(outcome, peer)
 		}
 		if !wait(ctx, r.d.cfg.AskInterval) {
 			return nil, &Failure{Code: CodeOutcomeUnknown, Ran: wire.Ran_RAN_UNKNOWN, Peer: r.last.Target.Name, Cause: ctx.Err()}
 		}
+		order = append(without(members, r.last), r.last)
 	}
 }
 
+// settled reports whether an outcome will not change. One that is unknown may,
+// for a while: what the agent wrote may be on its way to the others.
+func (r *run) settled(outcome *wire.Outcome, start time.Time) bool {
+	switch {
+	case outcome.GetRunning():
+		return false
+	case outcome.GetRan() == wire.Ran_RAN_UNKNOWN && outcome.GetHead() == nil:
+		return r.d.cfg.Now().Sub(start) >= r.d.cfg.UnknownWait
+	}
+	return true
+}
+
+func without(members []*routing.Member, left *routing.Member) []*routing.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m *routing.Member) bool {
+		return m.Target.Name == left.Target.Name
+	})
+}
+
 // concluded turns an outcome that will not change into an answer or a failure.
 func (r *run) concluded(outcome *wire.Outcome, peer *routing.Member) (*Answer, error) {
 	if head := outcome.GetHead(); head != nil {
@@ -52,19 +75,15 @@
 	return nil, failure
 }
 
-// askAll returns the first outcome that an agent gives, and which agent.
-func (r *run) askAll(ctx context.Context) (*wire.Outcome, *routing.Member) {
-	members := append([]*routing.Member{r.last}, r.table.ForKey(r.req.name(), r.key())...)
-	for i, member := range members {
-		if i > 0 && member.Target.Name == r.last.Target.Name {
-			continue
-		}
+// askAny returns the first outcome that an agent gives, and which agent.
+func (r *run) askAny(ctx context.Context, order []*routing.Member) (*wire.Outcome, *routing.Member) {
+	for _, member := range order {
 		outcome, err := r.askOne(ctx, member)
 		if err == nil {
 			return outcome, member
 		}
 		if ctx.Err() != nil {
-			return nil, nil
+			break
 		}
 	}
 	return nil, nil
