--- a/internal/app/load/fleet/fleet_test.go
+++ b/internal/app/load/fleet/fleet_test.go
@@ -161,3 +161,42 @@
 	<-done
 	eventually(t, "the engine cancels", func() bool { return cancelled() == 1 && f.running() == 0 })
 }
+
+func TestConfirmationsRunAtMostOnceWhileADomainDies(t *testing.T) {
+	f := startFleet(t, Config{Engines: 1, Services: 2})
+	const keys = 60
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	answered := make([]bool, keys)
+	var sent sync.WaitGroup
+	for n := range keys {
+		request := caller.Request{Kind: caller.Confirm, Service: ServiceName, Path: "/confirm", Key: fmt.Sprint("key-", n), Timeout: 5 * time.Second}
+		sent.Go(func() {
+			outcome, _ := caller.SendUntilDone(ctx, []*caller.Client{f.entries[0].client}, request)
+			answered[n] = outcome.Whole
+		})
+		sent.Go(func() { // a caller's second sending
+			_, _ = caller.SendUntilDone(ctx, []*caller.Client{f.entries[1].client, f.entries[0].client}, request)
+		})
+		if n == keys/2 {
+			assert.NilError(t, f.Break("b", Killed))
+		}
+	}
+	sent.Wait()
+	runs := make(map[string]int)
+	for _, s := range f.Services {
+		for key, count := range s.Truth().Runs {
+			runs[key] += count
+		}
+	}
+	whole := 0
+	for n := range keys {
+		if answered[n] {
+			whole++
+		}
+		key := fmt.Sprint("key-", n)
+		assert.Assert(t, runs[key] <= 1, "%s ran %d times", key, runs[key])
+		assert.Assert(t, !answered[n] || runs[key] == 1, "%s was answered and did not run", key)
+	}
+	assert.Assert(t, whole >= keys/2, "%d answered", whole)
+}
--- a/internal/app/load/fleet/settings.go
+++ b/internal/app/load/fleet/settings.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -137,7 +136,7 @@
 	return nil
 }
 
-// awaitInForce waits until every entry has the last write in force.
+// awaitInForce waits until every node has the last write in force.
 func (w *settingsWriter) awaitInForce(ctx context.Context) error {
 	for {
 		response, err := w.do(ctx, http.MethodGet, "in-force?offset="+strconv.FormatInt(w.offset, 10), nil)
@@ -150,12 +149,11 @@
 		if err != nil {
 			return errors.Wrap(err, "ask what is in force")
 		}
-		missing := slices.DeleteFunc(answer.Missing, func(n adminhttp.Node) bool { return n.Kind != adminhttp.EntryNode })
-		if len(missing) == 0 {
+		if answer.InForce {
 			return nil
 		}
 		if !pause(ctx, readyPoll) {
-			return errors.Errorf("settings are not in force at %d nodes, %v among them", len(missing), missing[0].Name)
+			return errors.Errorf("settings are not in force at %d nodes, %v among them", len(answer.Missing), answer.Missing[0].Name)
 		}
 	}
 }
--- a/internal/core/expertmap/message.go
+++ b/internal/core/expertmap/message.go
@@ -29,8 +29,8 @@
 	KindFollowed Kind = "followed" // to decide
 	// KindNotFollowed answers a decision that the engine cannot follow.
 	KindNotFollowed Kind = "not-followed"
-	KindRefused  Kind = "refused"  // to any: a higher ballot is promised
-	KindUnknown  Kind = "unknown"  // to any: meant for another incarnation
+	KindRefused     Kind = "refused" // to any: a higher ballot is promised
+	KindUnknown     Kind = "unknown" // to any: meant for another incarnation
 )
 
 // Message is one message between a coordinator and an acceptor.
