--- a/scenarios/requests_test.go
+++ b/scenarios/requests_test.go
@@ -93,7 +93,10 @@
 	}
 	setIfGiven(&request.Workload, options["workload"])
 	setIfGiven(&request.Content, options["content"])
-	setIfGiven(&request.Key, options["key"])
+	if options["key"] != "" {
+		request.Key = options["key"]
+		request.Path = "/" + request.Key // a repeat is the same call
+	}
 	return request, nil
 }
 
