--- a/scenarios/truth_test.go
+++ b/scenarios/truth_test.go
@@ -79,26 +79,25 @@
 	return eventually(time.Duration(seconds)*time.Second, func() error { return w.cmdTruth(rest) })
 }
 
-// lookUp returns the number under a dotted path; a missing one counts as 0 and
-// a list as its length.
+// lookUp returns the number under a dotted path, whose parts may hold dots
+// themselves; a missing one counts as 0 and a list as its length.
 func lookUp(object map[string]any, path string) (float64, error) {
-	var current any = object
-	for _, part := range strings.Split(path, ".") {
-		parent, ok := current.(map[string]any)
-		if !ok {
-			return 0, errors.Errorf("no field %s", path)
-		}
-		current = parent[part]
-	}
-	switch value := current.(type) {
-	case nil:
-		return 0, nil
+	switch value := object[path].(type) {
 	case float64:
 		return value, nil
 	case []any:
 		return float64(len(value)), nil
 	}
-	return 0, errors.Errorf("field %s is no number", path)
+	for name, field := range object {
+		rest, below := strings.CutPrefix(path, name+".")
+		if child, ok := field.(map[string]any); below && ok {
+			return lookUp(child, rest)
+		}
+	}
+	if value, ok := object[path]; ok && value != nil {
+		return 0, errors.Errorf("field %s is no number", path)
+	}
+	return 0, nil
 }
 
 func holds(got float64, operator string, want float64) bool {
