--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -8,11 +8,24 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/load/demo"
+	"quetzalbend/internal/app/load/departure"
+	"quetzalbend/internal/app/load/layout"
+	"quetzalbend/internal/app/load/limits"
+	"quetzalbend/internal/app/load/overhead"
+	"quetzalbend/internal/app/load/skew"
 	"quetzalbend/internal/program"
 )
 
 // experiments add their subcommands to the parser.
-var experiments []func(parser *flags.Parser) error
+var experiments = []func(parser *flags.Parser) error{
+	demo.Register,
+	layout.Register,
+	limits.Register,
+	departure.Register,
+	overhead.Register,
+	skew.Register,
+}
 
 func main() {
 	parser := flags.NewNamedParser("quetzalbend-load", flags.Default)
--- a/internal/adapter/callerhttp/problem.go
+++ b/internal/adapter/callerhttp/problem.go
@@ -18,6 +18,7 @@
 	CodeBadRequest        = "bad_request"
 	CodeBodyTooLarge      = "body_too_large"
 	CodeBodyTimeout       = "body_timeout"
+	CodeBusy              = "busy" // the entry holds as much as it may
 	CodeUnknownModel      = "unknown_model"
 	CodeUnknownService    = "unknown_service"
 	CodeNoRoute           = "no_route"
@@ -53,6 +54,10 @@
 	CodeNotFound:                http.StatusNotFound,
 	CodeKeyRequired:             http.StatusBadRequest,
 	CodeInvalidKey:              http.StatusBadRequest,
+	"bad_call":                  http.StatusBadRequest,
+	"key_reused":                http.StatusUnprocessableEntity,
+	"key_expired":               http.StatusConflict,
+	"key_from_ahead":            http.StatusConflict,
 	dispatch.CodeDeadline:       http.StatusGatewayTimeout,
 	dispatch.CodeCallerGone:     statusCallerGone,
 	dispatch.CodeIncomplete:     http.StatusBadGateway,
--- /dev/null
+++ b/internal/app/agent/agent.go
@@ -0,0 +1,209 @@
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"quetzalbend/internal/adapter/engine"
+	"quetzalbend/internal/adapter/keys"
+	"quetzalbend/internal/adapter/link"
+	"quetzalbend/internal/adapter/service"
+	"quetzalbend/internal/claimlog"
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/settings"
+	"quetzalbend/internal/metrics"
+	"quetzalbend/internal/settingssync"
+	"quetzalbend/internal/wire"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	flushTime         = 2 * time.Second // for answers not yet recorded
+	handBackTime      = time.Second     // for streams handed back after the grace
+)
+
+var errLeaving = errors.New("the target is leaving")
+
+// Agent serves one target.
+type Agent struct {
+	config      Config
+	incarnation string
+	registry    *metrics.Registry
+	settings    *settingssync.Receiver
+	keys        *keys.Keys      // nil for plain TCP
+	engine      *engine.Client  // nil in front of a service
+	service     *service.Client // nil in front of an engine
+	claims      *claimlog.Log   // nil in front of an engine
+	view        atomic.Pointer[catalog.Catalog]
+	leaving     atomic.Bool // by signal
+	out         atomic.Bool // by the settings
+	vmLeaving   atomic.Bool // by the platform's list
+	running     atomic.Int32
+	work        context.Context // of all calls; ends with errLeaving after the grace
+	stopWork    context.CancelCauseFunc
+}
+
+// Run serves a target until ctx ends and its work is done.
+func Run(ctx context.Context, config Config) error {
+	agent, err := New(config)
+	if err != nil {
+		return err
+	}
+	return agent.Run(ctx)
+}
+
+// New returns an agent by its start-up file.
+func New(config Config) (*Agent, error) {
+	a := &Agent{config: config, incarnation: rand.Text(), registry: metrics.New()}
+	a.settings = settingssync.NewReceiver(config.Name, a.incarnation)
+	a.work, a.stopWork = context.WithCancelCause(context.Background())
+	if config.LinksTLS != nil {
+		loaded, err := keys.Load(*config.LinksTLS)
+		if err != nil {
+			return nil, errors.Wrap(err, "links_tls")
+		}
+		a.keys = loaded
+	}
+	if config.Engine != "" {
+		a.engine = engine.New(config.Engine)
+	} else {
+		a.service = service.New(config.Service)
+		a.claims = a.newClaims()
+	}
+	return a, nil
+}
+
+// Run serves until ctx ends, then leaves: it refuses new work, lets running
+// work finish within the grace and hands the rest back.
+func (a *Agent) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", a.config.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for entries")
+	}
+	status, err := net.Listen("tcp", a.config.HTTPListen)
+	if err != nil {
+		return errors.Wrap(err, "listen for health checks")
+	}
+	server := link.NewServer(a.linkConfig(), a.handle)
+	health := &http.Server{Handler: a.statusHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	log.WithFields(log.Fields{"target": a.config.Name, "incarnation": a.incarnation}).Info("serving")
+
+	group, failed := errgroup.WithContext(context.Background())
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error {
+		if err := health.Serve(status); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve health checks")
+		}
+		return nil
+	})
+	background, stop := context.WithCancel(context.Background())
+	a.runBackground(background, group)
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+		case <-failed.Done():
+		}
+		a.leave(server)
+		return errors.Wrap(health.Close(), "close health checks")
+	})
+	return group.Wait()
+}
+
+// runBackground starts what goes on beside the calls until ctx ends.
+func (a *Agent) runBackground(ctx context.Context, group *errgroup.Group) {
+	if a.keys != nil {
+		group.Go(func() error { return a.keys.Run(ctx) })
+	}
+	if a.claims != nil {
+		group.Go(func() error { return a.claims.Run(ctx) })
+	}
+	group.Go(func() error { a.followSettings(ctx); return nil })
+	if a.config.Platform != "" {
+		group.Go(func() error { a.followVMs(ctx); return nil })
+	}
+}
+
+func (a *Agent) linkConfig() link.Config {
+	if a.keys == nil {
+		return link.Config{}
+	}
+	return link.Config{TLS: a.keys.ServerConfig()}
+}
+
+// leave refuses new work and waits for running work.
+func (a *Agent) leave(server *link.Server) {
+	a.leaving.Store(true)
+	log.WithField("target", a.config.Name).Info("leaving")
+	handBack := time.AfterFunc(a.config.grace(), func() { a.stopWork(errLeaving) })
+	defer handBack.Stop()
+	wait, cancel := context.WithTimeout(context.Background(), a.config.grace()+handBackTime)
+	defer cancel()
+	if err := server.Shutdown(wait); err != nil {
+		log.WithError(err).Warn("left with running work")
+	}
+	if a.claims == nil {
+		return
+	}
+	flush, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	if err := a.claims.Flush(flush); err != nil {
+		log.WithError(err).Warn("left with answers that are not recorded")
+	}
+}
+
+func (a *Agent) handle(ctx context.Context, open *wire.Open, stream *link.Stream) {
+	switch {
+	case open.GetCall() != nil:
+		a.serveCall(ctx, open.GetCall(), stream)
+	case open.GetAsk() != nil:
+		a.serveAsk(open.GetAsk(), stream)
+	case open.GetSettings() != nil:
+		a.settings.Handle(ctx, open, stream)
+	case open.GetStatus() != nil:
+		_ = stream.Send(a.status())
+	}
+}
+
+func (a *Agent) status() *wire.TargetStatus {
+	status := &wire.TargetStatus{
+		Target:         a.config.Name,
+		Node:           a.config.VM,
+		Load:           a.load(),
+		SettingsOffset: settings.NoOffset,
+	}
+	if snapshot := a.settings.Snapshot(); snapshot != nil {
+		status.SettingsOffset = snapshot.Offset()
+	}
+	return status
+}
+
+func (a *Agent) load() *wire.Load {
+	return &wire.Load{
+		Incarnation: a.incarnation,
+		Running:     a.running.Load(),
+		Leaving:     a.refusesNewWork(),
+	}
+}
+
+func (a *Agent) statusHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", a.registry.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if a.refusesNewWork() || a.claims != nil && !a.claims.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- a/internal/core/catalog/build.go
+++ b/internal/core/catalog/build.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 
 	"quetzalbend/internal/core/schema"
@@ -14,40 +15,45 @@
 
 // Rebuild returns the catalog of a snapshot and reuses what has not changed
 // since previous, which may be nil. A path whose accepted value cannot be read
-// keeps the value that previous had for it.
+// keeps the value that previous had for it. Entries are told apart by path and
+// version alone: the snapshots of an agent hold a part of the settings, which may
+// grow by entries that are older than the previous snapshot.
 func Rebuild(previous *Catalog, snapshot *settings.Snapshot) *Catalog {
 	if previous == nil {
-		previous = &Catalog{}
+		previous = &Catalog{snapshot: settings.NewSnapshot(settings.NoOffset, nil)}
 	}
-	c := &Catalog{Offset: snapshot.Offset()}
-	entries := snapshot.List("/")
-	c.items = make([]item, 0, len(entries))
-	var accountsChanged bool
-	old := previous.items
-	for _, entry := range entries {
-		for len(old) > 0 && old[0].path < entry.Path {
-			accountsChanged = accountsChanged || isAccount(old[0].value)
-			old = old[1:]
+	c := &Catalog{Offset: snapshot.Offset(), snapshot: snapshot}
+	items, accounts := mergeItems(previous.items, snapshot)
+	c.items = items
+	c.accounts = previous.accounts.next(previous, c, accounts)
+	c.index()
+	return c
+}
+
+// mergeItems returns the items of a snapshot and the accounts among those that
+// have changed. Unchanged items are taken over.
+func mergeItems(items []item, snapshot *settings.Snapshot) ([]item, []changedAccount) {
+	merged := make([]item, 0, snapshot.Len())
+	var accounts []changedAccount
+	for entry := range snapshot.All() {
+		for len(items) > 0 && items[0].path < entry.Path {
+			items = items[1:]
 		}
 		var before *item
-		if len(old) > 0 && old[0].path == entry.Path {
-			before = &old[0]
-			old = old[1:]
+		if len(items) > 0 && items[0].path == entry.Path {
+			before = &items[0]
 		}
-		now := newItem(entry, before)
-		if before == nil || before.value != now.value {
-			accountsChanged = accountsChanged || isAccount(now.value)
+		if before != nil && before.version == entry.Version {
+			merged = append(merged, *before)
+			continue
+		}
+		now, account := newItem(entry, before)
+		merged = append(merged, now)
+		if isAccountPath(entry.Path) {
+			accounts = append(accounts, changedAccount{path: entry.Path, account: account})
 		}
-		c.items = append(c.items, now)
-	}
-	accountsChanged = accountsChanged || slices.ContainsFunc(old, func(i item) bool { return isAccount(i.value) })
-	c.index()
-	if accountsChanged || previous.AccountByToken == nil {
-		c.indexAccounts()
-	} else {
-		c.AccountByToken = previous.AccountByToken
 	}
-	return c
+	return merged, accounts
 }
 
 // index fills everything but the accounts.
@@ -55,11 +61,13 @@
 	c.Teams = make(map[string]schema.Team)
 	c.Domains = make(map[string]schema.Domain)
 	c.Groups = make(map[string]schema.Group)
+	c.GroupPaths = make(map[string]string)
 	c.Targets = make(map[string]*Target)
 	c.Models = make(map[TeamName]schema.Model)
 	c.Workloads = make(map[TeamName]*Workload)
 	c.Services = make(map[TeamName]*Service)
 	c.Operators = make(map[string]schema.Operator)
+	c.OperatorNames = make(map[string]string)
 	for i := range c.items {
 		c.indexItem(&c.items[i])
 	}
@@ -71,23 +79,39 @@
 	if i.unreadable {
 		c.Unreadable = append(c.Unreadable, i.path)
 	}
+	if i.value == nil {
+		return
+	}
+	name := i.name()
 	switch value := i.value.(type) {
 	case *schema.Domain:
-		c.Domains[i.name.Name] = *value
+		c.Domains[name.Name] = *value
 	case *schema.Operator:
-		c.Operators[value.TokenSHA256] = *value
+		if _, taken := c.Operators[value.TokenSHA256]; !taken {
+			c.Operators[value.TokenSHA256] = *value
+			c.OperatorNames[value.TokenSHA256] = name.Name
+		}
 	case *schema.Group:
-		c.Groups[i.name.Name] = *value
+		if _, taken := c.Groups[name.Name]; taken {
+			c.Unreadable = append(c.Unreadable, i.path)
+			return
+		}
+		c.Groups[name.Name] = *value
+		c.GroupPaths[name.Name] = i.path
 	case *schema.Team:
-		c.Teams[i.name.Name] = *value
+		c.Teams[name.Name] = *value
 	case *schema.Model:
-		c.Models[i.name] = *value
+		c.Models[name] = *value
 	case *Target:
+		if _, taken := c.Targets[value.Name]; taken {
+			c.Unreadable = append(c.Unreadable, i.path)
+			return
+		}
 		c.Targets[value.Name] = value
 	case *Workload:
-		c.Workloads[i.name] = value
+		c.Workloads[name] = value
 	case *Service:
-		c.Services[i.name] = value
+		c.Services[name] = value
 	}
 }
 
@@ -96,7 +120,7 @@
 func (c *Catalog) markDomains() {
 	for i := range c.items {
 		target, ok := c.items[i].value.(*Target)
-		if !ok {
+		if !ok || c.Targets[target.Name] != target {
 			continue
 		}
 		out := c.Domains[target.FailureDomain].State == schema.Out
@@ -116,11 +140,8 @@
 	c.ServiceTargets = make(map[TeamName][]*Target)
 	modelTeams := teamsByName(c.Models)
 	serviceTeams := teamsByName(c.Services)
-	for i := range c.items {
-		target, ok := c.items[i].value.(*Target)
-		if !ok {
-			continue
-		}
+	for _, name := range slices.Sorted(maps.Keys(c.Targets)) {
+		target := c.Targets[name]
 		if target.Kind == schema.ServiceTarget {
 			addServing(c.ServiceTargets, serviceTeams, target)
 		} else {
@@ -152,18 +173,3 @@
 	}
 	return teams
 }
-
-// indexAccounts lists accounts by token. If two accounts have one token, the
-// first in path order keeps it.
-func (c *Catalog) indexAccounts() {
-	c.AccountByToken = make(map[string]*Account, len(c.items))
-	for i := range c.items {
-		account, ok := c.items[i].value.(*Account)
-		if !ok {
-			continue
-		}
-		if _, taken := c.AccountByToken[account.TokenSHA256]; !taken {
-			c.AccountByToken[account.TokenSHA256] = account
-		}
-	}
-}
--- /dev/null
+++ b/internal/core/limits/resource.go
@@ -0,0 +1,62 @@
+package limits
+
+import (
+	"time"
+
+	"quetzalbend/internal/core/schema"
+)
+
+// Resource is what a limit bounds.
+type Resource int
+
+// Resources.
+const (
+	Requests   Resource = iota // requests a second
+	Tokens                     // generated tokens a second
+	Concurrent                 // requests that run at once
+	resources
+)
+
+// Amounts holds one amount of each resource.
+type Amounts [resources]float64
+
+// Subject is a team, an account or a team's credits, with limits. Zero is no
+// limit.
+type Subject struct {
+	Name   string // "TEAM", "TEAM/ACCOUNT" or "TEAM/"
+	Limits Amounts
+	// Savings is how long a share may be saved up; 0 for a second.
+	Savings time.Duration
+	// ChargeOnly counts use without ever refusing.
+	ChargeOnly bool
+}
+
+// TeamSubject returns the subject for a team.
+func TeamSubject(team string, limits schema.Limits) Subject {
+	return Subject{Name: team, Limits: amounts(limits)}
+}
+
+// AccountSubject returns the subject for an account of a team.
+func AccountSubject(team, account string, limits schema.Limits) Subject {
+	return Subject{Name: team + "/" + account, Limits: amounts(limits)}
+}
+
+// Limited reports whether the subject has any limit.
+func (s Subject) Limited() bool { return s.Limits != Amounts{} }
+
+func amounts(limits schema.Limits) Amounts {
+	return Amounts{limits.RequestsPerSecond, limits.TokensPerSecond, float64(limits.Concurrent)}
+}
+
+// Code is a stable code of a refusal.
+type Code string
+
+// Codes of refusals.
+const (
+	CodeRequestRate Code = "request_rate_limit"
+	CodeTokenRate   Code = "token_rate_limit"
+	CodeConcurrency Code = "concurrency_limit"
+	CodeCreditsPace Code = "credits_pace" // batch work only
+)
+
+var codes = [resources]Code{Requests: CodeRequestRate, Tokens: CodeTokenRate, Concurrent: CodeConcurrency}
--- a/internal/core/schema/check_team.go
+++ b/internal/core/schema/check_team.go
@@ -25,7 +25,7 @@
 var httpMethods = []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"}
 
 func (c *checker) operator(o *Operator) {
-	c.tokenHash(o.TokenSHA256, "/operators/"+c.path.Name)
+	c.tokenHash(o.TokenSHA256)
 	if o.Subtree == "/" {
 		return
 	}
@@ -50,11 +50,23 @@
 	if t.Credits == nil {
 		return
 	}
-	if t.Credits.Tokens < 0 {
-		c.Add("credits.tokens", t.Credits.Tokens, "0 or more generated tokens")
+	c.credits(t.Credits)
+}
+
+func (c *checker) credits(credits *Credits) {
+	if credits.Tokens < 0 {
+		c.Add("credits.tokens", credits.Tokens, "0 or more generated tokens")
+	}
+	asOf, err := time.Parse(time.RFC3339, credits.AsOf)
+	if err != nil {
+		c.Add("credits.as_of", credits.AsOf, "a time such as 2027-03-01T00:00:00Z")
+	}
+	expires, expiresErr := time.Parse(time.RFC3339, credits.Expires)
+	if expiresErr != nil {
+		c.Add("credits.expires", credits.Expires, "a time such as 2027-03-31T00:00:00Z")
 	}
-	if _, err := time.Parse(time.RFC3339, t.Credits.Expires); err != nil {
-		c.Add("credits.expires", t.Credits.Expires, "a time such as 2027-03-31T00:00:00Z")
+	if err == nil && expiresErr == nil && !expires.After(asOf) {
+		c.Addf("credits.expires", credits.Expires, "a time after as_of, which is %s", credits.AsOf)
 	}
 }
 
@@ -71,7 +83,7 @@
 }
 
 func (c *checker) account(a *Account) {
-	c.tokenHash(a.TokenSHA256, "/teams/"+c.path.Team+"/accounts/"+c.path.Name)
+	c.tokenHash(a.TokenSHA256)
 	c.limits(a.Limits)
 	c.class("class", a.Class)
 	team, ok := c.ownTeam()
@@ -124,8 +136,8 @@
 	if w.Group == "" {
 		return
 	}
-	if _, ok := c.view.Group(w.Group); !ok {
-		c.Addf("group", w.Group, "a group that exists; there is no /groups/%s", w.Group)
+	if _, _, ok := c.view.Group(w.Group); !ok {
+		c.Add("group", w.Group, "a group that exists")
 	}
 }
 
--- a/internal/core/strike/table.go
+++ b/internal/core/strike/table.go
@@ -11,6 +11,7 @@
 const (
 	TargetDied     = 2 // the agent saw its target die
 	ConnectionLost = 1 // the target or only the way to it may be gone
+	AnswerCut      = 1 // the target broke the answer off, with or without dying
 )
 
 const (
@@ -125,7 +126,7 @@
 }
 
 // Exonerate clears the strikes so far: the request ran whole, alone.
-func (t *Table) Exonerate(fingerprint string) {
+func (t *Table) Exonerate(fingerprint string, now time.Time) {
 	s := t.shard(fingerprint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,6 +141,7 @@
 	own := found.byNode[t.node]
 	own.Fingerprint, own.Node, own.Cleared = fingerprint, t.node, sum
 	found.byNode[t.node] = own
+	found.touched = now
 }
 
 // Merge takes in counts of other nodes.
@@ -165,7 +167,10 @@
 }
 
 // Counts returns all live counts, for other nodes, and forgets old ones.
-func (t *Table) Counts(now time.Time) []Count {
+func (t *Table) Counts(now time.Time) []Count { return t.CountsSince(time.Time{}, now) }
+
+// CountsSince is Counts, but for those that changed since a time.
+func (t *Table) CountsSince(since, now time.Time) []Count {
 	var counts []Count
 	for i := range t.shards {
 		s := &t.shards[i]
@@ -175,6 +180,9 @@
 				delete(s.tallies, fingerprint)
 				continue
 			}
+			if found.touched.Before(since) {
+				continue
+			}
 			for _, count := range found.byNode {
 				counts = append(counts, count)
 			}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,13 +26,14 @@
 	Now          func() time.Time    // time.Now if nil
 	Random       func() uint64       // rand.Uint64 if nil
 	AskInterval  time.Duration       // between questions for an outcome
+	UnknownWait  time.Duration       // until an outcome that no agent knows is taken as unknown
 	NoRetryCodes map[string]struct{} // refusals that hold at every target
 }
 
 // Dispatcher carries requests to targets. It is safe for concurrent use.
 type Dispatcher struct {
 	cfg    Config
-	budget retry.Budget
+	budget *retry.Budget
 }
 
 // New returns a dispatcher.
@@ -43,7 +44,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
-	return &Dispatcher{cfg: cfg}
+	return &Dispatcher{cfg: cfg, budget: retry.NewBudget()}
 }
 
 // Do runs a request on a target of the table and returns its whole answer. A
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -23,8 +23,10 @@
 	ran      wire.Ran
 	attempts int
 	breaks   int
+	rounds   int // waits after all targets were tried
 	tried    []string
 	last     *routing.Member
+	refusal  *Failure // the last one of an agent
 }
 
 // step makes one attempt. Of its results one is set: the answer, an action
@@ -36,9 +38,9 @@
 		r.d.cfg.Counter.Count("refused." + CodeCrashesTargets)
 		return nil, retry.GiveUp, r.failure(CodeCrashesTargets, nil)
 	}
-	member := r.pick(now)
+	member := r.pickOrWait(ctx, now)
 	if member == nil {
-		return nil, retry.GiveUp, r.noTarget()
+		return nil, retry.GiveUp, r.noTarget(ctx)
 	}
 	r.attempts++
 	r.last = member
@@ -46,7 +48,7 @@
 	result := r.attempt(ctx, member, verdict == strike.Suspect)
 	if result.answer != nil {
 		if verdict == strike.Suspect {
-			r.d.cfg.Strikes.Exonerate(r.req.Fingerprint)
+			r.d.cfg.Strikes.Exonerate(r.req.Fingerprint, r.d.cfg.Now())
 		}
 		return result.answer, retry.GiveUp, nil
 	}
@@ -59,10 +61,10 @@
 	r.learn(member, result, now)
 	failure := r.failure(result.code, result.err)
 	failure.RetryAfter = result.retryAfter
-	if result.callerGone {
-		return nil, retry.GiveUp, failure
+	if result.outcome == retry.NotRun {
+		r.refusal = failure
 	}
-	if result.final {
+	if result.callerGone || result.final {
 		return nil, retry.GiveUp, failure
 	}
 	action := retry.Decide(retry.Attempt{
@@ -72,7 +74,7 @@
 		Breaks:     r.breaks,
 		Now:        now,
 		Deadline:   r.req.Deadline,
-	}, &r.d.budget)
+	}, r.d.budget)
 	if action != retry.Ask && ctx.Err() != nil {
 		return nil, retry.GiveUp, r.interrupted(ctx)
 	}
@@ -86,16 +88,21 @@
 	case retry.NotSent:
 		member.State.Avoid(now.Add(r.d.cfg.Avoid))
 		return
-	case retry.NotRun:
+	case retry.NotRun, retry.NotTaken:
+		if result.silent {
+			member.State.Avoid(now.Add(r.d.cfg.Avoid))
+		}
 		return
 	case retry.Failed, retry.Broken, retry.Malformed:
 	}
 	r.breaks++
 	r.ran = worse(r.ran, result.ran)
+	if result.silent || result.strikes > 0 {
+		member.State.Avoid(now.Add(r.d.cfg.Avoid))
+	}
 	if result.strikes == 0 {
 		return
 	}
-	member.State.Avoid(now.Add(r.d.cfg.Avoid))
 	count := r.d.cfg.Strikes.Strike(r.req.Fingerprint, result.strikes, now)
 	r.d.cfg.Counter.Count("strikes")
 	if r.d.cfg.OnStrike != nil {
@@ -114,16 +121,25 @@
 	if !r.req.repeatable() {
 		return routing.First(r.table.ForKey(r.req.name(), r.key()), query)
 	}
-	pool := r.pool()
-	if member := pool.Pick(r.d.cfg.Strategy, query); member != nil {
-		return member
-	}
-	// Every target was tried: those that broke may serve again by now.
-	query.Exclude = nil
-	if r.breaks == 0 {
-		return nil
+	return r.pool().Pick(r.d.cfg.Strategy, query)
+}
+
+// pickOrWait picks a target. A request that was broken off and has tried all
+// targets waits a little and tries them again.
+func (r *run) pickOrWait(ctx context.Context, now time.Time) *routing.Member {
+	for {
+		member := r.pick(now)
+		if member != nil || r.breaks == 0 || !r.req.repeatable() {
+			return member
+		}
+		pause, ok := retry.Pause(r.rounds)
+		if !ok || !wait(ctx, pause) {
+			return nil
+		}
+		r.rounds++
+		r.tried = nil
+		now = r.d.cfg.Now()
 	}
-	return pool.Pick(r.d.cfg.Strategy, query)
 }
 
 func (r *run) pool() *routing.Pool {
@@ -146,7 +162,15 @@
 	return failure
 }
 
-func (r *run) noTarget() *Failure {
+// noTarget is the failure of a request that no target is left for: the last
+// refusal, if there was one.
+func (r *run) noTarget(ctx context.Context) *Failure {
+	if ctx.Err() != nil {
+		return r.interrupted(ctx)
+	}
+	if r.refusal != nil && r.breaks == 0 {
+		return r.refusal
+	}
 	failure := r.failure(CodeNoTarget, nil)
 	failure.RetryAfter = time.Second
 	if r.attempts > 0 && r.breaks == 0 {
