--- /dev/null
+++ b/internal/core/settings/delta_test.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// history returns the states after each of a few writes and a deletion, by
+// offset, and then some records that are no writes.
+func history(t *testing.T, window int64, others int) []*State {
+	t.Helper()
+	f := newFolder(t, window)
+	var states []*State
+	for _, value := range []string{"1", "2", ""} {
+		assert.Equal(t, f.write("/a", value, f.state.Offset()), Accepted)
+		states = append(states, f.state.Clone())
+	}
+	for range others {
+		f.other(1)
+		states = append(states, f.state.Clone())
+	}
+	return states
+}
+
+func TestADeltaFromAnEarlierOffsetLeadsToTheSameState(t *testing.T) {
+	states := history(t, 10, 2)
+	for from := range states {
+		for at := from; at < 4; at++ {
+			next, err := states[at].Advance(states[4].DeltaFrom(int64(from)))
+			assert.NilError(t, err)
+			assert.Equal(t, next.Hash(), states[4].Hash(), "from %d at %d", from, at)
+		}
+	}
+}
+
+func TestADeltaOverForgottenDeletionsHoldsTheWholeState(t *testing.T) {
+	states := history(t, 2, 4)
+	delta := states[6].DeltaFrom(1)
+	assert.Equal(t, delta.From, NoOffset)
+	next, err := states[1].Advance(delta)
+	assert.NilError(t, err)
+	assert.Equal(t, next.Hash(), states[6].Hash())
+	assert.Equal(t, next.Snapshot().Len(), 0)
+}
+
+func TestADeltaThatLeavesAGapOrLeadsBackIsRefused(t *testing.T) {
+	states := history(t, 10, 2)
+	_, err := states[0].Advance(states[4].DeltaFrom(2))
+	assert.ErrorContains(t, err, "delta from offset 2 at offset 0")
+	_, err = states[4].Advance(states[2].DeltaFrom(0))
+	assert.ErrorContains(t, err, "not above")
+}
--- /dev/null
+++ b/internal/core/settings/record_test.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestARecordOfAnUnknownKindHasNoEffect(t *testing.T) {
+	record, err := DecodeRecord([]byte(`{"later":{"x":1}}`))
+	assert.NilError(t, err)
+	state := NewState()
+	judged, err := state.Apply(0, record)
+	assert.NilError(t, err)
+	assert.Assert(t, judged == nil)
+	assert.Equal(t, state.Offset(), int64(0))
+}
+
+func FuzzRecord(f *testing.F) {
+	f.Add([]byte(`{"write":{"operation":"o","path":"/a/b","value":{"x": [1, 2]},"as_of":-1,"author":"é"}}`))
+	f.Add([]byte(`{"write":{"operation":"o","path":"/a","deleted":true,"as_of":-1}}`))
+	f.Add([]byte(`{"write":{"operation":"o","path":"/a","value":"<&>","as_of":9223372036854775807}}`))
+	f.Add([]byte(`{"chunk":{"checkpoint":"c","base":3,"index":0,"entries":[{"path":"/a","version":1,"value":1}]}}`))
+	f.Add([]byte(`{"close":{"checkpoint":"c","base":3,"chunks":-1,"hash":""}}`))
+	f.Add([]byte("{\"write\":{\"path\":\"/\xff\"}}"))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		record, err := DecodeRecord(data)
+		if err != nil {
+			return
+		}
+		checkFold(t, record)
+		again, err := EncodeRecord(record)
+		assert.NilError(t, err)
+		decoded, err := DecodeRecord(again)
+		assert.NilError(t, err)
+		encoded, err := EncodeRecord(decoded)
+		assert.NilError(t, err)
+		assert.Equal(t, string(encoded), string(again))
+	})
+}
+
+// checkFold folds a record, and a checkpoint of the result must restore it.
+func checkFold(t *testing.T, record Record) {
+	state := NewState()
+	_, err := state.Apply(0, record)
+	assert.NilError(t, err)
+	chunks, end := state.Checkpoint("c")
+	for i := range chunks {
+		data, err := EncodeRecord(Record{Chunk: &chunks[i]})
+		assert.NilError(t, err)
+		decoded, err := DecodeRecord(data)
+		assert.NilError(t, err)
+		chunks[i] = *decoded.Chunk
+	}
+	restored, err := Restore(&end, chunks)
+	assert.NilError(t, err)
+	assert.Equal(t, restored.Hash(), state.Hash())
+	if record.Close != nil {
+		_, _ = Restore(record.Close, chunks)
+	}
+}
