Match routes by whole segments everywhere

The check for hidden routes took /entries to hide /entries-of-old, and explain matched by bytes; both now use schema.Route.Matches, as the request path does.

--- a/internal/adapter/adminhttp/explain.go
+++ b/internal/adapter/adminhttp/explain.go
@@ -2,10 +2,9 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"quetzalbend/internal/core/catalog"
-	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/core/routing"
 )
 
 // explain answers why a request of some kind would go where. The query names
@@ -42,7 +41,7 @@
 		return nil, newProblem(CodeNotFound, fmt.Sprintf("there is no /teams/%s/services/%s", team, name))
 	}
 	answer := Explanation{Team: team, Name: name, Kind: "service", TimeoutMS: service.TimeoutMS, Candidates: []Candidate{}}
-	route := matchRoute(service.Routes, method, path)
+	route := routing.MatchRoute(service.Routes, method, path)
 	if route == nil {
 		answer.Refused = fmt.Sprintf("no route of the service matches %s %s", method, path)
 		return answer, nil
@@ -53,15 +52,6 @@
 	return answer, nil
 }
 
-func matchRoute(routes []schema.Route, method, path string) *schema.Route {
-	for i := range routes {
-		if routes[i].Method == method && strings.HasPrefix(path, routes[i].PathPrefix) {
-			return &routes[i]
-		}
-	}
-	return nil
-}
-
 func (h *handler) addCandidates(answer *Explanation, targets []*catalog.Target) {
 	loads := h.loads()
 	answer.Candidates = []Candidate{}
--- a/internal/adapter/adminhttp/handler_test.go
+++ b/internal/adapter/adminhttp/handler_test.go
@@ -325,6 +325,60 @@
 	assert.Assert(t, cmp.Contains(body, "t9"))
 }
 
+func TestExplainFollowsTheRoutesOfAService(t *testing.T) {
+	s := newStore()
+	for i, setting := range []struct{ path, value string }{
+		{"/teams/red/services/s", `{"routes":[{"method":"POST","path_prefix":"/entries","class":"certificate"}]}`},
+		{"/targets/s1", `{"agent":"127.0.0.1:4","failure_domain":"a","kind":"service","serves":["s"],"team":"red"}`},
+		{"/targets/s2", `{"agent":"127.0.0.1:5","failure_domain":"b","kind":"service","serves":["s"],"team":"red"}`},
+		{"/domains/b", `{"state":"out"}`},
+	} {
+		s.entries[setting.path] = settings.Entry{Path: setting.path, Version: int64(i + 10), Value: []byte(setting.value)}
+	}
+	known := map[string]Load{"s1": {Reachable: true, Leaving: true}}
+	h := NewHandler(Config{
+		Settings: s, Targets: func() map[string]Load { return known }, BootstrapOperatorTokenSHA256: hashOf("root-token"),
+	})
+	explain := func(query string) Explanation {
+		var answer Explanation
+		_, body, _ := call(h, "root-token", "GET", Prefix+"explain?team=red&service=s&"+query, "")
+		assert.NilError(t, json.Unmarshal([]byte(body), &answer), body)
+		return answer
+	}
+	assert.Assert(t, cmp.Contains(explain("method=GET&path=/entries").Refused, "no route"))
+	answer := explain("method=POST&path=/entries/7")
+	assert.Equal(t, answer.Class, "certificate")
+	assert.Assert(t, !answer.Idempotent)
+	assert.Equal(t, answer.Candidates[0].Reason, "leaving")
+	assert.Equal(t, answer.Candidates[1].Reason, "failure domain b is out")
+	assert.Assert(t, answer.Refused != "")
+	for _, c := range []struct {
+		load Load
+		want string
+	}{
+		{Load{}, "not reachable"},
+		{Load{Reachable: true, Cold: true}, "in and cold: up to its cold limit"},
+		{Load{Reachable: true, Running: 2, Limit: 2}, "in, but at its limit"},
+		{Load{Reachable: true}, "in"},
+	} {
+		known["s1"] = c.load
+		assert.Equal(t, explain("method=POST&path=/entries").Candidates[0].Reason, c.want)
+	}
+}
+
+func TestTeamsShowsOwnSubtreeOnly(t *testing.T) {
+	h, _ := newHandler(newStore())
+	teams := func(token string) Teams {
+		var answer Teams
+		_, body, _ := call(h, token, "GET", Prefix+"teams", "")
+		assert.NilError(t, json.Unmarshal([]byte(body), &answer))
+		return answer
+	}
+	assert.Equal(t, len(teams("root-token").Teams), 2)
+	assert.Equal(t, teams("red-token").Teams[0].Subtree, "/teams/red")
+	assert.Equal(t, len(teams("red-token").Teams), 1)
+}
+
 func TestNoSettingsYet(t *testing.T) {
 	h, _ := newHandler(&store{})
 	status, _, _ := call(h, "root-token", "GET", Prefix+"status", "")
--- a/internal/core/catalog/check_test.go
+++ b/internal/core/catalog/check_test.go
@@ -40,7 +40,7 @@
 		"/teams/red/accounts/y":   fmt.Sprintf(`{"token_sha256":%q,"class":"batch"}`, hashB),
 		"/teams/red/models/n":     `{"versions":["1","2"],"adapters":["a"]}`,
 		"/teams/red/workloads/v":  `{"model":"m","version":"1","class":"certificate","group":"g"}`,
-		"/teams/red/services/s":   `{"routes":[{"method":"POST","path_prefix":"/entries"},{"method":"GET","path_prefix":"/","idempotent":true}]}`,
+		"/teams/red/services/s":   `{"routes":[{"method":"POST","path_prefix":"/entries"},{"method":"POST","path_prefix":"/entries-of-old"},{"method":"GET","path_prefix":"/","idempotent":true}]}`,
 		"/teams/red/services/s/":  "",
 		"/teams/red/workloads/v2": `{"model":"m","timeout_ms":0}`,
 		"/teams/red/targets/own":  `{"agent":"127.0.0.1:9","failure_domain":"a","serves":["m"]}`,
--- a/internal/core/routing/explain.go
+++ b/internal/core/routing/explain.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"strings"
-
 	"quetzalbend/internal/core/schema"
 )
 
@@ -44,18 +42,12 @@
 }
 
 // MatchRoute returns the first route for a method and a path without its
-// query, or nil. A prefix matches whole segments of the path.
+// query, or nil.
 func MatchRoute(routes []schema.Route, method, path string) *schema.Route {
 	for i := range routes {
-		if routes[i].Method == method && underPrefix(path, routes[i].PathPrefix) {
+		if routes[i].Matches(method, path) {
 			return &routes[i]
 		}
 	}
 	return nil
 }
-
-// underPrefix reports whether a path is the prefix or lies below it.
-func underPrefix(path, prefix string) bool {
-	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
-	return ok && (rest == "" || rest[0] == '/')
-}
--- a/internal/core/schema/check_team.go
+++ b/internal/core/schema/check_team.go
@@ -190,7 +190,7 @@
 	}
 	c.class(field("class"), route.Class)
 	for j, other := range earlier {
-		if other.Method == route.Method && strings.HasPrefix(route.PathPrefix, other.PathPrefix) {
+		if other.Matches(route.Method, route.PathPrefix) {
 			c.Addf(field("path_prefix"), route.PathPrefix, "a route that can be reached; %s matches first", routeField(j, "path_prefix"))
 			break
 		}
--- a/internal/core/schema/types.go
+++ b/internal/core/schema/types.go
@@ -1,5 +1,7 @@
 package schema
 
+import "strings"
+
 // Membership says whether operators let a failure domain or target serve.
 type Membership string
 
@@ -124,3 +126,10 @@
 	Idempotent bool   `json:"idempotent"` // whether the call may be repeated
 	Class      Class  `json:"class"`      // default interactive
 }
+
+// Matches reports whether the route is for a method and a path without its
+// query. The prefix matches whole segments of the path.
+func (r *Route) Matches(method, path string) bool {
+	rest, under := strings.CutPrefix(path, strings.TrimSuffix(r.PathPrefix, "/"))
+	return r.Method == method && under && (rest == "" || rest[0] == '/')
+}
