--- a/internal/adapter/adminhttp/config.go
+++ b/internal/adapter/adminhttp/config.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/routing"
+	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/settingssync"
 )
@@ -22,6 +24,13 @@
 	InForce() []settingssync.NodeStatus
 }
 
+// RouteQuery names a kind of request.
+type RouteQuery struct {
+	Kind  schema.TargetKind
+	Name  catalog.TeamName // of the model or service
+	Class schema.Class
+}
+
 // Counter counts what the API refuses; *metrics.Registry fits by an adapter.
 type Counter interface {
 	Refused(code string)
@@ -36,7 +45,10 @@
 	// Catalog returns the catalog in force; nil to build one from the snapshot.
 	Catalog func() *catalog.Catalog
 	// Targets returns the state of each target by name; nil if none is known.
-	Targets      func() map[string]Load
+	Targets func() map[string]Load
+	// Explain returns how the entry sees the targets for a request; nil if it
+	// routes none.
+	Explain      func(query RouteQuery) []routing.Explanation
 	Counter      Counter       // nil: refusals are not counted
 	ReadTimeout  time.Duration // to receive a body; default DefaultReadTimeout
 	WriteTimeout time.Duration // to learn the verdict on a write; default DefaultWriteTimeout
--- a/internal/adapter/adminhttp/explain.go
+++ b/internal/adapter/adminhttp/explain.go
@@ -5,6 +5,7 @@
 
 	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/routing"
+	"quetzalbend/internal/core/schema"
 )
 
 // explain answers why a request of some kind would go where. The query names
@@ -31,7 +32,9 @@
 		Model: workload.Model, Version: workload.Version, Adapter: workload.Adapter,
 		Class: string(workload.Class), TimeoutMS: workload.TimeoutMS, Idempotent: true,
 	}
-	h.addCandidates(&answer, r.catalog.ModelTargets[catalog.TeamName{Team: team, Name: workload.Model}])
+	model := catalog.TeamName{Team: team, Name: workload.Model}
+	asked := RouteQuery{Kind: schema.ModelTarget, Name: model, Class: workload.Class}
+	h.addCandidates(&answer, r.catalog.ModelTargets[model], asked)
 	return answer, nil
 }
 
@@ -48,12 +51,14 @@
 	}
 	answer.Class = string(route.Class)
 	answer.Idempotent = route.Idempotent
-	h.addCandidates(&answer, r.catalog.ServiceTargets[catalog.TeamName{Team: team, Name: name}])
+	key := catalog.TeamName{Team: team, Name: name}
+	asked := RouteQuery{Kind: schema.ServiceTarget, Name: key, Class: route.Class}
+	h.addCandidates(&answer, r.catalog.ServiceTargets[key], asked)
 	return answer, nil
 }
 
-func (h *handler) addCandidates(answer *Explanation, targets []*catalog.Target) {
-	loads := h.loads()
+func (h *handler) addCandidates(answer *Explanation, targets []*catalog.Target, asked RouteQuery) {
+	loads, views := h.loads(), h.views(asked)
 	answer.Candidates = []Candidate{}
 	var eligible int
 	for _, target := range targets {
@@ -62,6 +67,9 @@
 			candidate.Load = &load
 		}
 		candidate.Eligible, candidate.Reason = eligibility(target, candidate.Load)
+		if view, ok := views[target.Name]; ok {
+			candidate.see(view)
+		}
 		if candidate.Eligible {
 			eligible++
 		}
@@ -75,6 +83,27 @@
 	}
 }
 
+// views returns how the entry sees each target, by name.
+func (h *handler) views(asked RouteQuery) map[string]routing.Explanation {
+	if h.cfg.Explain == nil {
+		return nil
+	}
+	views := make(map[string]routing.Explanation)
+	for _, view := range h.cfg.Explain(asked) {
+		views[view.Target] = view
+	}
+	return views
+}
+
+// see takes over how the entry sees the target.
+func (c *Candidate) see(view routing.Explanation) {
+	c.Tier = string(view.Tier)
+	c.Utilization = view.Utilization
+	if c.Eligible && view.Obstacle != "" {
+		c.Eligible, c.Reason = false, view.Obstacle
+	}
+}
+
 // eligibility says whether a target may get new work, and why.
 func eligibility(target *catalog.Target, load *Load) (bool, string) {
 	switch {
--- a/internal/adapter/adminhttp/handler_test.go
+++ b/internal/adapter/adminhttp/handler_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/settingssync"
 )
@@ -336,6 +337,7 @@
 		s.entries[setting.path] = settings.Entry{Path: setting.path, Version: int64(i + 10), Value: []byte(setting.value)}
 	}
 	known := map[string]Load{"s1": {Reachable: true, Leaving: true}}
+	var obstacle string
 	h := NewHandler(Config{
 		Settings: s, Targets: func() map[string]Load { return known }, BootstrapOperatorTokenSHA256: hashOf("root-token"),
 	})
@@ -352,6 +354,19 @@
 	assert.Equal(t, answer.Candidates[0].Reason, "leaving")
 	assert.Equal(t, answer.Candidates[1].Reason, "failure domain b is out")
 	assert.Assert(t, answer.Refused != "")
+	h = NewHandler(Config{
+		Settings: s, Targets: func() map[string]Load { return known }, BootstrapOperatorTokenSHA256: hashOf("root-token"),
+		Explain: func(asked RouteQuery) []routing.Explanation {
+			assert.Equal(t, asked.Name.Name, "s")
+			return []routing.Explanation{{Target: "s1", Tier: routing.TierNear, Utilization: 0.5, Obstacle: obstacle}}
+		},
+	})
+	known["s1"] = Load{Reachable: true}
+	obstacle = "excluded"
+	answer = explain("method=POST&path=/entries")
+	assert.Equal(t, answer.Candidates[0].Reason, "excluded")
+	assert.Equal(t, answer.Candidates[0].Tier, "near")
+	obstacle = ""
 	for _, c := range []struct {
 		load Load
 		want string
--- a/internal/adapter/adminhttp/messages.go
+++ b/internal/adapter/adminhttp/messages.go
@@ -164,9 +164,11 @@
 
 // Candidate is a target that a request might go to.
 type Candidate struct {
-	Target        string `json:"target"`
-	FailureDomain string `json:"failure_domain"`
-	Eligible      bool   `json:"eligible"`
-	Reason        string `json:"reason"`
-	Load          *Load  `json:"load,omitempty"`
+	Target        string  `json:"target"`
+	FailureDomain string  `json:"failure_domain"`
+	Eligible      bool    `json:"eligible"`
+	Reason        string  `json:"reason"`
+	Tier          string  `json:"tier,omitempty"`        // near, far or rest: in this order the entry considers targets
+	Utilization   float64 `json:"utilization,omitempty"` // expected by the entry; from 1 on the target is taken for full
+	Load          *Load   `json:"load,omitempty"`
 }
--- a/internal/app/ctl/status.go
+++ b/internal/app/ctl/status.go
@@ -212,9 +212,10 @@
 		row(table, "refused: "+e.Refused)
 	}
 	row(table)
-	row(table, "TARGET", "DOMAIN", "ELIGIBLE", "REASON")
+	row(table, "TARGET", "DOMAIN", "TIER", "UTILIZATION", "ELIGIBLE", "REASON")
 	for _, candidate := range e.Candidates {
-		row(table, candidate.Target, candidate.FailureDomain, candidate.Eligible, candidate.Reason)
+		row(table, candidate.Target, candidate.FailureDomain, candidate.Tier,
+			fmt.Sprintf("%.2f", candidate.Utilization), candidate.Eligible, candidate.Reason)
 	}
 }
 
--- a/internal/app/entry/admin.go
+++ b/internal/app/entry/admin.go
@@ -6,6 +6,7 @@
 
 	"quetzalbend/internal/adapter/adminhttp"
 	"quetzalbend/internal/core/routing"
+	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/metrics"
 )
 
@@ -18,10 +19,24 @@
 		Settings:                     e.node,
 		Catalog:                      e.tables.catalog,
 		Targets:                      e.tables.loads,
+		Explain:                      e.tables.explain,
 		Counter:                      adminRefusals{e.registry},
 	})
 }
 
+// explain returns how this entry sees the targets for a kind of request.
+func (t *tables) explain(asked adminhttp.RouteQuery) []routing.Explanation {
+	table := t.Table()
+	if table == nil {
+		return nil
+	}
+	pool := table.Model(asked.Name)
+	if asked.Kind == schema.ServiceTarget {
+		pool = table.Service(asked.Name)
+	}
+	return pool.Explain(&routing.Query{Class: asked.Class, Now: time.Now()})
+}
+
 // loads returns the state of the targets that this entry has heard of.
 func (t *tables) loads() map[string]adminhttp.Load {
 	current := t.catalog()
