--- a/internal/app/load/fleet/agents.go
+++ b/internal/app/load/fleet/agents.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -74,13 +76,24 @@
 	return nil
 }
 
+// Ports for agents, below those that the system gives to outgoing connections.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
 // freeAddress returns an address on loopback that nobody listens on.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
+	var last error
+	for range lastPort - firstPort {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		listener, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, errors.Wrap(listener.Close(), "find a free port")
+		}
+		last = err
 	}
-	return listener.Addr().String(), errors.Wrap(listener.Close(), "find a free port")
+	return "", errors.Wrap(last, "find a free port")
 }
 
 // Break cuts a domain off or kills it. Engines of a killed domain drop what
