Admit at the target: a cold engine is never overrun

The limit starts cold, grows with finished work and follows latency; the queue is fair by urgency, team share and account. Requests whose acceptance by a warm incarnation is not confirmed never outnumber the cold limit, so that a silent restart cannot be overrun either.

--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"quetzalbend/internal/adapter/link"
 	"quetzalbend/internal/adapter/service"
 	"quetzalbend/internal/claimlog"
+	"quetzalbend/internal/core/admission"
 	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/metrics"
@@ -46,7 +48,9 @@
 	leaving     atomic.Bool // by signal
 	out         atomic.Bool // by the settings
 	vmLeaving   atomic.Bool // by the platform's list
-	running     atomic.Int32
+	unreachable atomic.Bool // the engine does not answer
+	closing     sync.Mutex  // held while the gate is closed or opened
+	gate        *gate
 	work        context.Context // of all calls; ends with errLeaving after the grace
 	stopWork    context.CancelCauseFunc
 }
@@ -74,8 +78,10 @@
 	}
 	if config.Engine != "" {
 		a.engine = engine.New(config.Engine)
+		a.gate = newGate(time.Now, admission.Config{Reports: true})
 	} else {
 		a.service = service.New(config.Service)
+		a.gate = newGate(time.Now, admission.Config{})
 		a.claims = a.newClaims()
 	}
 	return a, nil
@@ -123,6 +129,9 @@
 	if a.keys != nil {
 		group.Go(func() error { return a.keys.Run(ctx) })
 	}
+	if a.engine != nil {
+		group.Go(func() error { a.followLoad(ctx); return nil })
+	}
 	if a.claims != nil {
 		group.Go(func() error { return a.claims.Run(ctx) })
 	}
@@ -142,6 +151,7 @@
 // leave refuses new work and waits for running work.
 func (a *Agent) leave(server *link.Server) {
 	a.leaving.Store(true)
+	a.closeGate()
 	log.WithField("target", a.config.Name).Info("leaving")
 	handBack := time.AfterFunc(a.config.grace(), func() { a.stopWork(errLeaving) })
 	defer handBack.Stop()
@@ -187,11 +197,27 @@
 }
 
 func (a *Agent) load() *wire.Load {
+	view := a.gate.view()
 	return &wire.Load{
-		Incarnation: a.incarnation,
-		Running:     a.running.Load(),
-		Leaving:     a.refusesNewWork(),
+		Incarnation:     a.incarnation,
+		Running:         int32(view.Running),
+		Queued:          int32(view.Queued),
+		Limit:           int32(view.Limit),
+		Cold:            view.Cold,
+		Leaving:         a.refusesNewWork(),
+		FirstTokenMs:    inMilliseconds(view.FirstToken),
+		BetweenTokensMs: inMilliseconds(view.BetweenTokens),
+	}
+}
+
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// ready reports whether the target can take work.
+func (a *Agent) ready() bool {
+	if a.refusesNewWork() || a.gate.view().InDoubt {
+		return false
 	}
+	return a.claims == nil || a.claims.Ready()
 }
 
 func (a *Agent) statusHandler() http.Handler {
@@ -201,7 +227,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if a.refusesNewWork() || a.claims != nil && !a.claims.Ready() {
+		if !a.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/app/agent/call.go
+++ b/internal/app/agent/call.go
@@ -7,6 +7,9 @@
 	"github.com/apex/log"
 
 	"quetzalbend/internal/adapter/link"
+	"quetzalbend/internal/core/admission"
+	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/metrics"
 	"quetzalbend/internal/wire"
 )
 
@@ -24,19 +27,67 @@
 }
 
 func (a *Agent) run(ctx context.Context, call *wire.Call, out *answer) error {
+	if call.GetIncarnation() != "" && call.GetIncarnation() != a.incarnation {
+		return a.refuse(call, out, &wire.Refused{Reason: reasonWrongTarget, Detail: "the agent has restarted"})
+	}
 	if a.refusesNewWork() {
-		return out.refused(&wire.Refused{Reason: reasonLeaving})
+		return a.refuse(call, out, &wire.Refused{Reason: reasonLeaving})
 	}
-	a.running.Add(1)
-	defer a.running.Add(-1)
 	switch {
-	case call.GetModel() != nil:
+	case call.GetModel() != nil && a.engine != nil:
 		return a.runModel(ctx, call, out)
-	case call.GetService() != nil:
+	case call.GetService() != nil && a.service != nil:
 		return a.runService(ctx, call, out)
 	default:
-		return out.refused(&wire.Refused{Reason: reasonBadCall, Detail: "the call names no work"})
+		return a.refuse(call, out, &wire.Refused{Reason: reasonWrongTarget, Detail: "the target does not do such work"})
+	}
+}
+
+// refuse tells the entry that the call did not run and will not.
+func (a *Agent) refuse(call *wire.Call, out *answer, refusal *wire.Refused) error {
+	a.registry.Refused(refusal.GetReason(), metricsKey(call))
+	return out.refused(refusal)
+}
+
+// enter brings a call through the gate. It returns nil if the call was refused.
+func (a *Agent) enter(ctx context.Context, call *wire.Call, out *answer) (*ticket, error) {
+	began := time.Now()
+	var noticeErr error
+	t, refusal := a.gate.enter(ctx, a.admissionRequest(ctx, call), func() { noticeErr = out.admitted() })
+	a.registry.Observe(metrics.QueueTime, metricsKey(call), time.Since(began))
+	if refusal != nil {
+		return nil, a.refuse(call, out, refusal)
+	}
+	return t, noticeErr
+}
+
+// urgencyOfClass separates classes; priorities count within one.
+const urgencyOfClass = 1 << 16
+
+func (a *Agent) admissionRequest(ctx context.Context, call *wire.Call) admission.Request {
+	request := admission.Request{
+		Urgency: int(min(max(call.GetPriority(), 0), urgencyOfClass-1)),
+		Team:    call.GetTeam(),
+		Account: call.GetAccount(),
+		Share:   1,
+		Suspect: call.GetSuspect(),
+	}
+	switch schema.Class(call.GetClass()) {
+	case schema.Certificate:
+		request.Urgency += 2 * urgencyOfClass
+	case schema.Interactive:
+		request.Urgency += urgencyOfClass
+	case schema.Batch:
 	}
+	if view := a.catalog(); view != nil && view.Teams[call.GetTeam()].Share > 0 {
+		request.Share = view.Teams[call.GetTeam()].Share
+	}
+	request.Deadline, _ = ctx.Deadline()
+	return request
+}
+
+func metricsKey(call *wire.Call) metrics.Key {
+	return metrics.Key{Team: call.GetTeam(), Class: schema.Class(call.GetClass())}
 }
 
 // callContext joins the session's context, the agent's own and the deadline.
--- /dev/null
+++ b/internal/app/agent/cold_test.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"quetzalbend/internal/adapter/link"
+	standin "quetzalbend/internal/app/standin/engine"
+	"quetzalbend/internal/wire"
+)
+
+// flood sends calls from several entries at once until ctx ends and returns
+// how many were answered whole.
+func flood(ctx context.Context, t *testing.T, address string, callers int) *atomic.Int64 {
+	t.Helper()
+	pool := link.NewPool(link.Config{})
+	t.Cleanup(func() { _ = pool.Close() })
+	var whole atomic.Int64
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	for range callers {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				stream, err := pool.Open(ctx, address, &wire.Open{Purpose: &wire.Open_Call{Call: modelCall()}})
+				if err != nil {
+					continue
+				}
+				frame := &wire.AnswerFrame{}
+				for frame.GetFinal() == nil && frame.GetFailed() == nil && frame.GetRefused() == nil {
+					if stream.Receive(frame) != nil {
+						break
+					}
+				}
+				if frame.GetFinal() != nil {
+					whole.Add(1)
+				}
+				_ = stream.Close()
+			}
+		})
+	}
+	return &whole
+}
+
+func awaitCount(t *testing.T, count *atomic.Int64, least int64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if count.Load() >= least {
+			return poll.Success()
+		}
+		return poll.Continue("%d answers of %d", count.Load(), least)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+func TestColdEngineIsNeverOverrun(t *testing.T) {
+	engine := standin.New(standin.Config{
+		BetweenTokensMS: 1, FirstTokenMS: 2, ColdLimit: 2, ColdRequests: 8, LoadLagMS: 20, RestartMS: 100,
+	})
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	config := Config{Engine: server.URL, GraceMS: 1}
+	agent, stop := runAgent(t, config)
+	ctx, cancel := context.WithCancel(t.Context())
+	whole := flood(ctx, t, agent.config.Listen, 20)
+	awaitCount(t, whole, 200)
+	assert.Assert(t, engine.Truth().MaxRunning > 2, "the limit never grew")
+
+	for range 3 { // turns cold under full load, without warning
+		response, err := http.Post(server.URL+"/standin/fault", "application/json", strings.NewReader(`{"cold":true}`))
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		awaitCount(t, whole, whole.Load()+100)
+	}
+	assert.NilError(t, stop()) // a new agent beside the busy engine
+	next, _ := runAgent(t, config)
+	again := flood(ctx, t, next.config.Listen, 20)
+	awaitCount(t, again, 100)
+	cancel()
+	truth := engine.Truth()
+	assert.Assert(t, truth.MaxRunningCold <= truth.ColdLimit, "%d on a cold engine", truth.MaxRunningCold)
+	assert.Equal(t, truth.FellOver, 0)
+}
--- a/internal/app/agent/model.go
+++ b/internal/app/agent/model.go
@@ -4,23 +4,73 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/adapter/engine"
+	"quetzalbend/internal/core/admission"
+	"quetzalbend/internal/metrics"
 	"quetzalbend/internal/wire"
 )
 
+// generation is one model call while it runs on the engine.
+type generation struct {
+	agent   *Agent
+	call    *wire.Call
+	out     *answer
+	ticket  *ticket
+	end     admission.End
+	started time.Time
+	last    time.Time // of the last token; zero before the first
+	// incarnation of the engine that runs the call, as far as known
+	incarnation string
+}
+
 // runModel runs a model call on the engine and relays its answer.
 func (a *Agent) runModel(ctx context.Context, call *wire.Call, out *answer) error {
-	model := call.GetModel()
-	if a.engine == nil || model == nil {
-		return out.refused(&wire.Refused{Reason: reasonWrongTarget, Detail: "no engine behind this agent"})
+	t, err := a.enter(ctx, call, out)
+	if t == nil {
+		return err
+	}
+	g := &generation{agent: a, call: call, out: out, ticket: t, end: admission.Cancelled, started: time.Now()}
+	defer func() { a.gate.leave(t, g.end) }()
+	if err != nil {
+		g.end = admission.Finished // nothing was sent to the engine
+		return err
 	}
-	if err := out.admitted(); err != nil {
+	return g.run(ctx)
+}
+
+func (g *generation) run(ctx context.Context) error {
+	if err := g.out.admitted(); err != nil {
+		g.end = admission.Finished // nothing was sent to the engine
 		return err
 	}
-	completion := engine.Completion{
+	g.out.position = g.call.GetModel().GetResumePosition()
+	g.incarnation = g.agent.gate.incarnation()
+	response, err := g.agent.engine.Complete(ctx, completionOf(g.call))
+	if err != nil {
+		return g.failed(ctx, err)
+	}
+	defer response.Close()
+	if refusedByTarget(response.Status) {
+		g.end = admission.NotSent
+		return g.refuse(&wire.Refused{Reason: reasonTargetRefused, Detail: http.StatusText(response.Status)})
+	}
+	if named := response.Header.Get(engine.IncarnationHeader); named != "" {
+		g.incarnation = named
+	}
+	g.agent.gate.confirm(g.ticket, g.incarnation)
+	if err := g.out.head(response.Status, response.Header); err != nil {
+		return err
+	}
+	return g.relay(ctx, response)
+}
+
+func completionOf(call *wire.Call) engine.Completion {
+	model := call.GetModel()
+	return engine.Completion{
 		RequestID:  call.GetRequestId(),
 		Body:       model.GetBody(),
 		Model:      model.GetModel(),
@@ -30,19 +80,6 @@
 		ResumeFrom: model.GetResumePosition(),
 		Stream:     model.GetStream(),
 	}
-	out.position = completion.ResumeFrom
-	response, err := a.engine.Complete(ctx, completion)
-	if err != nil {
-		return a.modelFailed(ctx, out, err)
-	}
-	defer response.Close()
-	if refusedByTarget(response.Status) {
-		return out.refused(&wire.Refused{Reason: reasonTargetRefused, Detail: http.StatusText(response.Status)})
-	}
-	if err := out.head(response.Status, response.Header); err != nil {
-		return err
-	}
-	return a.relay(ctx, response, out)
 }
 
 // refusedByTarget reports whether a status says that nothing ran.
@@ -50,45 +87,80 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
-func (a *Agent) relay(ctx context.Context, response *engine.Answer, out *answer) error {
+func (g *generation) refuse(refusal *wire.Refused) error {
+	return g.agent.refuse(g.call, g.out, refusal)
+}
+
+func (g *generation) relay(ctx context.Context, response *engine.Answer) error {
 	for {
 		piece, err := response.Next()
 		if errors.Is(err, io.EOF) {
-			return out.final(false)
+			response.Close()
+			g.end = admission.Finished
+			g.agent.registry.Observe(metrics.Latency, metricsKey(g.call), time.Since(g.started))
+			return g.out.final(false)
 		}
 		if err != nil {
-			return a.modelFailed(ctx, out, err)
+			return g.failed(ctx, err)
 		}
-		if err := out.chunk(piece.Data, piece.Position); err != nil {
+		if piece.Position > g.out.position {
+			g.token()
+		}
+		if err := g.out.chunk(piece.Data, piece.Position); err != nil {
 			return err
 		}
 	}
 }
 
-// modelFailed ends an answer after the engine failed it.
-func (a *Agent) modelFailed(ctx context.Context, out *answer, err error) error {
+// token notes the time that a token of a stream took.
+func (g *generation) token() {
+	if !g.call.GetModel().GetStream() {
+		return
+	}
+	now := time.Now()
+	timing, since := metrics.BetweenTokens, now.Sub(g.last)
+	if g.last.IsZero() {
+		timing, since = metrics.FirstToken, now.Sub(g.started)
+	}
+	g.last = now
+	g.agent.registry.Observe(timing, metricsKey(g.call), since)
+	g.agent.gate.update(func(c *admission.Controller, now time.Time) {
+		if timing == metrics.FirstToken {
+			c.FirstToken(now, since)
+			return
+		}
+		c.BetweenTokens(now, since)
+	})
+}
+
+// failed ends an answer after the engine failed it.
+func (g *generation) failed(ctx context.Context, err error) error {
 	if errors.Is(err, engine.ErrNotSent) && ctx.Err() == nil {
-		return out.refused(&wire.Refused{Reason: reasonUnreachable, Detail: err.Error()})
+		g.end = admission.NotSent
+		return g.refuse(&wire.Refused{Reason: reasonUnreachable, Detail: err.Error()})
 	}
 	failure := &wire.Failed{Ran: wire.Ran_RAN_YES, Reason: reasonCut, Detail: err.Error()}
+	if ctx.Err() != nil {
+		failure.Reason = endReason(ctx)
+		return g.out.failed(failure)
+	}
+	g.end = admission.Broken
 	switch {
-	case errors.Is(context.Cause(ctx), errLeaving):
-		failure.Reason = reasonLeaving
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		failure.Reason = reasonDeadline
-	case ctx.Err() != nil:
-		failure.Reason = reasonCancelled
 	case errors.Is(err, engine.ErrMalformed):
 		failure.Reason = reasonMalformed
-	case a.engineDied():
+	case g.engineDied():
 		failure.Reason = reasonTargetDied
 		failure.TargetDied = true
 	}
-	return out.failed(failure)
+	return g.out.failed(failure)
 }
 
-// engineDied asks the engine whether it is still there after it broke an answer.
-func (a *Agent) engineDied() bool {
-	_, err := a.engine.Load(context.Background())
-	return errors.Is(err, engine.ErrNotSent)
+// engineDied reports whether the engine that broke an answer off is gone or
+// has come back as another incarnation than that which ran the call.
+func (g *generation) engineDied() bool {
+	load, err := g.agent.engine.Load(context.Background())
+	if err != nil {
+		return errors.Is(err, engine.ErrNotSent)
+	}
+	return g.incarnation != "" && load.Incarnation != g.incarnation
 }
--- a/internal/app/agent/once.go
+++ b/internal/app/agent/once.go
@@ -11,6 +11,7 @@
 	"quetzalbend/internal/adapter/platform"
 	"quetzalbend/internal/adapter/service"
 	"quetzalbend/internal/claimlog"
+	"quetzalbend/internal/core/admission"
 	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/claims"
 	"quetzalbend/internal/port"
@@ -64,7 +65,8 @@
 
 // runOnce runs a call that may not be repeated. Its run goes on to its end when
 // the caller goes away, so that a repeat can have the answer.
-func (a *Agent) runOnce(ctx context.Context, call *wire.Call, out *answer) error {
+func (a *Agent) runOnce(ctx context.Context, call *wire.Call, out *answer) (admission.End, error) {
+	end := admission.Finished
 	work := call.GetService()
 	request := claimlog.Request{
 		Account:     call.GetAccount(),
@@ -73,17 +75,29 @@
 	}
 	result := a.claims.Do(ctx, request, func() claimlog.Outcome {
 		_ = out.admitted() // the caller may be gone; the run is decided all the same
-		return a.runClaimed(work)
+		outcome := a.runClaimed(work)
+		switch {
+		case outcome.NotSent:
+			end = admission.NotSent
+		case outcome.Answer == nil:
+			end = admission.Broken
+		}
+		return outcome
 	})
+	return end, a.relayResult(call, out, result)
+}
+
+func (a *Agent) relayResult(call *wire.Call, out *answer, result claimlog.Result) error {
+	reason := string(result.Reason)
 	switch {
 	case result.Answer != nil:
 		return relayService(out, fromClaim(result.Answer), result.Replayed)
 	case result.Ran == claimlog.RanNo:
-		return out.refused(&wire.Refused{Reason: string(result.Reason)})
+		return a.refuse(call, out, &wire.Refused{Reason: reason})
 	case result.Ran == claimlog.RanYes:
-		return out.failed(&wire.Failed{Ran: wire.Ran_RAN_YES, Reason: string(result.Reason)})
+		return out.failed(&wire.Failed{Ran: wire.Ran_RAN_YES, Reason: reason})
 	default:
-		return out.failed(&wire.Failed{Ran: wire.Ran_RAN_UNKNOWN, Reason: string(result.Reason)})
+		return out.failed(&wire.Failed{Ran: wire.Ran_RAN_UNKNOWN, Reason: reason})
 	}
 }
 
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/adapter/service"
+	"quetzalbend/internal/core/admission"
+	"quetzalbend/internal/metrics"
 	"quetzalbend/internal/wire"
 )
 
@@ -14,23 +17,43 @@
 // runService runs a service call and relays its answer.
 func (a *Agent) runService(ctx context.Context, call *wire.Call, out *answer) error {
 	work := call.GetService()
-	if a.service == nil || work.GetService() != a.config.ServiceName {
-		return out.refused(&wire.Refused{Reason: reasonWrongTarget, Detail: "this agent serves another service"})
+	if work.GetService() != a.config.ServiceName {
+		return a.refuse(call, out, &wire.Refused{Reason: reasonWrongTarget, Detail: "the target is of another service"})
 	}
 	if !work.GetIdempotent() && work.GetIdempotencyKey() == "" {
-		return out.refused(&wire.Refused{Reason: reasonBadCall, Detail: "a call that may not be repeated needs an idempotency key"})
+		return a.refuse(call, out, &wire.Refused{Reason: reasonBadCall, Detail: "a call that may not be repeated needs an idempotency key"})
 	}
+	t, err := a.enter(ctx, call, out)
+	if t == nil {
+		return err
+	}
+	end := admission.Finished
+	defer func() { a.gate.leave(t, end) }()
+	began := time.Now()
+	defer func() { a.registry.Observe(metrics.Latency, metricsKey(call), time.Since(began)) }()
 	if !work.GetIdempotent() {
-		return a.runOnce(ctx, call, out)
+		end, err = a.runOnce(ctx, call, out)
+		return err
 	}
+	end, err = a.runIdempotent(ctx, call, out)
+	return err
+}
+
+func (a *Agent) runIdempotent(ctx context.Context, call *wire.Call, out *answer) (admission.End, error) {
 	if err := out.admitted(); err != nil {
-		return err
+		return admission.Cancelled, err
+	}
+	response, err := a.service.Do(ctx, serviceCall(call.GetService()))
+	if errors.Is(err, service.ErrNotSent) {
+		return admission.NotSent, a.refuse(call, out, &wire.Refused{Reason: reasonUnreachable, Detail: err.Error()})
+	}
+	if err != nil && ctx.Err() != nil {
+		return admission.Cancelled, out.failed(&wire.Failed{Reason: endReason(ctx), Detail: err.Error()})
 	}
-	response, err := a.service.Do(ctx, serviceCall(work))
 	if err != nil {
-		return serviceFailed(ctx, out, err)
+		return admission.Broken, out.failed(&wire.Failed{Reason: reasonCut, Detail: err.Error()})
 	}
-	return relayService(out, response, false)
+	return admission.Finished, relayService(out, response, false)
 }
 
 func serviceCall(work *wire.ServiceCall) service.Call {
@@ -59,17 +82,3 @@
 	}
 	return out.final(replayed)
 }
-
-func serviceFailed(ctx context.Context, out *answer, err error) error {
-	if errors.Is(err, service.ErrNotSent) {
-		return out.refused(&wire.Refused{Reason: reasonUnreachable, Detail: err.Error()})
-	}
-	failure := &wire.Failed{Ran: wire.Ran_RAN_UNKNOWN, Reason: reasonCut, Detail: err.Error()}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		failure.Reason = reasonDeadline
-	case ctx.Err() != nil:
-		failure.Reason = reasonCancelled
-	}
-	return out.failed(failure)
-}
--- a/internal/app/agent/settings.go
+++ b/internal/app/agent/settings.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apex/log"
 
+	"quetzalbend/internal/core/admission"
 	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/schema"
 )
@@ -30,12 +32,22 @@
 // takeCatalog puts settings in force.
 func (a *Agent) takeCatalog(view *catalog.Catalog) {
 	a.view.Store(view)
+	if target, known := view.Targets[a.config.Name]; known {
+		a.configureGate(target)
+	}
 	out := a.isOut(view)
 	if a.out.Swap(out) != out {
 		log.WithFields(log.Fields{"target": a.config.Name, "out": out, "offset": view.Offset}).Info("settings changed the target's state")
+		a.closeGate()
 	}
 }
 
+func (a *Agent) configureGate(target *catalog.Target) {
+	a.gate.update(func(c *admission.Controller, _ time.Time) {
+		c.Configure(admission.Config{ColdLimit: target.ColdLimit, MaxLimit: target.MaxLimit, Queue: target.Queue})
+	})
+}
+
 // isOut reports whether the settings keep new work from this target: its own
 // state, or that of the failure domain it is in by either account.
 func (a *Agent) isOut(view *catalog.Catalog) bool {
@@ -50,3 +62,19 @@
 func (a *Agent) refusesNewWork() bool {
 	return a.leaving.Load() || a.out.Load() || a.vmLeaving.Load()
 }
+
+// closeGate closes the gate for the weightiest reason there is, or opens it;
+// the target then ramps up from the cold limit.
+func (a *Agent) closeGate() {
+	a.closing.Lock()
+	defer a.closing.Unlock()
+	switch {
+	case a.refusesNewWork():
+		a.gate.close(reasonLeaving)
+	case a.unreachable.Load():
+		a.gate.close(reasonUnreachable)
+	default:
+		a.gate.update(func(c *admission.Controller, _ time.Time) { c.RampUp() })
+		a.gate.close("")
+	}
+}
--- a/internal/app/agent/vms.go
+++ b/internal/app/agent/vms.go
@@ -41,5 +41,6 @@
 	}
 	if a.vmLeaving.Swap(leaving) != leaving {
 		log.WithFields(log.Fields{"vm": a.config.VM, "leaving": leaving}).Info("platform changed the VM's state")
+		a.closeGate()
 	}
 }
--- /dev/null
+++ b/internal/core/admission/machine_test.go
@@ -0,0 +1,204 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const (
+	machineColdLimit = 2
+	warmAfter        = 2 // finished requests
+	rounds           = 4 // of actions in one run
+	arrival          = 8 * time.Millisecond
+)
+
+// flight is a request on its way to the engine.
+type flight struct {
+	id uint64
+	at time.Time
+}
+
+// targetMachine drives the real Controller before an engine that turns cold
+// without warning, reports late, and notices cancelled requests late. News of
+// finished and broken requests reach the controller late, too.
+type targetMachine struct {
+	now        time.Time
+	controller *Controller
+	lastID     uint64
+	flights    []flight
+
+	incarnation int
+	cold        bool
+	warmed      int
+	running     []uint64 // what the engine truly runs, orphans and cancelled ones included
+	named       map[uint64]string
+	broken      []uint64 // not known to the controller yet
+	finished    []uint64 // not known to the controller yet
+	report      *Report  // on its way
+	worst       int      // most that ran while cold
+}
+
+func newTargetMachine() *targetMachine {
+	m := &targetMachine{now: time.Unix(1000, 0), cold: true, named: make(map[uint64]string)}
+	m.startAgent()
+	return m
+}
+
+func (m *targetMachine) startAgent() {
+	m.controller = NewController(m.now, Config{ColdLimit: machineColdLimit, MaxLimit: 8, Queue: 4, Reports: true})
+}
+
+func (m *targetMachine) name() string { return fmt.Sprint("e", m.incarnation) }
+
+func (m *targetMachine) advance() {
+	for _, id := range m.controller.Next(m.now) {
+		m.flights = append(m.flights, flight{id, m.now})
+	}
+}
+
+// arrive lets the n-th request on its way reach the engine.
+func (m *targetMachine) arrive(n int) {
+	id := m.flights[n].id
+	m.flights = append(m.flights[:n:n], m.flights[n+1:]...)
+	m.running = append(m.running, id)
+	m.named[id] = m.name()
+	if m.cold {
+		m.worst = max(m.worst, len(m.running))
+	}
+}
+
+func take(t *rapid.T, ids *[]uint64, what string) (uint64, bool) {
+	if len(*ids) == 0 {
+		return 0, false
+	}
+	n := rapid.IntRange(0, len(*ids)-1).Draw(t, what)
+	id := (*ids)[n]
+	*ids = append((*ids)[:n:n], (*ids)[n+1:]...)
+	return id, true
+}
+
+func (m *targetMachine) Tick(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "ms")) * time.Millisecond)
+	for len(m.flights) > 0 && m.now.Sub(m.flights[0].at) >= arrival {
+		m.arrive(0)
+	}
+}
+
+func (m *targetMachine) Offer(t *rapid.T) {
+	for n := rapid.IntRange(1, 6).Draw(t, "requests"); n > 0; n-- {
+		m.lastID++
+		m.controller.Offer(Request{ID: m.lastID, Account: fmt.Sprint(m.lastID % 3), Share: 1})
+	}
+	m.advance()
+}
+
+func (m *targetMachine) Arrive(t *rapid.T) {
+	if len(m.flights) > 0 {
+		m.arrive(rapid.IntRange(0, len(m.flights)-1).Draw(t, "flight"))
+	}
+}
+
+// Head is the head of an answer, in the incarnation that took the request.
+func (m *targetMachine) Head(t *rapid.T) {
+	if len(m.running) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(m.running).Draw(t, "request")
+	m.controller.Confirm(m.now, id, m.named[id])
+	m.advance()
+}
+
+func (m *targetMachine) Finish(t *rapid.T) {
+	for n := rapid.IntRange(1, 4).Draw(t, "requests"); n > 0; n-- {
+		id, ok := take(t, &m.running, "request")
+		if !ok {
+			return
+		}
+		m.finished = append(m.finished, id)
+		m.warmed++
+		m.cold = m.cold && m.warmed < warmAfter
+	}
+}
+
+func (m *targetMachine) HearFinish(t *rapid.T) {
+	for n := rapid.IntRange(1, 4).Draw(t, "requests"); n > 0; n-- {
+		if id, ok := take(t, &m.finished, "finished"); ok {
+			m.controller.End(m.now, id, Finished)
+		}
+	}
+	m.advance()
+}
+
+// Cancel is noticed by the engine at some later Finish.
+func (m *targetMachine) Cancel(t *rapid.T) {
+	if len(m.running) > 0 {
+		m.controller.End(m.now, rapid.SampledFrom(m.running).Draw(t, "request"), Cancelled)
+		m.advance()
+	}
+}
+
+func (m *targetMachine) TurnCold(t *rapid.T) {
+	if rapid.IntRange(0, 3).Draw(t, "turn cold") > 0 {
+		return
+	}
+	m.incarnation++
+	m.cold, m.warmed = true, 0
+	m.broken = append(m.broken, m.running...)
+	m.running = nil
+}
+
+func (m *targetMachine) HearBreak(t *rapid.T) {
+	if id, ok := take(t, &m.broken, "broken"); ok {
+		m.controller.End(m.now, id, Broken)
+		m.advance()
+	}
+}
+
+func (m *targetMachine) Sample(*rapid.T) {
+	m.report = &Report{Incarnation: m.name(), Load: len(m.running), Cold: m.cold, Sampled: m.now}
+}
+
+// HearReport brings the report on its way or, mostly, a new one.
+func (m *targetMachine) HearReport(t *rapid.T) {
+	if m.report == nil || rapid.IntRange(0, 3).Draw(t, "lag") > 0 {
+		m.Sample(t)
+	}
+	m.controller.Observe(m.now, *m.report)
+	m.report = nil
+	m.advance()
+}
+
+// RestartAgent leaves what runs on the engine behind, unknown to the next.
+func (m *targetMachine) RestartAgent(t *rapid.T) {
+	if rapid.IntRange(0, 5).Draw(t, "restart") > 0 {
+		return
+	}
+	for len(m.flights) > 0 {
+		m.arrive(0)
+	}
+	m.broken, m.finished, m.report = nil, nil, nil
+	m.now = m.now.Add(time.Millisecond)
+	m.startAgent()
+}
+
+func (m *targetMachine) Check(t *rapid.T) {
+	if m.worst > machineColdLimit {
+		t.Fatalf("a cold engine ran %d requests", m.worst)
+	}
+}
+
+func TestColdTargetIsNeverOverrun(t *testing.T) {
+	reached := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newTargetMachine()
+		for range rounds {
+			t.Repeat(rapid.StateMachineActions(m))
+		}
+		reached = max(reached, m.controller.Limit())
+	})
+	assert.Assert(t, reached > machineColdLimit, "the machine never warmed up")
+}
