--- a/internal/adapter/adminhttp/handler_test.go
+++ b/internal/adapter/adminhttp/handler_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
+	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/settingssync"
 )
@@ -93,6 +94,7 @@
 		{"/teams/red/workloads/w", `{"model":"m"}`},
 		{"/targets/t1", `{"agent":"127.0.0.1:1","failure_domain":"a","kind":"model","serves":["m"],"team":"red"}`},
 		{"/targets/t2", `{"agent":"127.0.0.1:2","failure_domain":"a","kind":"model","serves":["m"],"state":"out"}`},
+		{"/teams/blue/targets/hidden", `{"agent":"127.0.0.1:3","failure_domain":"a","serves":[]}`},
 		{"/operators/red", fmt.Sprintf(`{"token_sha256":%q,"subtree":"/teams/red"}`, hashOf("red-token"))},
 	} {
 		s.entries[setting.path] = settings.Entry{Path: setting.path, Version: int64(i + 1), Value: []byte(setting.value)}
@@ -247,10 +249,13 @@
 		assert.NilError(t, json.Unmarshal([]byte(body), &answer))
 		return answer
 	}
-	assert.Equal(t, len(list("root-token", "").Settings), 8)
+	assert.Equal(t, len(list("root-token", "").Settings), 9)
 	for _, setting := range list("red-token", "").Settings {
-		assert.Assert(t, setting.Path != "/teams/blue" && setting.Path != "/operators/red", setting.Path)
+		assert.Assert(t, !strings.HasPrefix(setting.Path, "/teams/blue") && setting.Path != "/operators/red", setting.Path)
 	}
+	_, targets, _ := call(h, "red-token", "GET", Prefix+"targets", "")
+	assert.Assert(t, cmp.Contains(targets, `"t1"`))
+	assert.Assert(t, !strings.Contains(targets, "hidden"), targets)
 	page := list("root-token", "?prefix=/teams/red&limit=2")
 	assert.Equal(t, page.Next, "/teams/red/models/m")
 	page = list("root-token", "?prefix=/teams/red&limit=2&after="+page.Next)
@@ -289,7 +294,7 @@
 		missing = append(missing, node.Name)
 	}
 	assert.DeepEqual(t, missing, []string{"entry-3", "t2"})
-	assert.Equal(t, answer.Nodes, 5)
+	assert.Equal(t, answer.Nodes, 6)
 	assert.Assert(t, !answer.InForce)
 }
 
@@ -304,6 +309,22 @@
 	assert.Equal(t, answer.Candidates[1].Reason, "target is out")
 }
 
+// The entry publishes its catalog a moment after the node has the settings.
+func TestWriteShowsInTheNextReadAlthoughTheCatalogIsBehind(t *testing.T) {
+	s := newStore()
+	behind := catalog.Build(s.Snapshot())
+	h := NewHandler(Config{
+		Settings: s, Catalog: func() *catalog.Catalog { return behind }, BootstrapOperatorTokenSHA256: hashOf("root-token"),
+	})
+	status, body, _ := call(h, "root-token", "PUT", Prefix+"settings/domains/b", "{}")
+	assert.Equal(t, status, http.StatusOK, body)
+	target := `{"agent":"127.0.0.1:9","failure_domain":"b","kind":"model","serves":["m"],"team":"red"}`
+	status, body, _ = call(h, "root-token", "PUT", Prefix+"settings/targets/t9", target)
+	assert.Equal(t, status, http.StatusOK, body)
+	_, body, _ = call(h, "root-token", "GET", Prefix+"targets", "")
+	assert.Assert(t, cmp.Contains(body, "t9"))
+}
+
 func TestNoSettingsYet(t *testing.T) {
 	h, _ := newHandler(&store{})
 	status, _, _ := call(h, "root-token", "GET", Prefix+"status", "")
--- a/internal/app/ctl/main_test.go
+++ b/internal/app/ctl/main_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/pem"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -105,6 +107,11 @@
 	b.ctl(program.ExitOK, "domain", "out", "a")
 	assert.Equal(t, b.ctl(program.ExitOK, "get", "/domains/a"), `{"region":"north","state":"out"}`+"\n")
 	b.ctl(program.ExitOK, "target", "drain", "t1")
+	b.ctl(ExitNotFound, "target", "drain", "t9")
+	own := b.write("own.json", `{"/teams/red/targets/own": {"agent":"127.0.0.1:2","failure_domain":"a","serves":["m"],"state":"out"}}`)
+	b.ctl(program.ExitOK, "apply", own)
+	b.ctl(program.ExitOK, "target", "undrain", "own")
+	b.ctl(program.ExitOK, "target", "drain", "own")
 	status := b.ctl(program.ExitOK, "status")
 	assert.Assert(t, cmp.Contains(status, "out (target is out)"))
 	b.ctl(program.ExitOK, "domain", "in", "a")
@@ -151,6 +158,19 @@
 	assert.Assert(t, !strings.Contains(out, "entry-1"), out)
 }
 
+func TestCertificatesOfEntriesAreChecked(t *testing.T) {
+	b := newBench(t)
+	server := httptest.NewTLSServer(http.NotFoundHandler())
+	defer server.Close()
+	b.url = server.URL
+	b.ctl(ExitUnavailable, "status")
+	der := server.Certificate().Raw
+	authority := b.write("ca.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})))
+	out := b.ctl(ExitUnavailable, "--ca-file", authority, "status")
+	assert.Assert(t, cmp.Contains(out, "404"), out)
+	b.ctl(program.ExitConfig, "--ca-file", b.file, "status")
+}
+
 func TestOutcomeOfAnEarlierWrite(t *testing.T) {
 	b := newBench(t)
 	b.ctl(program.ExitOK, "put", "/domains/a", "-")
