Give an admitted call its own time, not that of its first frame

Cause: the deadline of a stream is renewed at most every quarter of the limit, to save calls for every token. The renewal after the first frame fell under that rule too, so an admitted call kept the first frame's deadline of 1 s, was given up, retried four times and failed. Any answer whose second frame took longer than 1 s was hit, so every slow cold start.

Ruled out: the agent's leaving and its hand-back (the target was not leaving).

After: the renewal also happens whenever the limit changes; the test passes.

--- a/internal/app/load/caller/caller.go
+++ b/internal/app/load/caller/caller.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,8 +69,9 @@
 
 // problem is an application/problem+json body.
 type problem struct {
-	Code string `json:"code"`
-	Ran  Ran    `json:"ran"`
+	Code   string `json:"code"`
+	Ran    Ran    `json:"ran"`
+	Detail string `json:"detail"`
 }
 
 // Send makes one attempt.
@@ -158,5 +158,5 @@
 	if err == nil {
 		outcome.RetryAfter = time.Duration(seconds) * time.Second
 	}
-	outcome.Err = errors.Errorf("status %d, code %s, ran %s", outcome.Status, strings.TrimSpace(p.Code), p.Ran)
+	outcome.Err = errors.Errorf("status %d, code %s, ran %s: %s", outcome.Status, p.Code, p.Ran, p.Detail)
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -44,7 +44,8 @@
 	passOn   bool   // chunks go to the caller as they come
 	held     []byte // what follows the last token, until the answer is known to be whole
 	answer   Answer
-	bounded  time.Time // when the deadline of the stream was last set
+	bounded  time.Time     // when the deadline of the stream was last set
+	limit    time.Duration // for which it was set
 
 	cancelled sync.Once
 }
@@ -141,14 +142,15 @@
 	}
 }
 
-// bound sets the time until which the next frame must come. It does so only
-// now and then, since it runs for every token.
+// bound sets the time until which the next frame must come. For the same limit
+// it does so only now and then, since it runs for every token.
 func (a *attempt) bound(limit time.Duration) {
 	now := a.run.d.cfg.Now()
-	if now.Sub(a.bounded) < limit/4 {
+	if limit == a.limit && now.Sub(a.bounded) < limit/4 {
 		return
 	}
 	a.bounded = now
+	a.limit = limit
 	until := a.run.req.Deadline.Add(lastWordWait)
 	if a.passOn || a.check.next == 0 && a.run.req.repeatable() {
 		until = now.Add(limit)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -216,3 +216,16 @@
 	assert.Assert(t, failure == nil, "%v", failure)
 	assert.Equal(t, string(answer.Body), "done")
 }
+
+// An admitted call may take longer than the first frame may: a whole answer until
+// the caller's deadline, a stream until it stalls.
+func TestAdmittedCallIsNotGivenUpAfterTheFirstFramesTime(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		admits := func(*wire.Open) ([]proto.Message, error) { return frames(&wire.Admitted{}), nil }
+		f := newFixture(t, admits, admits)
+		f.dispatcher.cfg.FirstFrame = 20 * time.Millisecond
+		_, _, failure := f.doWithin(modelRequest(stream), 200*time.Millisecond)
+		assert.Equal(t, failure.Code, CodeDeadline)
+		assert.Equal(t, len(f.links.calls), 1, "stream %t", stream)
+	}
+}
