--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -8,6 +8,8 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/load/checkpoint"
+	"quetzalbend/internal/app/load/control"
 	"quetzalbend/internal/app/load/demo"
 	"quetzalbend/internal/app/load/departure"
 	"quetzalbend/internal/app/load/layout"
@@ -19,6 +21,8 @@
 
 // experiments add their subcommands to the parser.
 var experiments = []func(parser *flags.Parser) error{
+	checkpoint.Register,
+	control.Register,
 	demo.Register,
 	layout.Register,
 	limits.Register,
--- a/internal/settingssync/checkpoint.go
+++ b/internal/settingssync/checkpoint.go
@@ -180,7 +180,7 @@
 
 // writeCheckpoint writes the state to the log, reads it back and closes it.
 func (n *Node) writeCheckpoint(ctx context.Context) error {
-	end, err := appendCheckpoint(ctx, n.cfg.Log, n.store.copy(), n.cfg.Name)
+	end, err := AppendCheckpoint(ctx, n.cfg.Log, n.store.copy(), n.cfg.Name)
 	if err != nil {
 		return err
 	}
@@ -192,9 +192,9 @@
 	return nil
 }
 
-// appendCheckpoint writes a checkpoint of a state. The state at its offset
+// AppendCheckpoint writes a checkpoint of a state. The state at its offset
 // never changes, so it does no harm if the author is slow or paused.
-func appendCheckpoint(ctx context.Context, to port.Log, state *settings.State, author string) (*settings.Close, error) {
+func AppendCheckpoint(ctx context.Context, to port.Log, state *settings.State, author string) (*settings.Close, error) {
 	chunks, end := state.Checkpoint(rand.Text())
 	end.Author = author
 	_, first, err := bounds(ctx, to, port.CheckpointStream)
--- a/internal/settingssync/load.go
+++ b/internal/settingssync/load.go
@@ -25,6 +25,15 @@
 	oldest int64
 }
 
+// Load returns the settings at the log's end, as a fresh node loads them.
+func Load(ctx context.Context, log port.Log) (*settings.Snapshot, error) {
+	loaded, err := loadFromLog(ctx, log)
+	if err != nil {
+		return nil, err
+	}
+	return loaded.state.Snapshot(), nil
+}
+
 // loadFromLog folds the log up to its end.
 func loadFromLog(ctx context.Context, log port.Log) (*loaded, error) {
 	oldest, next, err := bounds(ctx, log, port.SettingsStream)
