--- a/internal/app/entry/limiter.go
+++ b/internal/app/entry/limiter.go
@@ -12,8 +12,8 @@
 
 // Reasons for which an agent refuses work that its target has no room for.
 const (
-	reasonAtLimit   = "at_limit"
-	reasonQueueFull = "queue_full"
+	reasonTargetBusy = "target_busy"
+	reasonDisplaced  = "displaced" // by a more urgent request or another account's
 )
 
 // pool names the targets that serve one model or service. Capacity is short for
@@ -74,7 +74,7 @@
 // noCapacity reports whether a request failed because targets were full.
 func noCapacity(code string) bool {
 	switch code {
-	case reasonAtLimit, reasonQueueFull:
+	case reasonTargetBusy, reasonDisplaced:
 		return true
 	}
 	return false
