--- a/internal/core/catalog/build_test.go
+++ b/internal/core/catalog/build_test.go
@@ -216,3 +216,13 @@
 		})
 	}
 }
+
+func BenchmarkAccount(b *testing.B) {
+	c := Build(settings.NewSnapshot(60_000, large()))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := c.Account(hashX); !ok {
+			b.Fatal("no such account")
+		}
+	}
+}
--- a/internal/core/catalog/check_test.go
+++ b/internal/core/schema/check_test.go
@@ -1,4 +1,4 @@
-package catalog
+package schema_test
 
 import (
 	"fmt"
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
+	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/core/settings"
 )
@@ -17,16 +18,30 @@
 	hashB = strings.Repeat("b", 64)
 )
 
-// checkView returns a view with one thing of each kind.
+// inForce are settings with at least one thing of each kind.
+var inForce = map[string]string{
+	"/domains/a":               `{"state":"in"}`,
+	"/teams/red":               `{}`,
+	"/teams/red/models/m":      `{"versions":["1"]}`,
+	"/teams/red/workloads/w":   `{"model":"m"}`,
+	"/teams/red/accounts/x":    fmt.Sprintf(`{"token_sha256":%q}`, strings.Repeat("1", 64)),
+	"/targets/t2":              `{"agent":"127.0.0.1:2","failure_domain":"a","kind":"model","serves":["m"]}`,
+	"/targets/t1":              `{"agent":"127.0.0.1:1","failure_domain":"a","kind":"model","serves":["m"],"team":"red"}`,
+	"/teams/red/services/s":    `{"routes":[{"method":"GET","path_prefix":"/"}]}`,
+	"/targets/s1":              `{"agent":"127.0.0.1:3","failure_domain":"a","kind":"service","serves":["s"],"team":"red"}`,
+	"/groups/g":                `{"ranks":["t1"],"layers":1,"experts":1,"slots_per_rank":1}`,
+	"/operators/root":          fmt.Sprintf(`{"token_sha256":%q,"subtree":"/teams/red"}`, hashA),
+	"/teams/small":             `{"limits":{"concurrent":4}}`,
+	"/teams/red/models/idle":   `{"versions":["1"],"adapters":["x"]}`,
+	"/teams/red/services/idle": `{"routes":[{"method":"GET","path_prefix":"/","idempotent":true}]}`,
+}
+
 func checkView() schema.View {
-	entries := append(small(),
-		entry("/groups/g", 10, `{"ranks":["t1"],"layers":1,"experts":1,"slots_per_rank":1}`),
-		entry("/operators/root", 11, fmt.Sprintf(`{"token_sha256":%q,"subtree":"/teams/red"}`, hashA)),
-		entry("/teams/small", 12, `{"limits":{"concurrent":4}}`),
-		entry("/teams/red/models/idle", 13, `{"versions":["1"],"adapters":["x"]}`),
-		entry("/teams/red/services/idle", 14, `{"routes":[{"method":"GET","path_prefix":"/","idempotent":true}]}`),
-	)
-	return Build(settings.NewSnapshot(20, entries)).View()
+	var entries []settings.Entry
+	for path, value := range inForce {
+		entries = append(entries, settings.Entry{Path: path, Value: []byte(value)})
+	}
+	return catalog.Build(settings.NewSnapshot(0, entries)).View()
 }
 
 func TestCheckAcceptsGoodValues(t *testing.T) {
@@ -101,6 +116,7 @@
 		{"/teams/t", `{"credits":{"tokens":1,"as_of":"2027-01-01T00:00:00Z","expires":"2027-01-01T00:00:00Z"}}`, "a time after as_of"},
 		{"/teams/none/accounts/x", fmt.Sprintf(`{"token_sha256":%q}`, hashB), "there is no /teams/none"},
 		{"/teams/small/accounts/x", fmt.Sprintf(`{"token_sha256":%q,"limits":{"concurrent":9}}`, hashB), "warning: want at most 4"},
+		{"/teams/red/accounts/y", inForce["/teams/red/accounts/x"], "/teams/red/accounts/x has this one"},
 		{"/teams/red/accounts/x", fmt.Sprintf(`{"token_sha256":%q,"class":"vip"}`, hashB), "field class"},
 		{"/teams/red/models/m", `{"versions":[]}`, "1 to 1024 versions"},
 		{"/teams/red/workloads/w", `{}`, "field model"},
