--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -38,6 +38,7 @@
 const (
 	maxAttempts = 16
 	maxBreaks   = 4
+	freeBreaks  = 2
 	maxRounds   = 6
 	firstPause  = 50 * time.Millisecond
 	// minTimeLeft is the time to the deadline below which a retry is vain.
@@ -53,15 +54,12 @@
 	return firstPause << round, true
 }
 
-// Decide returns what to do after an attempt. Only refusals for want of room are
-// charged to the budget, and not those of a request that has been broken off
-// elsewhere: all others did not add load, or the load they added is gone.
+// Decide returns what to do after an attempt.
 func Decide(a Attempt, budget *Budget) Action {
-	mayHaveRun := a.Outcome == Failed || a.Outcome == Broken || a.Outcome == Malformed
 	if a.Outcome == Failed && !a.Repeatable {
 		return GiveUp // the agent has said all it knows
 	}
-	if mayHaveRun && !a.Repeatable {
+	if mayHaveRun(a.Outcome) && !a.Repeatable {
 		return Ask
 	}
 	if a.Number >= maxAttempts || a.Breaks >= maxBreaks {
@@ -70,8 +68,22 @@
 	if a.Deadline.Sub(a.Now) < minTimeLeft {
 		return GiveUp
 	}
-	if a.Outcome == NotRun && a.Breaks == 0 && !budget.Withdraw() {
+	if charged(a) && !budget.Withdraw() {
 		return GiveUp
 	}
 	return Retry
 }
+
+// charged reports whether a retry takes part of the budget: that of a request
+// that was refused for want of room, unless it was broken off elsewhere before,
+// and that of one that has been broken off again and again.
+func charged(a Attempt) bool {
+	if a.Outcome == NotRun {
+		return a.Breaks == 0
+	}
+	return mayHaveRun(a.Outcome) && a.Breaks > freeBreaks
+}
+
+func mayHaveRun(outcome Outcome) bool {
+	return outcome == Failed || outcome == Broken || outcome == Malformed
+}
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -79,6 +79,10 @@
 	}
 	attempt.Outcome, attempt.Breaks = NotRun, 1
 	assert.Equal(t, Decide(attempt, &Budget{}), Retry)
+	attempt.Outcome, attempt.Breaks = Broken, freeBreaks
+	assert.Equal(t, Decide(attempt, &Budget{}), Retry)
+	attempt.Breaks++
+	assert.Equal(t, Decide(attempt, &Budget{}), GiveUp)
 }
 
 func TestPausesGrowAndEnd(t *testing.T) {
