Refuse a change while the one before is not in use at all ranks

Cause: the state machine test found two maps in one step: a rank that had followed a change but not yet reached its step took a further one, and the engine's one coming map was overwritten. Ruled out: lost promises, fencing (the same with an engine that checks). Ballots now carry a mark of the incarnation and a promise names its holder, since a restarted agent may use a round again.

--- a/internal/core/expertmap/acceptor.go
+++ b/internal/core/expertmap/acceptor.go
@@ -14,6 +14,7 @@
 	incarnation string
 	engine      Engine
 	promised    Ballot
+	promisedTo  string // incarnation of the coordinator
 }
 
 // NewAcceptor returns the acceptor of an agent that has just started. Whoever
@@ -38,7 +39,7 @@
 	if m.ToIncarnation != a.incarnation {
 		return a.answer(m, KindUnknown), nil
 	}
-	if m.Ballot < a.promised || m.Kind != KindPrepare && m.Ballot != a.promised {
+	if !a.allows(m) {
 		return a.answer(m, KindRefused), nil
 	}
 	switch m.Kind {
@@ -57,11 +58,20 @@
 	}
 }
 
+// allows reports whether the promise given lets the message through. Two
+// coordinators may have met on one ballot, so the promise names its holder.
+func (a *Acceptor) allows(m Message) bool {
+	if m.Ballot == a.promised {
+		return m.FromIncarnation == a.promisedTo
+	}
+	return m.Kind == KindPrepare && m.Ballot > a.promised
+}
+
 func (a *Acceptor) prepare(ctx context.Context, m Message) (Message, error) {
 	if err := a.engine.Fence(ctx, m.Ballot); err != nil {
 		return Message{}, errors.Wrapf(err, "rank %d: fence engine", a.rank)
 	}
-	a.promised = m.Ballot
+	a.promised, a.promisedTo = m.Ballot, m.FromIncarnation
 	return a.withState(ctx, m, KindPromise)
 }
 
--- a/internal/core/expertmap/choose.go
+++ b/internal/core/expertmap/choose.go
@@ -14,7 +14,7 @@
 	case c.anyHeld():
 		c.decision = c.cancel(newest.Last.Instance + 1)
 		c.enter(PhaseConfirm)
-	case c.start.Proposal != nil:
+	case c.start.Proposal != nil && c.inUse():
 		c.proposed = true
 		c.propose(newest, *c.start.Proposal, Hold{Step: c.lastStep() + c.start.LeadSteps})
 	default:
@@ -78,6 +78,17 @@
 	return false
 }
 
+// inUse reports whether all ranks have begun the step of the last change: an
+// engine keeps one coming map only.
+func (c *Coordinator) inUse() bool {
+	for _, s := range c.states {
+		if s.Last.Activate && s.Step <= s.Last.Step {
+			return false
+		}
+	}
+	return true
+}
+
 // lastStep returns the newest step that any rank has told of.
 func (c *Coordinator) lastStep() int64 {
 	last := int64(0)
--- a/internal/core/expertmap/types.go
+++ b/internal/core/expertmap/types.go
@@ -1,14 +1,22 @@
 package expertmap
 
-import "context"
+import (
+	"context"
+	"hash/fnv"
+)
 
-// Ballot orders coordinators. Ballots of different ranks differ.
+// Ballot orders coordinators: a round in the upper half, a mark of the
+// coordinator's incarnation in the lower.
 type Ballot int64
 
-// NextBallot returns the smallest ballot of a rank that is above seen.
-func NextBallot(seen Ballot, rank, ranks int) Ballot {
-	round := int64(seen)/int64(ranks) + 1
-	return Ballot(round*int64(ranks) + int64(rank))
+// roundShift is the number of bits below the round.
+const roundShift = 32
+
+// NextBallot returns a ballot of an agent's incarnation that is above seen.
+func NextBallot(seen Ballot, incarnation string) Ballot {
+	mark := fnv.New32a()
+	_, _ = mark.Write([]byte(incarnation))
+	return (seen>>roundShift+1)<<roundShift | Ballot(mark.Sum32())
 }
 
 // Map is an expert map; its content is opaque here.
