Try a target again that said it was leaving

Cause: scenarios/domain_out: after a failure domain was brought back its targets got no work for good. The last thing its agents had said was that they leave, and an agent can say otherwise only on an answer, which it never got to give.

Ruled out: the settings at the agents (in force), the catalog of the entry.

After: the agent's word counts for 2 s; the scenario passes, and TestATargetThatCameBackIsTriedAgain.

--- a/internal/app/entry/admin.go
+++ b/internal/app/entry/admin.go
@@ -58,7 +58,7 @@
 	return adminhttp.Load{
 		Reachable:       !state.Avoided(now),
 		Cold:            report.Cold,
-		Leaving:         state.Leaving(),
+		Leaving:         state.Leaving(now),
 		Running:         report.Running,
 		Queued:          report.Queued,
 		Limit:           report.Limit,
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -266,11 +266,11 @@
 	e, _, _ := w.start("e0", nil)
 	ready(t, e)
 	w.fault(`{"vms":[{"name":"vm0","state":"leaving"},{"name":"e0","state":"live"}]}`)
-	eventually(t, "the target leaves", func() bool { return e.tables.states.Get("t0").Leaving() })
+	eventually(t, "the target leaves", func() bool { return e.tables.states.Get("t0").Leaving(time.Now()) })
 	assert.Equal(t, get("http://"+e.OperatorsAddr()+"/readyz"), http.StatusOK)
 	w.fault(`{"vms":[{"name":"vm0","state":"live"},{"name":"e0","state":"leaving"}]}`)
 	eventually(t, "readiness fails", func() bool { return get("http://"+e.OperatorsAddr()+"/readyz") == 503 })
-	assert.Assert(t, !e.tables.states.Get("t0").Leaving())
+	assert.Assert(t, !e.tables.states.Get("t0").Leaving(time.Now()))
 }
 
 // fault sets faults of the platform.
--- a/internal/core/expertmap/group_test.go
+++ b/internal/core/expertmap/group_test.go
@@ -152,8 +152,8 @@
 
 func (c *cluster) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
-		"":        func(*rapid.T) { assert.Equal(c.t, c.group.Truth().Mixed, int64(0)) },
-		"deliver": c.deliverSome,
+		"":             func(*rapid.T) { assert.Equal(c.t, c.group.Truth().Mixed, int64(0)) },
+		"deliver":      c.deliverSome,
 		"advance":      c.advance,
 		"advance more": c.advance,
 		"resend": func(t *rapid.T) {
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -77,7 +77,7 @@
 	if !member.Target.Serving() {
 		return obstacleOut
 	}
-	if member.State.Leaving() {
+	if member.State.Leaving(q.Now) {
 		return obstacleLeaving
 	}
 	for _, name := range q.Exclude {
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -209,3 +209,11 @@
 	assert.Equal(t, MatchRoute(routes, "GET", "/statuses"), &routes[1])
 	assert.Assert(t, MatchRoute(routes, "POST", "/status") == nil)
 }
+
+func TestATargetThatCameBackIsTriedAgain(t *testing.T) {
+	state := NewStates().Get("t")
+	told := time.Unix(100, 0)
+	state.Observe(Report{Leaving: true}, told)
+	assert.Assert(t, state.Leaving(told.Add(time.Second)))
+	assert.Assert(t, !state.Leaving(told.Add(leavingLifetime)))
+}
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -9,6 +9,9 @@
 // hintLifetime is how long a reported load counts.
 const hintLifetime = 10 * time.Second
 
+// leavingLifetime is how long an agent's word that its target leaves counts.
+const leavingLifetime = 2 * time.Second
+
 // Report is the load that a target's agent has lately told.
 type Report struct {
 	Incarnation string
@@ -56,10 +59,14 @@
 // SetVMLeaving says whether the platform lists the target's VM as leaving.
 func (s *State) SetVMLeaving(leaving bool) { s.vmLeaving.Store(leaving) }
 
-// Leaving reports whether the target is about to leave.
-func (s *State) Leaving() bool {
+// Leaving reports whether the target is about to leave. A target that came back
+// cannot say so while it gets no work, so its agent's word counts only for a while.
+func (s *State) Leaving(now time.Time) bool {
+	if s.vmLeaving.Load() {
+		return true
+	}
 	report := s.report.Load()
-	return s.vmLeaving.Load() || report != nil && report.Leaving
+	return report != nil && report.Leaving && now.Sub(report.at) < leavingLifetime
 }
 
 // LastReport returns the last report of the target's agent, if there was any.
