--- a/internal/app/load/control/command.go
+++ b/internal/app/load/control/command.go
@@ -59,6 +59,7 @@
 	CPUMSPerChange            float64 `json:"cpu_ms_per_change"`         // of all nodes, agents and the stand-in
 	ResidentBytesPerNode      float64 `json:"resident_bytes_per_node"`   // heap and stacks in use; agents included
 	StateBytes                float64 `json:"state_bytes"`               // heap of one node's settings
+	CatalogBytes              float64 `json:"catalog_bytes"`             // heap of an entry's tables built from them
 	StartMS                   float64 `json:"start_ms"`                  // until all nodes and agents had settings
 	InForceMSP50              float64 `json:"in_force_ms_p50"`           // from the write until at all nodes and agents
 	InForceMSMax              float64 `json:"in_force_ms_max"`
--- a/internal/app/load/control/run.go
+++ b/internal/app/load/control/run.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/settingssync"
 )
 
@@ -163,15 +164,20 @@
 	result.BytesPerSecondPerNode = result.IdleBytesPerSecondPerNode + result.BytesPerChangePerNode*changesPerDay/secondsPerDay
 }
 
-// measureState measures the heap of one more copy of the settings.
+// measureState measures the heap of one more copy of the settings, and of the
+// tables that an entry builds from it.
 func (c *Command) measureState(ctx context.Context, f *fleet, result *Result) error {
 	before := heapInUse()
 	snapshot, err := settingssync.Load(ctx, f.platform.Log())
 	if err != nil {
 		return err
 	}
-	result.StateBytes = heapInUse() - before
+	after := heapInUse()
+	result.StateBytes = after - before
+	tables := catalog.Build(snapshot)
+	result.CatalogBytes = heapInUse() - after
 	runtime.KeepAlive(snapshot)
+	runtime.KeepAlive(tables)
 	return nil
 }
 
--- a/internal/settingssync/peers.go
+++ b/internal/settingssync/peers.go
@@ -96,7 +96,8 @@
 	n.takeHighest(ctx, pool, offers)
 }
 
-// probeOffset asks a peer for its offset only: no peer holds a later one.
+// probeOffset asks a peer for its offset only: no peer holds a later one. The
+// answer carries no rows of the table either.
 const probeOffset = int64(1) << 62
 
 // takeHighest fetches the whole settings from a peer with the highest offset.
@@ -275,7 +276,10 @@
 
 // answer returns the parts of the update for a peer at an offset.
 func (n *Node) answer(offset int64, now time.Time) []*wire.SettingsUpdate {
-	first := &wire.SettingsUpdate{Sender: n.cfg.Name, Nodes: n.table.rows(now)}
+	first := &wire.SettingsUpdate{Sender: n.cfg.Name}
+	if offset < probeOffset {
+		first.Nodes = n.table.rows(now)
+	}
 	own, ok := n.store.offset()
 	if !ok {
 		first.ToOffset = emptyOffset
