Ask peers that are behind directly when somebody looks at the table

Rows handed on by gossip are capped at 24 a message, so at hundreds of entries a row comes too late for quetzalbendctl wait. Each look now makes the node ask the peers whose rows are stale, 32 at once, once a second; a peer answers with its own row. With the asking taken out the new test fails.

--- a/internal/app/load/control/command.go
+++ b/internal/app/load/control/command.go
@@ -22,6 +22,7 @@
 	Domains  int           `long:"domains" default:"6" description:"failure domains"`
 	Idle     time.Duration `long:"idle" default:"20s" description:"time measured without changes"`
 	Changes  int           `long:"changes" default:"20" description:"changes measured, one after the other"`
+	Probe    time.Duration `long:"keep-alive" default:"2s" description:"time between probes of an idle session, at both ends"`
 	JSON     bool          `long:"json" description:"print JSON"`
 }
 
@@ -48,6 +49,8 @@
 	Targets  int    `json:"targets"`
 	Accounts int    `json:"accounts"`
 
+	KeepAliveMS int64 `json:"keep_alive_ms"`
+
 	Platform Link `json:"platform"` // entry to platform
 	Peers    Link `json:"peers"`    // entry to entry
 	Agents   Link `json:"agents"`   // entry to agent
@@ -55,6 +58,7 @@
 	IdleBytesPerSecondPerNode float64 `json:"idle_bytes_per_second_per_node"` // an entry's share, both directions
 	BytesPerChangePerNode     float64 `json:"bytes_per_change_per_node"`
 	BytesPerSecondPerNode     float64 `json:"bytes_per_second_per_node"` // with 2,900 changes a day
+	IdlePacketsPerNode        float64 `json:"idle_packets_per_second_per_node"`
 	IdleCPUPercentPerNode     float64 `json:"idle_cpu_percent_per_node"` // of a core; agents and stand-in included
 	CPUMSPerChange            float64 `json:"cpu_ms_per_change"`         // of all nodes, agents and the stand-in
 	ResidentBytesPerNode      float64 `json:"resident_bytes_per_node"`   // heap and stacks in use; agents included
--- a/internal/app/load/control/fleet.go
+++ b/internal/app/load/control/fleet.go
@@ -31,13 +31,17 @@
 	nodes    []*settingssync.Node
 	agents   []*settingssync.Receiver
 	closers  []func()
+	link     link.Config
 
 	platformLink, peerLink, agentLink meter
 }
 
 // newFleet starts the platform with settings in its log.
-func newFleet(ctx context.Context, accounts int) (*fleet, error) {
-	f := &fleet{platform: platform.New(platform.Config{AppendsPerSecond: appendsPerSecond})}
+func newFleet(ctx context.Context, accounts int, keepAlive time.Duration) (*fleet, error) {
+	f := &fleet{
+		platform: platform.New(platform.Config{AppendsPerSecond: appendsPerSecond}),
+		link:     link.Config{KeepAliveInterval: keepAlive},
+	}
 	state, err := checkpoint.Populate(ctx, f.platform.Log(), accounts)
 	if err != nil {
 		return nil, err
@@ -69,7 +73,7 @@
 	if err != nil {
 		return "", err
 	}
-	server := link.NewServer(link.Config{}, handler)
+	server := link.NewServer(f.link, handler)
 	go func() { _ = server.Serve(listener) }()
 	f.closers = append(f.closers, func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -138,7 +142,7 @@
 }
 
 func (f *fleet) newPool() *link.Pool {
-	pool := link.NewPool(link.Config{})
+	pool := link.NewPool(f.link)
 	f.closers = append(f.closers, func() { _ = pool.Close() })
 	return pool
 }
--- a/internal/app/load/control/run.go
+++ b/internal/app/load/control/run.go
@@ -33,12 +33,12 @@
 	log.SetLevel(log.ErrorLevel)
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	f, err := newFleet(ctx, c.Accounts)
+	f, err := newFleet(ctx, c.Accounts, c.Probe)
 	if err != nil {
 		cancel()
 		return Result{}, err
 	}
-	result := Result{Seed: c.Seed, Nodes: c.Nodes, Targets: c.Targets, Accounts: c.Accounts}
+	result := Result{Seed: c.Seed, Nodes: c.Nodes, Targets: c.Targets, Accounts: c.Accounts, KeepAliveMS: c.Probe.Milliseconds()}
 	err = c.measure(ctx, group, f, &result)
 	cancel()
 	f.stop()
@@ -159,6 +159,7 @@
 			share = nodes / 2 // each byte between entries concerns two of them
 		}
 		result.IdleBytesPerSecondPerNode += l.IdleBytesPerSecond / share
+		result.IdlePacketsPerNode += l.IdlePacketsPerSecond / share
 		result.BytesPerChangePerNode += l.BytesPerChange / share
 	}
 	result.BytesPerSecondPerNode = result.IdleBytesPerSecondPerNode + result.BytesPerChangePerNode*changesPerDay/secondsPerDay
--- a/internal/settingssync/inforce.go
+++ b/internal/settingssync/inforce.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/wire"
 )
@@ -14,6 +17,8 @@
 	rowsPerExchange = 24               // rows of the table in one message
 	namesPerRow     = 8                // agents named as behind in one row
 	silentAfter     = 30 * time.Second // age from which a node counts as silent
+	refreshAtOnce   = 32               // peers asked at once for their rows
+	refreshPause    = time.Second      // between two times of asking
 	peerDownFor     = 30 * time.Second // time for which a peer that did not answer is left out
 )
 
@@ -64,19 +69,24 @@
 	}
 }
 
+// ownRow returns the own row for a message.
+func (t *table) ownRow(now time.Time) *wire.NodeOffset {
+	return rowToWire(row{status: t.own(), at: now}, now)
+}
+
 // rows returns the own row and the freshest others for a message.
 func (t *table) rows(now time.Time) []*wire.NodeOffset {
-	own := t.own()
+	own := t.ownRow(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	others := make([]row, 0, len(t.seen))
 	for name, r := range t.seen {
-		if name != own.Node {
+		if name != own.GetNode() {
 			others = append(others, r)
 		}
 	}
 	slices.SortFunc(others, func(a, b row) int { return b.at.Compare(a.at) })
-	rows := []*wire.NodeOffset{rowToWire(row{status: own, at: now}, now)}
+	rows := []*wire.NodeOffset{own}
 	for _, r := range others[:min(len(others), rowsPerExchange-1)] {
 		rows = append(rows, rowToWire(r, now))
 	}
@@ -136,8 +146,53 @@
 	return now.Sub(r.at) < silentAfter
 }
 
-// InForce returns the status of this entry and of all its peers, in name order.
+// stale reports whether a peer's row is old and does not show the settings of
+// an offset in force at it and its agents.
+func (t *table) stale(peer string, offset int64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.seen[peer]
+	if !ok {
+		return true
+	}
+	behind := r.status.Offset < offset || r.status.AgentsOffset < offset
+	return now.Sub(r.at) >= refreshPause && (behind || now.Sub(r.at) >= silentAfter)
+}
+
+// refreshTable asks those peers directly whose rows are stale, each time that
+// somebody has looked at the table, until ctx ends. What peers hand on is too
+// old where there are many.
+func (n *Node) refreshTable(ctx context.Context) error {
+	for {
+		select {
+		case <-n.looked:
+		case <-ctx.Done():
+			return nil
+		}
+		offset, _ := n.store.offset()
+		var group errgroup.Group
+		group.SetLimit(refreshAtOnce)
+		for _, peer := range n.cfg.Peers {
+			if n.table.stale(peer.Name, offset, time.Now()) {
+				group.Go(func() error {
+					_, _ = n.exchangeAs(ctx, n.cfg.Dial, peer, probeOffset) // a failure leaves the row as it is
+					return nil
+				})
+			}
+		}
+		_ = group.Wait()
+		pause(ctx, refreshPause)
+	}
+}
+
+// InForce returns the status of this entry and of all its peers, in name order,
+// as far as this node has heard. It makes the node ask the peers whose rows are
+// stale, so that a later call knows more.
 func (n *Node) InForce() []NodeStatus {
+	select {
+	case n.looked <- struct{}{}:
+	default:
+	}
 	now := time.Now()
 	statuses := []NodeStatus{n.ownStatus()}
 	n.table.mu.Lock()
--- a/internal/settingssync/node.go
+++ b/internal/settingssync/node.go
@@ -59,6 +59,7 @@
 	ready   chan struct{}
 	isReady sync.Once
 	look    chan struct{} // wakes the author of checkpoints
+	looked  chan struct{} // somebody has looked at the table
 
 	mu         sync.Mutex
 	logHealthy bool
@@ -116,6 +117,7 @@
 		counts: newCounters(cfg.Registry),
 		ready:  make(chan struct{}),
 		look:   make(chan struct{}, 1),
+		looked: make(chan struct{}, 1),
 	}
 	n.table = newTable(n.ownStatus)
 	return n
@@ -132,6 +134,9 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.follow(ctx) })
 	group.Go(func() error { return n.gossip(ctx) })
+	if n.cfg.Dial != nil {
+		group.Go(func() error { return n.refreshTable(ctx) })
+	}
 	group.Go(func() error { return n.authorCheckpoints(ctx) })
 	return group.Wait()
 }
--- a/internal/settingssync/peers.go
+++ b/internal/settingssync/peers.go
@@ -97,7 +97,7 @@
 }
 
 // probeOffset asks a peer for its offset only: no peer holds a later one. The
-// answer carries no rows of the table either.
+// answer carries the peer's own row only.
 const probeOffset = int64(1) << 62
 
 // takeHighest fetches the whole settings from a peer with the highest offset.
@@ -279,6 +279,8 @@
 	first := &wire.SettingsUpdate{Sender: n.cfg.Name}
 	if offset < probeOffset {
 		first.Nodes = n.table.rows(now)
+	} else {
+		first.Nodes = []*wire.NodeOffset{n.table.ownRow(now)}
 	}
 	own, ok := n.store.offset()
 	if !ok {
--- a/internal/settingssync/peers_test.go
+++ b/internal/settingssync/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -133,6 +134,19 @@
 	assert.Assert(t, second.InForce()[2].Silent)
 }
 
+func TestLookingAtTheTableAsksThePeersThatAreBehind(t *testing.T) {
+	b := newBench(t)
+	first, _ := b.ready(b.config("e1"))
+	cfg := withPeers(t, b.config("e2"), servePeer(t, first))
+	cfg.PeerInterval = time.Hour
+	second, _ := b.ready(cfg)
+	result := b.put(first, set("/a", `1`))
+	eventually(t, "e2 has asked e1", func() bool {
+		statuses := second.InForce()
+		return statuses[0].Offset == result.Offset && !statuses[0].Silent
+	})
+}
+
 // agentSettings are those of one agent's target with others around it.
 var agentSettings = map[string]string{
 	"/domains/d1": `{"state":"in"}`, "/domains/d2": `{"state":"in"}`,
