--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -22,6 +22,7 @@
 	demo.Register,
 	layout.Register,
 	limits.Register,
+	limits.RegisterFlood,
 	departure.Register,
 	overhead.Register,
 	skew.Register,
--- a/internal/app/load/fleet/fleet.go
+++ b/internal/app/load/fleet/fleet.go
@@ -24,6 +24,7 @@
 	Drafts        = "drafts"  // workload of the class interactive
 	Batch         = "batch"   // workload of the class batch
 	ServiceName   = "records" // GET /status is idempotent, POST /confirm is not
+	OtherToken    = "other"   // bearer token of a second account of the team
 	modelName     = "model"
 	accountToken  = "account"
 	operatorToken = "operator"
--- a/internal/app/load/fleet/settings.go
+++ b/internal/app/load/fleet/settings.go
@@ -63,6 +63,7 @@
 	}
 	add("/teams/"+Team, schema.Team{Share: 1})
 	add("/teams/"+Team+"/accounts/account", schema.Account{TokenSHA256: digest(accountToken)})
+	add("/teams/"+Team+"/accounts/other", schema.Account{TokenSHA256: digest(OtherToken)})
 	add("/teams/"+Team+"/models/"+modelName, schema.Model{Versions: []string{"1"}})
 	for workload, class := range map[string]schema.Class{Drafts: schema.Interactive, Batch: schema.Batch} {
 		add("/teams/"+Team+"/workloads/"+workload, schema.Workload{
