Let a stream wait for its turn at the target

Before its first token a stream that the agent has taken may wait in the agent's queue. It was taken for stalled after 5 s, tried elsewhere and its target left out, which would have emptied the queues of full targets.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -19,6 +19,9 @@
 // say whether a call ran.
 const lastWordWait = 200 * time.Millisecond
 
+// firstTokenStalls is how much longer than a later token the first one may take.
+const firstTokenStalls = 4
+
 // result is how one attempt ended: with an answer, or with an outcome.
 type result struct {
 	answer     *Answer
@@ -122,7 +125,7 @@
 }
 
 func (a *attempt) receive() result {
-	a.bound(a.run.d.cfg.FirstFrame)
+	a.bound(a.patience())
 	for {
 		frame := &wire.AnswerFrame{}
 		if err := a.stream.Receive(frame); err != nil {
@@ -138,8 +141,20 @@
 		if ended, done := a.take(frame); done {
 			return ended
 		}
-		a.bound(a.run.d.cfg.Stall)
+		a.bound(a.patience())
+	}
+}
+
+// patience is how long the next frame may take. A call that was taken may have
+// to wait for its turn at the target before its first token.
+func (a *attempt) patience() time.Duration {
+	switch {
+	case a.check.next == 0:
+		return a.run.d.cfg.FirstFrame
+	case !a.check.tokens:
+		return firstTokenStalls * a.run.d.cfg.Stall
 	}
+	return a.run.d.cfg.Stall
 }
 
 // bound sets the time until which the next frame must come. For the same limit
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -229,3 +229,12 @@
 		assert.Equal(t, len(f.links.calls), 1, "stream %t", stream)
 	}
 }
+
+func TestStreamThatWaitsForItsTurnIsNotTakenForStalled(t *testing.T) {
+	queued := func(*wire.Open) ([]proto.Message, error) { return frames(&wire.Admitted{}), nil }
+	f := newFixture(t, queued, queued)
+	f.dispatcher.cfg.Stall = 50 * time.Millisecond
+	_, _, failure := f.doWithin(modelRequest(true), 3*50*time.Millisecond)
+	assert.Equal(t, failure.Code, CodeDeadline)
+	assert.Equal(t, len(f.links.calls), 1)
+}
