--- a/internal/app/load/fleet/fleet_test.go
+++ b/internal/app/load/fleet/fleet_test.go
@@ -19,9 +19,8 @@
 
 const tokens = 20
 
-// mostDeaths is how many targets one request may cost, where agents cannot
-// tell whether a target that broke an answer off has died.
-const mostDeaths = 4
+// mostDeaths is how many targets one request may cost.
+const mostDeaths = 2
 
 func startFleet(t *testing.T, cfg Config) *Fleet {
 	t.Helper()
