--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -201,7 +201,7 @@
 		Tables:     e.tables,
 		Dispatcher: e.newDispatcher(),
 		Limiter:    newLimiter(e.limits),
-		Recorder:   recorder{e.registry},
+		Recorder:   newRecorder(e.registry),
 		Leaving:    e.health.isLeaving,
 	})
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
@@ -215,7 +215,7 @@
 		Links:        links{e.pool},
 		Strategy:     r.strategy(),
 		Strikes:      e.strikes,
-		Counter:      recorder{e.registry},
+		Counter:      newRecorder(e.registry),
 		OnStrike:     e.exchange.onStrike,
 		AskInterval:  askInterval,
 		UnknownWait:  unknownWait,
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -59,7 +59,7 @@
 			answer.Attempts = r.attempts
 			return answer, nil
 		case action == retry.Retry:
-			d.cfg.Counter.Count("retries")
+			d.cfg.Counter.Count(Retries)
 		case action == retry.Ask:
 			return r.ask(ctx)
 		default:
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -112,7 +112,9 @@
 
 type noCounter struct{}
 
-func (noCounter) Count(string) {}
+func (noCounter) Count(Event) {}
+
+func (noCounter) CountFailedAttempt(string) {}
 
 // collect is a StreamWriter that keeps what it gets.
 type collect struct{ text string }
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -14,7 +14,7 @@
 // connection broke. It asks the agents of the service, the one that had the
 // call first, until one knows or the deadline passes.
 func (r *run) ask(ctx context.Context) (*Answer, error) {
-	r.d.cfg.Counter.Count("outcome_asked")
+	r.d.cfg.Counter.Count(OutcomesAsked)
 	members := r.table.ForKey(r.req.name(), r.key())
 	order := append([]*routing.Member{r.last}, without(members, r.last)...)
 	start := r.d.cfg.Now()
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -26,9 +26,22 @@
 	NotSent(err error) bool
 }
 
-// Counter counts events by name.
+// Event is something that is counted.
+type Event string
+
+// Events.
+const (
+	Retries       Event = "retries"
+	Strikes       Event = "strikes"        // against requests
+	OutcomesAsked Event = "outcomes_asked" // of calls that may not be repeated
+)
+
+// Counter counts events.
 type Counter interface {
-	Count(event string)
+	Count(event Event)
+	// CountFailedAttempt counts an attempt that was not whole by its code, which
+	// may be a word of the agent.
+	CountFailedAttempt(code string)
 }
 
 // StreamWriter passes the pieces of a streamed answer on to the caller.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -35,7 +35,6 @@
 	now := r.d.cfg.Now()
 	verdict := r.d.cfg.Strikes.Judge(r.req.Fingerprint, now)
 	if verdict == strike.Refused {
-		r.d.cfg.Counter.Count("refused." + CodeCrashesTargets)
 		return nil, retry.GiveUp, r.failure(CodeCrashesTargets, nil)
 	}
 	member := r.pickOrWait(ctx, now)
@@ -83,7 +82,7 @@
 
 // learn takes in what an attempt says about the target and the request.
 func (r *run) learn(member *routing.Member, result result, now time.Time) {
-	r.d.cfg.Counter.Count("attempts." + result.code)
+	r.d.cfg.Counter.CountFailedAttempt(result.code)
 	switch result.outcome {
 	case retry.NotSent:
 		member.State.Avoid(now.Add(r.d.cfg.Avoid))
@@ -104,7 +103,7 @@
 		return
 	}
 	count := r.d.cfg.Strikes.Strike(r.req.Fingerprint, result.strikes, now)
-	r.d.cfg.Counter.Count("strikes")
+	r.d.cfg.Counter.Count(Strikes)
 	if r.d.cfg.OnStrike != nil {
 		r.d.cfg.OnStrike(count)
 	}
