--- a/internal/app/load/control/run.go
+++ b/internal/app/load/control/run.go
@@ -39,7 +39,9 @@
 		return Result{}, err
 	}
 	result := Result{Seed: c.Seed, Nodes: c.Nodes, Targets: c.Targets, Accounts: c.Accounts, KeepAliveMS: c.Probe.Milliseconds()}
-	err = c.measure(ctx, group, f, &result)
+	if err = f.measureState(ctx, &result); err == nil {
+		err = c.measure(ctx, group, f, &result)
+	}
 	cancel()
 	f.stop()
 	if waitErr := group.Wait(); err == nil {
@@ -76,7 +78,7 @@
 		return err
 	}
 	c.sum(result)
-	return c.measureState(ctx, f, result)
+	return nil
 }
 
 // measureIdle measures the cost without changes.
@@ -167,7 +169,7 @@
 
 // measureState measures the heap of one more copy of the settings, and of the
 // tables that an entry builds from it.
-func (c *Command) measureState(ctx context.Context, f *fleet, result *Result) error {
+func (f *fleet) measureState(ctx context.Context, result *Result) error {
 	before := heapInUse()
 	snapshot, err := settingssync.Load(ctx, f.platform.Log())
 	if err != nil {
