--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -4,17 +4,21 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"quetzalbend/internal/app/load/truth"
+	"quetzalbend/internal/app/standin/service"
 	"quetzalbend/internal/topology"
 )
 
@@ -103,10 +107,30 @@
 	return group.Wait()
 }
 
+// resolve turns @KEY into the agent before the service that has run the key.
+// What it once was it stays.
+func (w *world) resolve(name string) string {
+	key, isKey := strings.CutPrefix(name, "@")
+	if !isKey {
+		return name
+	}
+	if known, ok := w.runners[key]; ok {
+		return known
+	}
+	for _, process := range w.named("service") {
+		got, err := truth.Read[service.Truth](context.Background(), process.Base)
+		if err == nil && got.Runs[key] > 0 {
+			w.runners[key] = "agent-" + process.Name
+			return w.runners[key]
+		}
+	}
+	return name
+}
+
 // cmdStart starts processes again: start NAME...
 func (w *world) cmdStart(names []string) error {
 	for _, name := range names {
-		process, err := w.process(name)
+		process, err := w.process(w.resolve(name))
 		if err != nil {
 			return err
 		}
@@ -120,6 +144,7 @@
 // cmdCrash ends processes with SIGKILL and waits for it: crash NAME...
 func (w *world) cmdCrash(names []string) error {
 	for _, name := range names {
+		name = w.resolve(name)
 		if err := w.processes.signal(name, syscall.SIGKILL); err != nil {
 			return err
 		}
@@ -141,7 +166,7 @@
 
 func (w *world) signalAll(names []string, signal syscall.Signal) error {
 	for _, name := range names {
-		if err := w.processes.signal(name, signal); err != nil {
+		if err := w.processes.signal(w.resolve(name), signal); err != nil {
 			return err
 		}
 	}
@@ -242,7 +267,7 @@
 	if len(args) != 2 {
 		return errors.New("usage: readiness NAME STATUS")
 	}
-	process, err := w.process(args[0])
+	process, err := w.process(w.resolve(args[0]))
 	if err != nil {
 		return err
 	}
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -35,6 +35,7 @@
 
 	platformCuts map[string]bool // failure domains
 	marks        map[string]time.Time
+	runners      map[string]string // agent that ran a key
 	sent         map[string]*sent
 	loads        map[string]*load
 	background   sync.WaitGroup
@@ -49,6 +50,7 @@
 		http:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		platformCuts: make(map[string]bool),
 		marks:        make(map[string]time.Time),
+		runners:      make(map[string]string),
 		sent:         make(map[string]*sent),
 		loads:        make(map[string]*load),
 	}
