--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -73,7 +73,7 @@
 	const requests = 500
 	for range requests {
 		_, _, failure := f.do(modelRequest(false))
-		assert.Equal(t, failure.Code, reasonAtLimit)
+		assert.Equal(t, failure.Code, reasonBusy)
 		assert.Equal(t, failure.Ran, wire.Ran_RAN_NO)
 		assert.Equal(t, failure.RetryAfter, 1500*time.Millisecond)
 	}
@@ -229,3 +229,12 @@
 		assert.Equal(t, len(f.links.calls), 1, "stream %t", stream)
 	}
 }
+
+func TestStreamThatWaitsForItsTurnIsNotTakenForStalled(t *testing.T) {
+	queued := func(*wire.Open) ([]proto.Message, error) { return frames(&wire.Admitted{}), nil }
+	f := newFixture(t, queued, queued)
+	f.dispatcher.cfg.Stall = 50 * time.Millisecond
+	_, _, failure := f.doWithin(modelRequest(true), 3*50*time.Millisecond)
+	assert.Equal(t, failure.Code, CodeDeadline)
+	assert.Equal(t, len(f.links.calls), 1)
+}
