Move a confirmation on from a silent agent under its key; back off from targets that fail

Ruled out: the balancer and the other agents, which answered at once.

Then the other agents are asked; where none knows of a run, the call goes to the next agent under the same key, as a caller's repeat would: the claim in the log decides, so it runs at most once. What the first agent may have done keeps the statement at unknown.

Not measured again yet; the tests bring about the silence and the late refusal.

--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -34,6 +34,7 @@
 	outstanding atomic.Int64
 	report      atomic.Pointer[Report]
 	avoidUntil  atomic.Int64 // Unix nanoseconds
+	failures    atomic.Int64 // in a row
 	vmLeaving   atomic.Bool
 }
 
@@ -51,10 +52,21 @@
 	report.own = s.Outstanding()
 	report.at = now
 	s.report.Store(&report)
+	s.failures.Store(0)
 }
 
-// Avoid keeps the target out of the choice until the given time.
-func (s *State) Avoid(until time.Time) { s.avoidUntil.Store(until.UnixNano()) }
+// maxDoublings bounds how long a target that fails again and again is left out.
+const maxDoublings = 3
+
+// Fail keeps a target that does not respond out of the choice for a while, and
+// twice as long with each further time until it reports again.
+func (s *State) Fail(now time.Time, base time.Duration) {
+	if s.avoided(now) {
+		return // requests that fail together count once
+	}
+	failures := s.failures.Add(1)
+	s.avoidUntil.Store(now.Add(base << min(failures-1, maxDoublings)).UnixNano())
+}
 
 // SetVMLeaving says whether the platform lists the target's VM as leaving.
 func (s *State) SetVMLeaving(leaving bool) { s.vmLeaving.Store(leaving) }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -22,6 +22,10 @@
 // firstTokenStalls is how much longer than a later token the first one may take.
 const firstTokenStalls = 4
 
+// claimedFirstFrames is how much longer the first frame may take of a call that
+// may not be repeated: its agent claims the key in the platform's log first.
+const claimedFirstFrames = 3
+
 // result is how one attempt ended: with an answer, or with an outcome.
 type result struct {
 	answer     *Answer
@@ -149,6 +153,8 @@
 // to wait for its turn at the target before its first token.
 func (a *attempt) patience() time.Duration {
 	switch {
+	case a.check.next == 0 && !a.run.req.repeatable():
+		return claimedFirstFrames * a.run.d.cfg.FirstFrame
 	case a.check.next == 0:
 		return a.run.d.cfg.FirstFrame
 	case !a.check.tokens:
@@ -167,7 +173,7 @@
 	a.bounded = now
 	a.limit = limit
 	until := a.run.req.Deadline.Add(lastWordWait)
-	if a.passOn || a.check.next == 0 && a.run.req.repeatable() {
+	if a.passOn || a.check.next == 0 {
 		until = now.Add(limit)
 	}
 	_ = a.stream.SetDeadline(until)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -238,3 +238,47 @@
 	assert.Equal(t, failure.Code, CodeDeadline)
 	assert.Equal(t, len(f.links.calls), 1)
 }
+
+func TestCallThatNoAgentKnowsOfGoesToAnotherOneUnderItsKey(t *testing.T) {
+	unheard := func(open *wire.Open) ([]proto.Message, error) {
+		if open.GetCall() != nil {
+			return nil, io.EOF
+		}
+		return []proto.Message{&wire.Outcome{Ran: wire.Ran_RAN_UNKNOWN}}, io.EOF
+	}
+	calls := 0
+	agent := func(open *wire.Open) ([]proto.Message, error) {
+		if open.GetCall() != nil {
+			calls++
+		}
+		if calls > 1 {
+			return frames(&wire.Admitted{}, &wire.Head{Status: 201}, &wire.Final{}), io.EOF
+		}
+		return unheard(open)
+	}
+	f := newFixture(t, agent, agent)
+	answer, _, failure := f.do(confirmRequest())
+	assert.Assert(t, failure == nil, "%v", failure)
+	assert.Equal(t, answer.Status, 201)
+	assert.Equal(t, len(f.links.calls), 2)
+	for _, call := range f.links.calls {
+		assert.Equal(t, call.GetService().GetIdempotencyKey(), "key")
+	}
+}
+
+func TestRefusalOfARepeatDoesNotSayThatTheCallDidNotRun(t *testing.T) {
+	calls := 0
+	agent := func(open *wire.Open) ([]proto.Message, error) {
+		if open.GetCall() == nil {
+			return []proto.Message{&wire.Outcome{Ran: wire.Ran_RAN_UNKNOWN}}, io.EOF
+		}
+		calls++
+		if calls == 1 {
+			return nil, io.EOF
+		}
+		return frames(&wire.Refused{Reason: "platform_unavailable"}), io.EOF
+	}
+	f := newFixture(t, agent, agent)
+	_, _, failure := f.do(confirmRequest())
+	assert.Equal(t, failure.Ran, wire.Ran_RAN_UNKNOWN)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -54,16 +54,17 @@
 	r := &run{d: d, table: table, req: req, out: out, ran: wire.Ran_RAN_NO}
 	for {
 		answer, action, failure := r.step(ctx)
+		if action == retry.Ask {
+			answer, failure = r.ask(ctx)
+		}
 		switch {
 		case answer != nil:
 			answer.Attempts = r.attempts
 			return answer, nil
-		case action == retry.Retry:
-			d.cfg.Counter.Count(Retries)
-		case action == retry.Ask:
-			return r.ask(ctx)
-		default:
+		case failure != nil && action != retry.Retry:
 			return nil, failure
+		default:
+			d.cfg.Counter.Count(Retries)
 		}
 	}
 }
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -12,11 +12,16 @@
 
 // ask finds out what became of a call that may not be repeated and whose
 // connection broke. It asks the agents of the service, the one that had the
-// call first, until one knows or the deadline passes.
-func (r *run) ask(ctx context.Context) (*Answer, error) {
+// call first, until one knows or the deadline passes. Without an answer and a
+// failure no agent knows of a run: the call may go to another agent under the
+// same key, as a caller's repeat would.
+func (r *run) ask(ctx context.Context) (*Answer, *Failure) {
 	r.d.cfg.Counter.Count(OutcomesAsked)
-	members := r.table.ForKey(r.req.name(), r.key())
-	order := append([]*routing.Member{r.last}, without(members, r.last)...)
+	others := without(r.table.ForKey(r.req.name(), r.key()), r.last)
+	order := append([]*routing.Member{r.last}, others...)
+	if r.silent {
+		order = others
+	}
 	start := r.d.cfg.Now()
 	for {
 		outcome, peer := r.askAny(ctx, order)
@@ -26,7 +31,7 @@
 		if !wait(ctx, r.d.cfg.AskInterval) {
 			return nil, &Failure{Code: CodeOutcomeUnknown, Ran: wire.Ran_RAN_UNKNOWN, Peer: r.last.Target.Name, Cause: ctx.Err()}
 		}
-		order = append(without(members, r.last), r.last)
+		order = append(slices.Clone(others), r.last)
 	}
 }
 
@@ -49,7 +54,7 @@
 }
 
 // concluded turns an outcome that will not change into an answer or a failure.
-func (r *run) concluded(outcome *wire.Outcome, peer *routing.Member) (*Answer, error) {
+func (r *run) concluded(outcome *wire.Outcome, peer *routing.Member) (*Answer, *Failure) {
 	if head := outcome.GetHead(); head != nil {
 		status := int(head.GetStatus())
 		if status == 0 {
@@ -64,15 +69,14 @@
 			Attempts: r.attempts,
 		}, nil
 	}
-	failure := &Failure{Code: CodeOutcomeUnknown, Ran: outcome.GetRan(), Peer: peer.Target.Name}
 	switch outcome.GetRan() {
 	case wire.Ran_RAN_YES:
-		failure.Code = CodeAnswerLost
+		return nil, &Failure{Code: CodeAnswerLost, Ran: wire.Ran_RAN_YES, Peer: peer.Target.Name}
 	case wire.Ran_RAN_NO:
-		failure.Code = CodeUnreachable
+		return nil, &Failure{Code: CodeUnreachable, Ran: wire.Ran_RAN_NO, Peer: peer.Target.Name}
 	case wire.Ran_RAN_UNKNOWN:
 	}
-	return nil, failure
+	return nil, nil
 }
 
 // askAny returns the first outcome that an agent gives, and which agent.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -23,7 +23,8 @@
 	ran      wire.Ran
 	attempts int
 	breaks   int
-	rounds   int // waits after all targets were tried
+	silent   bool // the last target did not respond
+	rounds   int  // waits after all targets were tried
 	tried    []string
 	last     *routing.Member
 	refusal  *Failure // the last one of an agent
@@ -85,19 +86,20 @@
 	r.d.cfg.Counter.CountFailedAttempt(result.code)
 	switch result.outcome {
 	case retry.NotSent:
-		member.State.Avoid(now.Add(r.d.cfg.Avoid))
+		member.State.Fail(now, r.d.cfg.Avoid)
 		return
 	case retry.NotRun, retry.NotTaken:
 		if result.silent {
-			member.State.Avoid(now.Add(r.d.cfg.Avoid))
+			member.State.Fail(now, r.d.cfg.Avoid)
 		}
 		return
 	case retry.Failed, retry.Broken, retry.Malformed:
 	}
 	r.breaks++
+	r.silent = result.silent
 	r.ran = worse(r.ran, result.ran)
 	if result.silent || result.strikes > 0 {
-		member.State.Avoid(now.Add(r.d.cfg.Avoid))
+		member.State.Fail(now, r.d.cfg.Avoid)
 	}
 	if result.strikes == 0 {
 		return
@@ -170,6 +172,9 @@
 	if r.refusal != nil && r.breaks == 0 {
 		return r.refusal
 	}
+	if r.breaks > 0 && !r.req.repeatable() {
+		return r.failure(CodeOutcomeUnknown, nil)
+	}
 	failure := r.failure(CodeNoTarget, nil)
 	failure.RetryAfter = time.Second
 	if r.attempts > 0 && r.breaks == 0 {
