--- a/internal/app/load/control/run.go
+++ b/internal/app/load/control/run.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/settingssync"
 )
 
@@ -32,12 +33,12 @@
 	log.SetLevel(log.ErrorLevel)
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	f, err := newFleet(ctx, c.Accounts)
+	f, err := newFleet(ctx, c.Accounts, c.Probe)
 	if err != nil {
 		cancel()
 		return Result{}, err
 	}
-	result := Result{Seed: c.Seed, Nodes: c.Nodes, Targets: c.Targets, Accounts: c.Accounts}
+	result := Result{Seed: c.Seed, Nodes: c.Nodes, Targets: c.Targets, Accounts: c.Accounts, KeepAliveMS: c.Probe.Milliseconds()}
 	err = c.measure(ctx, group, f, &result)
 	cancel()
 	f.stop()
@@ -158,20 +159,26 @@
 			share = nodes / 2 // each byte between entries concerns two of them
 		}
 		result.IdleBytesPerSecondPerNode += l.IdleBytesPerSecond / share
+		result.IdlePacketsPerNode += l.IdlePacketsPerSecond / share
 		result.BytesPerChangePerNode += l.BytesPerChange / share
 	}
 	result.BytesPerSecondPerNode = result.IdleBytesPerSecondPerNode + result.BytesPerChangePerNode*changesPerDay/secondsPerDay
 }
 
-// measureState measures the heap of one more copy of the settings.
+// measureState measures the heap of one more copy of the settings, and of the
+// tables that an entry builds from it.
 func (c *Command) measureState(ctx context.Context, f *fleet, result *Result) error {
 	before := heapInUse()
 	snapshot, err := settingssync.Load(ctx, f.platform.Log())
 	if err != nil {
 		return err
 	}
-	result.StateBytes = heapInUse() - before
+	after := heapInUse()
+	result.StateBytes = after - before
+	tables := catalog.Build(snapshot)
+	result.CatalogBytes = heapInUse() - after
 	runtime.KeepAlive(snapshot)
+	runtime.KeepAlive(tables)
 	return nil
 }
 
