Give up undecided claims of keys that expire

Found while writing the model: a claim whose append is on its way while another holds the key could win once the log has dropped the other's records. Claimant.Expire now withdraws it first; the test fails without.

--- a/internal/claimlog/log.go
+++ b/internal/claimlog/log.go
@@ -173,7 +173,7 @@
 		}
 	}
 	fold := l.claimant.Fold()
-	fold.Expire(page.Oldest)
+	l.enqueue(l.claimant.Expire(page.Oldest)...)
 	fold.DropAnswers(l.config.Now().Add(-l.window()).UnixMilli())
 	if !l.caughtUp && fold.Next() >= page.Next {
 		l.caughtUp = true
--- a/internal/core/claims/claimant.go
+++ b/internal/core/claims/claimant.go
@@ -201,6 +201,24 @@
 	return op
 }
 
+// Expire forgets what stands only in records below the oldest kept offset. A
+// claim that is not decided yet although another holds its key is given up
+// first: it has lost already, and must not win once the key is forgotten. It
+// returns the releases.
+func (c *Claimant) Expire(oldest int64) []Op {
+	var releases []Op
+	for id, own := range c.attempts {
+		if own.stage != pending || !c.fold.expires(own.key, oldest) {
+			continue
+		}
+		if release, ok := c.Withdraw(id); ok {
+			releases = append(releases, release)
+		}
+	}
+	c.fold.Expire(oldest)
+	return releases
+}
+
 // Rebase starts again from the oldest kept record, after the log has dropped
 // records that were not read. Claims that have not started are given up, since
 // the verdict on them may be lost. It returns their releases.
--- a/internal/core/claims/fold.go
+++ b/internal/core/claims/fold.go
@@ -194,6 +194,12 @@
 	return true
 }
 
+// expires reports whether Expire would forget a key that is held.
+func (f *Fold) expires(key Key, oldest int64) bool {
+	e, held := f.entries[key]
+	return held && e.touched < oldest
+}
+
 // Expire forgets what stands only in records below the oldest kept offset.
 func (f *Fold) Expire(oldest int64) {
 	count := 0
--- a/internal/core/claims/fold_test.go
+++ b/internal/core/claims/fold_test.go
@@ -102,6 +102,16 @@
 	assert.Equal(t, f.HorizonMS(), int64(2))
 }
 
+func TestUndecidedClaimDoesNotWinAnExpiredKey(t *testing.T) {
+	c := NewClaimant("a", NewFold(0))
+	id, op := c.Begin(Key{1}, Fingerprint{}) // its append is late
+	c.Apply(0, Batch{Incarnation: "b", Ops: []Op{claim("b").op}})
+	assert.Equal(t, len(c.Expire(0)), 0)
+	assert.DeepEqual(t, c.Expire(1), []Op{releaseOf(id, Key{1})})
+	c.Apply(1, Batch{Incarnation: "a", Ops: []Op{op}})
+	assert.Assert(t, !c.Start(id))
+}
+
 func TestRunOutlivesItsRecord(t *testing.T) {
 	c := NewClaimant("a", NewFold(0))
 	id, op := c.Begin(Key{1}, Fingerprint{})
