Fetch the list of VMs again only when it has changed

Entries and agents read it once a second; at 4120 VMs each answer is the whole list. The client now sends the entity tag that it was given, and keeps its list on a 304.

--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,10 @@
 	node    string
 	timeout time.Duration
 	http    *http.Client
+
+	mu     sync.Mutex
+	vms    []port.VM // last list read
+	vmsTag string    // its entity tag, empty if the platform gave none
 }
 
 // NewClient returns a client. It dials on first use.
@@ -138,15 +143,27 @@
 	return page, nil
 }
 
-// VMs returns the platform's list of VMs.
+// VMs returns the platform's list of VMs. The list is fetched again only if it
+// has changed, where the platform gives entity tags. Callers must not change it.
 func (c *Client) VMs(ctx context.Context) ([]port.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	response, err := c.do(ctx, http.MethodGet, "/v1/vms", nil)
+	known, tag := c.knownVMs()
+	request, err := c.request(ctx, http.MethodGet, "/v1/vms", nil)
+	if err != nil {
+		return nil, err
+	}
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
+	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, errors.Wrapf(err, "list VMs at %s", c.base)
 	}
 	defer drain(response)
+	if response.StatusCode == http.StatusNotModified && tag != "" {
+		return known, nil
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("list VMs at %s: status %d", c.base, response.StatusCode)
 	}
@@ -154,9 +171,19 @@
 	if err := decode(response, &answer); err != nil {
 		return nil, errors.Wrapf(err, "list VMs at %s", c.base)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms, c.vmsTag = answer.VMs, response.Header.Get("ETag")
 	return answer.VMs, nil
 }
 
+// knownVMs returns the last list with its entity tag.
+func (c *Client) knownVMs() ([]port.VM, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms, c.vmsTag
+}
+
 // Weights streams a file of the weight store into w and returns its size. The
 // caller bounds the time by ctx.
 func (c *Client) Weights(ctx context.Context, name string, w io.Writer) (int64, error) {
@@ -174,6 +201,15 @@
 
 // do sends one request in the name of the node.
 func (c *Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	request, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return nil, err
+	}
+	return c.http.Do(request)
+}
+
+// request returns a request in the name of the node.
+func (c *Client) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
@@ -182,7 +218,7 @@
 	if body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	return c.http.Do(request)
+	return request, nil
 }
 
 func recordsPath(stream string) string {
--- a/internal/app/standin/platform/handler.go
+++ b/internal/app/standin/platform/handler.go
@@ -147,11 +147,17 @@
 	return p.log.Read(ctx, r.PathValue("stream"), from, limit, wait)
 }
 
-func (p *Platform) handleVMs(w http.ResponseWriter, _ *http.Request) {
-	vms := p.listedVMs(time.Now())
+func (p *Platform) handleVMs(w http.ResponseWriter, r *http.Request) {
+	vms, version := p.listedVMs(time.Now())
 	if vms == nil {
 		vms = []port.VM{}
 	}
+	tag := strconv.Quote(strconv.Itoa(version))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, http.StatusOK, client.VMsAnswer{VMs: vms})
 }
 
--- a/internal/app/standin/platform/platform.go
+++ b/internal/app/standin/platform/platform.go
@@ -75,8 +75,9 @@
 
 // vmList is a list of VMs that shows from a time on.
 type vmList struct {
-	from time.Time
-	vms  []port.VM
+	from    time.Time
+	vms     []port.VM
+	version int
 }
 
 // New returns a platform without faults.
@@ -150,7 +151,9 @@
 		p.faults.cut = slices.Clone(*faults.Cut)
 	}
 	if faults.VMs != nil {
-		p.vms = append(p.vms, vmList{from: time.Now().Add(p.lag), vms: slices.Clone(*faults.VMs)})
+		p.vms = append(p.vms, vmList{
+			from: time.Now().Add(p.lag), vms: slices.Clone(*faults.VMs), version: p.vms[len(p.vms)-1].version + 1,
+		})
 	}
 	for stream, offset := range faults.ExpireBefore {
 		p.log.ExpireBefore(stream, offset)
@@ -178,12 +181,12 @@
 	return true
 }
 
-// listedVMs returns the list that shows at a time.
-func (p *Platform) listedVMs(now time.Time) []port.VM {
+// listedVMs returns the list that shows at a time, and its version.
+func (p *Platform) listedVMs(now time.Time) ([]port.VM, int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.vms) > 1 && !now.Before(p.vms[1].from) {
 		p.vms = p.vms[1:]
 	}
-	return p.vms[0].vms
+	return p.vms[0].vms, p.vms[0].version
 }
--- a/internal/app/standin/platform/platform_test.go
+++ b/internal/app/standin/platform/platform_test.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,7 +111,36 @@
 	vms, err := c.VMs(t.Context())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, vms, live)
-	assert.DeepEqual(t, p.listedVMs(time.Now().Add(2*time.Minute)), leaving)
+	later, _ := p.listedVMs(time.Now().Add(2 * time.Minute))
+	assert.DeepEqual(t, later, leaving)
+}
+
+func TestTheListOfVMsIsFetchedAgainOnlyIfItHasChanged(t *testing.T) {
+	live := []port.VM{{Name: "vm1", FailureDomain: "d1", State: port.VMLive}}
+	leaving := []port.VM{{Name: "vm1", FailureDomain: "d1", State: port.VMLeaving}}
+	p := New(Config{VMs: live})
+	var unchanged atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		p.Handler().ServeHTTP(recorder, r)
+		if recorder.Code == http.StatusNotModified {
+			unchanged.Add(1)
+		}
+		maps.Copy(w.Header(), recorder.Header())
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer server.Close()
+	c := client.NewClient(client.Config{BaseURL: server.URL})
+	for _, want := range [][]port.VM{live, live, leaving} {
+		if want[0].State == port.VMLeaving {
+			p.SetFaults(Faults{VMs: &leaving})
+		}
+		vms, err := c.VMs(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, vms, want)
+	}
+	assert.Equal(t, unchanged.Load(), int64(1))
 }
 
 func TestWeightsAreRateLimited(t *testing.T) {
