--- a/internal/app/load/fleet/agents.go
+++ b/internal/app/load/fleet/agents.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/app/agent"
+	"quetzalbend/internal/core/check"
 	"quetzalbend/internal/core/schema"
 )
 
@@ -50,6 +53,9 @@
 	}
 	cfg.Platform = f.platformURL
 	cfg.GraceMS = 1
+	if problems := agent.Check(&cfg); len(problems) > 0 {
+		return &check.Error{Problems: problems}
+	}
 	a := &agentProcess{name: cfg.Name, domain: cfg.FailureDomain, kind: kind, cfg: cfg}
 	if a.addr, err = f.network.Forward(a.domain, cfg.Listen); err != nil {
 		return err
@@ -74,13 +80,24 @@
 	return nil
 }
 
+// Ports for agents, below those that the system gives to outgoing connections.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
 // freeAddress returns an address on loopback that nobody listens on.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
+	var last error
+	for range lastPort - firstPort {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		listener, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, errors.Wrap(listener.Close(), "find a free port")
+		}
+		last = err
 	}
-	return listener.Addr().String(), errors.Wrap(listener.Close(), "find a free port")
+	return "", errors.Wrap(last, "find a free port")
 }
 
 // Break cuts a domain off or kills it. Engines of a killed domain drop what
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -19,6 +19,13 @@
 // say whether a call ran.
 const lastWordWait = 200 * time.Millisecond
 
+// firstTokenStalls is how much longer than a later token the first one may take.
+const firstTokenStalls = 4
+
+// claimedFirstFrames is how much longer the first frame may take of a call that
+// may not be repeated: its agent claims the key in the platform's log first.
+const claimedFirstFrames = 3
+
 // result is how one attempt ended: with an answer, or with an outcome.
 type result struct {
 	answer     *Answer
@@ -44,7 +51,8 @@
 	passOn   bool   // chunks go to the caller as they come
 	held     []byte // what follows the last token, until the answer is known to be whole
 	answer   Answer
-	bounded  time.Time // when the deadline of the stream was last set
+	bounded  time.Time     // when the deadline of the stream was last set
+	limit    time.Duration // for which it was set
 
 	cancelled sync.Once
 }
@@ -121,7 +129,7 @@
 }
 
 func (a *attempt) receive() result {
-	a.bound(a.run.d.cfg.FirstFrame)
+	a.bound(a.patience())
 	for {
 		frame := &wire.AnswerFrame{}
 		if err := a.stream.Receive(frame); err != nil {
@@ -137,20 +145,35 @@
 		if ended, done := a.take(frame); done {
 			return ended
 		}
-		a.bound(a.run.d.cfg.Stall)
+		a.bound(a.patience())
+	}
+}
+
+// patience is how long the next frame may take. A call that was taken may have
+// to wait for its turn at the target before its first token.
+func (a *attempt) patience() time.Duration {
+	switch {
+	case a.check.next == 0 && !a.run.req.repeatable():
+		return claimedFirstFrames * a.run.d.cfg.FirstFrame
+	case a.check.next == 0:
+		return a.run.d.cfg.FirstFrame
+	case !a.check.tokens:
+		return firstTokenStalls * a.run.d.cfg.Stall
 	}
+	return a.run.d.cfg.Stall
 }
 
-// bound sets the time until which the next frame must come. It does so only
-// now and then, since it runs for every token.
+// bound sets the time until which the next frame must come. For the same limit
+// it does so only now and then, since it runs for every token.
 func (a *attempt) bound(limit time.Duration) {
 	now := a.run.d.cfg.Now()
-	if now.Sub(a.bounded) < limit/4 {
+	if limit == a.limit && now.Sub(a.bounded) < limit/4 {
 		return
 	}
 	a.bounded = now
+	a.limit = limit
 	until := a.run.req.Deadline.Add(lastWordWait)
-	if a.passOn || a.check.next == 0 && a.run.req.repeatable() {
+	if a.passOn || a.check.next == 0 {
 		until = now.Add(limit)
 	}
 	_ = a.stream.SetDeadline(until)
@@ -248,7 +271,7 @@
 	}
 	_, final := a.run.d.cfg.NoRetryCodes[code]
 	outcome := retry.NotTaken
-	if code == reasonAtLimit || code == reasonQueueFull {
+	if NoCapacity(code) {
 		outcome = retry.NotRun
 	}
 	return result{
