--- a/internal/core/balance/planner.go
+++ b/internal/core/balance/planner.go
@@ -7,6 +7,8 @@
 	Goal          float64 // imbalance above the bound that moves aim for
 	Far           float64 // imbalance above the bound at which a layer is packed anew
 	Urgent        float64 // imbalance above the bound at which a plan does not wait for the interval's end
+	RepackShare   float64 // part of the slots by which a plan raises the moves that packing anew may make
+	RepackDepth   float64 // most of those moves, as a part of the slots
 	MovesPerPlan  int     // moves that one plan may make
 	HorizonSteps  float64 // steps over which a move has to pay
 	StallMS       float64 // stall of the whole group for an activation with moves
@@ -25,6 +27,8 @@
 		Goal:          0.004,
 		Far:           0.5,
 		Urgent:        0.03,
+		RepackShare:   0.02,
+		RepackDepth:   2,
 		MovesPerPlan:  48,
 		HorizonSteps:  5000,
 		StallMS:       2,
@@ -42,6 +46,8 @@
 	loads  *Estimator
 	speeds *Estimator
 	kept   []float64 // decayed largest load of each slot
+
+	allowance float64 // moves that packing anew may make
 }
 
 // NewPlanner returns a planner whose estimates start at the given values.
@@ -52,6 +58,8 @@
 		loads:  NewEstimator(loads, cfg.Ahead),
 		speeds: NewEstimator(speeds, 0),
 		kept:   make([]float64, shape.TotalSlots()),
+
+		allowance: float64(shape.TotalSlots()),
 	}
 }
 
@@ -93,6 +101,8 @@
 	now := s.solve(bound)
 	shares := s.result()
 	p.remember(s.flow)
+	slots := float64(p.shape.TotalSlots())
+	p.allowance = min(p.cfg.RepackDepth*slots, p.allowance+p.cfg.RepackShare*slots)
 	stay := Plan{Map: shares, Shares: shares, Now: now, After: now}
 	if now <= bound*(1+p.cfg.Trigger) {
 		return stay
@@ -102,8 +112,11 @@
 		best = p.better(stay, p.improved(present, bound), now, msPerTime)
 	}
 	if best.After > bound*(1+p.cfg.Trigger) {
-		best = p.better(best, p.repacked(present), now, msPerTime)
+		if anew := p.repacked(present); float64(len(anew.Moves)) <= p.allowance {
+			best = p.better(best, anew, now, msPerTime)
+		}
 	}
+	p.allowance -= float64(len(best.Moves))
 	for _, m := range best.Moves {
 		p.kept[m.Slot] = loads[m.Expert] * best.Map.Shares[m.Slot]
 	}
@@ -126,7 +139,7 @@
 	loads, speeds := p.loads.Values(), p.speeds.Values()
 	next, ok := repackNear(p.shape, present, loads, speeds)
 	if !ok {
-		return p.improved(present, LowerBound(loads, speeds, p.shape.TotalSlots()))
+		next = relabel(p.shape, present, Pack(p.shape, loads, speeds).Placement, speeds)
 	}
 	m, after := Shares(p.shape, next, loads, speeds)
 	return Plan{Map: m, Moves: p.shape.changes(present, next), After: after}
--- a/internal/core/balance/repack.go
+++ b/internal/core/balance/repack.go
@@ -159,3 +159,59 @@
 		}
 	}
 }
+
+// relabel gives the contents of next's ranks to those like ranks that hold most
+// of them at present, so that few weights move.
+func relabel(shape Shape, present, next Placement, speeds []float64) Placement {
+	first := make([]int, shape.Ranks()+1)
+	for r, n := range shape.Slots {
+		first[r+1] = first[r] + n
+	}
+	taken := make([]bool, shape.Ranks())
+	out := make(Placement, len(next))
+	for r := range shape.Slots {
+		held := present[first[r]:first[r+1]]
+		best, bestMoves := -1, 0
+		for other := range shape.Slots {
+			if taken[other] || shape.Slots[other] != shape.Slots[r] || !alike(speeds[other], speeds[r]) {
+				continue
+			}
+			if moves := missing(held, next[first[other]:first[other+1]]); best < 0 || moves < bestMoves {
+				best, bestMoves = other, moves
+			}
+		}
+		if best < 0 {
+			return next
+		}
+		taken[best] = true
+		alignTo(out[first[r]:first[r+1]], next[first[best]:first[best+1]], held)
+	}
+	return out
+}
+
+// alike reports whether two ranks are about equally fast.
+func alike(a, b float64) bool {
+	const part = 0.05
+	return a <= b*(1+part) && b <= a*(1+part)
+}
+
+// alignTo fills out with the wanted experts, each in the slot that it has now
+// if it is held already.
+func alignTo(out, wanted, held Placement) {
+	for i := range out {
+		out[i] = Empty
+		if contains(wanted, held[i]) {
+			out[i] = held[i]
+		}
+	}
+	free := 0
+	for _, e := range wanted {
+		if e == Empty || contains(out, e) {
+			continue
+		}
+		for out[free] != Empty {
+			free++
+		}
+		out[free] = e
+	}
+}
