--- a/scenarios/requests_test.go
+++ b/scenarios/requests_test.go
@@ -16,7 +16,7 @@
 	"quetzalbend/internal/topology"
 )
 
-const requestTimeout = 30 * time.Second
+const requestTimeout = 20 * time.Second
 
 // sent is one request in the background.
 type sent struct {
--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -79,7 +79,7 @@
 			return err
 		}
 	}
-	if err := w.answers(w.named("entry")[0].Operators+"/healthz", http.StatusOK); err != nil {
+	if err := w.answers(w.named("entry")[0].Operators+"/readyz", http.StatusOK); err != nil {
 		return err
 	}
 	for _, setting := range w.system.Settings {
