Work out subtrees only for the agents that an entry feeds

Cause: each look at which agents to feed, every 5 s and after each change, built the subtrees of all 3700 targets, 260 paths each.

--- a/internal/app/load/control/fleet.go
+++ b/internal/app/load/control/fleet.go
@@ -97,7 +97,7 @@
 		domain := domainName(i, domains)
 		agents = append(agents, settingssync.Agent{
 			Name: name, Addr: addr, FailureDomain: domain,
-			Subtrees: []string{"/domains/" + domain, "/targets/" + name},
+			Subtrees: func() []string { return []string{"/domains/" + domain, "/targets/" + name} },
 		})
 	}
 	return agents, nil
--- a/internal/settingssync/agents.go
+++ b/internal/settingssync/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/schema"
@@ -20,15 +21,10 @@
 	for name, target := range c.Targets {
 		agents = append(agents, Agent{
 			Name: name, Addr: target.Agent, FailureDomain: target.FailureDomain,
-			Subtrees: subtreesOf(c, target, groups[name], services),
+			Subtrees: func() []string { return subtreesOf(c, target, groups[name], services) },
 		})
 	}
-	slices.SortFunc(agents, func(a, b Agent) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(agents, func(a, b Agent) int { return strings.Compare(a.Name, b.Name) })
 	return agents
 }
 
--- a/internal/settingssync/feed.go
+++ b/internal/settingssync/feed.go
@@ -28,7 +28,20 @@
 	Name          string // of its target
 	Addr          string // IP address and port
 	FailureDomain string
-	Subtrees      []string // paths that it needs, each with all below
+	Subtrees      func() []string // paths that it needs, each with all below
+}
+
+// fedAgent is an agent that this entry feeds.
+type fedAgent struct {
+	Agent
+	subtrees []string
+	hash     string // of the subtrees
+}
+
+// newFedAgent returns an agent with its subtrees.
+func newFedAgent(agent Agent) fedAgent {
+	subtrees := agent.Subtrees()
+	return fedAgent{Agent: agent, subtrees: subtrees, hash: subtreesHash(subtrees)}
 }
 
 // Feeder sends agents the settings that they need. Each agent is fed by the
@@ -41,7 +54,11 @@
 	mu   sync.Mutex
 	fed  map[string]context.CancelFunc // by address
 	acks map[string]ack                // by agent
-	want map[string]Agent              // by address
+	want map[string]fedAgent           // by address
+
+	// Agents of the last snapshot that was looked at; used by review only.
+	offset int64
+	known  []Agent
 }
 
 // ack is what an agent last said to be in force.
@@ -55,7 +72,7 @@
 func NewFeeder(node *Node, dial Dialer, agents func(*settings.Snapshot) []Agent) *Feeder {
 	f := &Feeder{
 		node: node, dial: dial, agents: agents,
-		fed: map[string]context.CancelFunc{}, acks: map[string]ack{}, want: map[string]Agent{},
+		fed: map[string]context.CancelFunc{}, acks: map[string]ack{}, want: map[string]fedAgent{}, offset: emptyOffset,
 	}
 	node.mu.Lock()
 	node.feeder = f
@@ -89,11 +106,14 @@
 // review starts and stops feeding so that it matches the settings and the
 // entries that are live.
 func (f *Feeder) review(ctx context.Context, streams *sync.WaitGroup) {
-	want := map[string]Agent{}
+	want := map[string]fedAgent{}
 	rivals := f.liveEntries(time.Now())
-	for _, agent := range f.agents(f.node.Snapshot()) {
+	if snapshot := f.node.Snapshot(); snapshot.Offset() != f.offset {
+		f.offset, f.known = snapshot.Offset(), f.agents(snapshot)
+	}
+	for _, agent := range f.known {
 		if agent.Addr != "" && f.responsible(agent, rivals) {
-			want[agent.Addr] = agent
+			want[agent.Addr] = newFedAgent(agent)
 		}
 	}
 	f.mu.Lock()
@@ -269,8 +289,7 @@
 		return nil
 	}
 	from := held.GetOffset()
-	hash := subtreesHash(agent.Subtrees)
-	if held.GetSubtreesHash() != hash {
+	if held.GetSubtreesHash() != agent.hash {
 		from = emptyOffset
 	}
 	delta, ok := f.node.store.deltaFrom(from)
@@ -278,11 +297,11 @@
 		return nil
 	}
 	delta.Entries = slices.DeleteFunc(delta.Entries, func(entry settings.CheckpointEntry) bool {
-		return !within(entry.Path, agent.Subtrees) || (entry.Deleted && delta.From == settings.NoOffset)
+		return !within(entry.Path, agent.subtrees) || (entry.Deleted && delta.From == settings.NoOffset)
 	})
 	first := &wire.SettingsUpdate{Sender: f.node.cfg.Name}
 	if delta.From == settings.NoOffset {
-		first.Subtrees = agent.Subtrees
+		first.Subtrees = agent.subtrees
 	}
 	parts := updateParts(first, delta)
 	for _, part := range parts {
--- a/internal/settingssync/peers_test.go
+++ b/internal/settingssync/peers_test.go
@@ -147,6 +147,9 @@
 	})
 }
 
+// subtrees returns a constant list of subtrees.
+func subtrees(paths ...string) func() []string { return func() []string { return paths } }
+
 // agentSettings are those of one agent's target with others around it.
 var agentSettings = map[string]string{
 	"/domains/d1": `{"state":"in"}`, "/domains/d2": `{"state":"in"}`,
@@ -160,7 +163,7 @@
 	receiver := NewReceiver("t1", "t1-1")
 	addr, _ := listen(t, receiver.Handle)
 	agents := func(*settings.Snapshot) []Agent {
-		return []Agent{{Name: "t1", Addr: addr, FailureDomain: "d1", Subtrees: []string{"/domains/d1", "/targets/t1"}}}
+		return []Agent{{Name: "t1", Addr: addr, FailureDomain: "d1", Subtrees: subtrees("/domains/d1", "/targets/t1")}}
 	}
 	feeder := NewFeeder(entry, newPool(t), agents)
 	go func() { _ = feeder.Run(t.Context()) }()
@@ -187,7 +190,7 @@
 	first := NewReceiver("t1", "t1-1")
 	addr, stop := listen(t, first.Handle)
 	feeder := NewFeeder(entry, newPool(t), func(*settings.Snapshot) []Agent {
-		return []Agent{{Name: "t1", Addr: addr, Subtrees: []string{"/domains"}}}
+		return []Agent{{Name: "t1", Addr: addr, Subtrees: subtrees("/domains")}}
 	})
 	go func() { _ = feeder.Run(t.Context()) }()
 	<-first.Ready()
@@ -260,6 +263,6 @@
 	})
 	agents := AgentsOf(catalog.Build(snapshot))
 	assert.Equal(t, len(agents), 3)
-	assert.DeepEqual(t, agents[0].Subtrees, []string{"/domains/d1", "/groups/g", "/targets/t1", "/targets/t2"})
-	assert.DeepEqual(t, agents[2].Subtrees, []string{"/domains/d1", "/targets/t3", "/teams/x/services/s"})
+	assert.DeepEqual(t, agents[0].Subtrees(), []string{"/domains/d1", "/groups/g", "/targets/t1", "/targets/t2"})
+	assert.DeepEqual(t, agents[2].Subtrees(), []string{"/domains/d1", "/targets/t3", "/teams/x/services/s"})
 }
