--- a/internal/settingssync/feed.go
+++ b/internal/settingssync/feed.go
@@ -55,6 +55,7 @@
 	fed  map[string]context.CancelFunc // by address
 	acks map[string]ack                // by agent
 	want map[string]fedAgent           // by address
+	done chan struct{}                 // closed and replaced at the end of each review
 
 	// Agents of the last snapshot that was looked at; used by review only.
 	offset int64
@@ -72,7 +73,7 @@
 func NewFeeder(node *Node, dial Dialer, agents func(*settings.Snapshot) []Agent) *Feeder {
 	f := &Feeder{
 		node: node, dial: dial, agents: agents,
-		fed: map[string]context.CancelFunc{}, acks: map[string]ack{}, want: map[string]fedAgent{}, offset: emptyOffset,
+		fed: map[string]context.CancelFunc{}, acks: map[string]ack{}, want: map[string]fedAgent{}, offset: emptyOffset, done: make(chan struct{}),
 	}
 	node.mu.Lock()
 	node.feeder = f
@@ -126,6 +127,8 @@
 		}
 	}
 	f.want = want
+	close(f.done)
+	f.done = make(chan struct{})
 	for addr := range want {
 		if _, ok := f.fed[addr]; !ok {
 			feedCtx, cancel := context.WithCancel(ctx)
@@ -262,16 +265,25 @@
 	}
 }
 
+// reviewed returns a channel that closes at the end of the next review. A change
+// of the settings may change which subtrees an agent needs, so agents hear of it
+// only after the review.
+func (f *Feeder) reviewed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done
+}
+
 // awaitUpdate waits until an agent lacks something and returns that. It
 // returns nothing if the stream or ctx has ended.
 func (f *Feeder) awaitUpdate(ctx context.Context, addr string, held *wire.SettingsAck, acks <-chan *wire.SettingsAck) []*wire.SettingsUpdate {
 	for {
-		changed := f.node.Changed()
+		reviewed := f.reviewed()
 		if parts := f.updateFor(addr, held); len(parts) > 0 {
 			return parts
 		}
 		select {
-		case <-changed:
+		case <-reviewed:
 		case <-acks:
 			return nil
 		case <-ctx.Done():
--- a/internal/settingssync/peers_test.go
+++ b/internal/settingssync/peers_test.go
@@ -205,6 +205,26 @@
 	assert.Equal(t, second.Snapshot().Len(), 1)
 }
 
+func TestAnAgentGetsANewSubtreeWithTheChangeThatNamesIt(t *testing.T) {
+	b := newBench(t)
+	entry, _ := b.ready(b.config("e1"))
+	b.put(entry, set("/x", `1`))
+	receiver := NewReceiver("t1", "t1-1")
+	addr, _ := listen(t, receiver.Handle)
+	feeder := NewFeeder(entry, newPool(t), func(snapshot *settings.Snapshot) []Agent {
+		paths := []string{"/groups"}
+		if entries := snapshot.List("/groups"); len(entries) > 0 {
+			paths = append(paths, "/x")
+			<-time.After(200 * time.Millisecond) // a feed that does not wait for the review runs ahead
+		}
+		return []Agent{{Name: "t1", Addr: addr, Subtrees: subtrees(paths...)}}
+	})
+	go func() { _ = feeder.Run(t.Context()) }()
+	<-receiver.Ready()
+	b.put(entry, set("/groups/g", `1`))
+	eventually(t, "the agent holds /x", func() bool { return receiver.Snapshot().Len() == 2 })
+}
+
 func TestAnUpdateFromASlowEntryMovesNoAgentBack(t *testing.T) {
 	r := NewReceiver("t1", "t1-1")
 	full := func(to int64, value string) *wire.SettingsUpdate {
