Measure departures behind a balancer that breaks dead entries' requests

Ruled out: the entries outside the cut, which lost none, and confirmations, of which none ran twice.

Change (experiment only): requests go through the balancer one by one; it breaks those of an entry that answers no poll, and leaves those of one that says 503 alone. Ports of agents are taken in turn (two of 36 random ones collided once).

--- a/internal/app/load/departure/run.go
+++ b/internal/app/load/departure/run.go
@@ -146,11 +146,12 @@
 	for i := range prompts {
 		prompts[i] = random.IntN(conversations)
 	}
+	clients := e.fleet.Balancer.Clients()
 	openloop.Run(ctx, schedule, func(n int, due time.Time) {
 		request := e.request(class, n, prompts[n])
 		patience, cancel := context.WithTimeout(ctx, callerPatience)
 		defer cancel()
-		outcome, _ := caller.SendUntilDone(patience, e.fleet.Balancer.Clients(), request)
+		outcome, _ := caller.SendUntilDone(patience, clients, request)
 		e.samples.add(class, due, &outcome)
 		if outcome.Whole && request.Key != "" {
 			e.mu.Lock()
--- a/internal/app/load/fleet/agents.go
+++ b/internal/app/load/fleet/agents.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -45,10 +44,10 @@
 
 func (f *Fleet) addAgent(kind schema.TargetKind, cfg agent.Config) error {
 	var err error
-	if cfg.Listen, err = freeAddress(); err != nil {
+	if cfg.Listen, err = f.freeAddress(); err != nil {
 		return err
 	}
-	if cfg.HTTPListen, err = freeAddress(); err != nil {
+	if cfg.HTTPListen, err = f.freeAddress(); err != nil {
 		return err
 	}
 	cfg.Platform = f.platformURL
@@ -86,11 +85,13 @@
 	lastPort  = 32000
 )
 
-// freeAddress returns an address on loopback that nobody listens on.
-func freeAddress() (string, error) {
+// freeAddress returns an address on loopback that nobody listens on and that it
+// has not returned lately.
+func (f *Fleet) freeAddress() (string, error) {
 	var last error
 	for range lastPort - firstPort {
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		port := firstPort + int(f.port.Add(1)%(lastPort-firstPort))
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		listener, err := net.Listen("tcp", addr)
 		if err == nil {
 			return addr, errors.Wrap(listener.Close(), "find a free port")
--- a/internal/app/load/fleet/balancer_test.go
+++ b/internal/app/load/fleet/balancer_test.go
@@ -4,35 +4,84 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
-
-	"quetzalbend/internal/app/load/caller"
 )
 
-func TestBalancerLeavesOutEntriesThatAreNotReady(t *testing.T) {
-	var down atomic.Bool
-	flaky := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if down.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
+// entryOf serves callers with their host and readiness as told.
+func entryOf(t *testing.T, b *Balancer, callers http.HandlerFunc) (status *atomic.Int64, host string) {
+	t.Helper()
+	status = &atomic.Int64{}
+	status.Store(http.StatusOK)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != "/readyz":
+			callers(w, r)
+		case status.Load() == 0:
+			panic(http.ErrAbortHandler)
+		default:
+			w.WriteHeader(int(status.Load()))
 		}
 	}))
-	defer flaky.Close()
-	steady := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	defer steady.Close()
+	t.Cleanup(server.Close)
+	host = strings.TrimPrefix(server.URL, "http://")
+	b.Add(host, server.URL)
+	return status, host
+}
+
+func TestBalancerLeavesOutEntriesThatAreNotReady(t *testing.T) {
 	b := NewBalancer()
-	one, two := &caller.Client{}, &caller.Client{}
-	b.Add(one, flaky.URL)
-	b.Add(two, steady.URL)
-	assert.Equal(t, len(b.Clients()), 2)
-	down.Store(true)
+	flaky, host := entryOf(t, b, nil)
+	_, steady := entryOf(t, b, nil)
+	chosen := func() map[string]bool {
+		hosts := make(map[string]bool)
+		for range 4 {
+			backend, _, err := b.choose()
+			assert.NilError(t, err)
+			hosts[backend.host] = true
+		}
+		return hosts
+	}
+	flaky.Store(http.StatusServiceUnavailable)
 	b.poll(context.Background())
-	assert.Equal(t, len(b.Clients()), 2) // one failure may be chance
+	assert.DeepEqual(t, chosen(), map[string]bool{host: true, steady: true}) // one failure may be chance
 	b.poll(context.Background())
-	assert.DeepEqual(t, b.Clients(), []*caller.Client{two})
-	down.Store(false)
+	assert.DeepEqual(t, chosen(), map[string]bool{steady: true})
+	flaky.Store(http.StatusOK)
 	b.poll(context.Background())
-	assert.Equal(t, len(b.Clients()), 2)
+	assert.DeepEqual(t, chosen(), map[string]bool{host: true, steady: true})
+}
+
+func TestBalancerBreaksRequestsOfAnEntryThatDoesNotAnswer(t *testing.T) {
+	for status, breaks := range map[int64]bool{http.StatusServiceUnavailable: false, 0: true} {
+		b := NewBalancer()
+		running, release := make(chan struct{}), make(chan struct{})
+		ready, _ := entryOf(t, b, func(http.ResponseWriter, *http.Request) {
+			close(running)
+			<-release
+		})
+		done := make(chan error, 1)
+		go func() {
+			response, err := b.Clients()[0].HTTP.Get("http://balancer/v1/models")
+			if err == nil {
+				err = response.Body.Close()
+			}
+			done <- err
+		}()
+		<-running
+		ready.Store(status)
+		for range failuresToLeave {
+			b.poll(context.Background())
+		}
+		if breaks {
+			assert.Assert(t, <-done != nil)
+			close(release)
+		} else { // it leaves and finishes what runs
+			close(release)
+			assert.NilError(t, <-done)
+		}
+	}
 }
--- a/internal/app/load/fleet/entries.go
+++ b/internal/app/load/fleet/entries.go
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	e := &entryProcess{Entry: started, domain: domain, client: newClient("http://" + callers), operators: "http://" + operators}
-	f.Balancer.Add(e.client, e.operators)
+	f.Balancer.Add(callers, e.operators)
 	return e, nil
 }
 
--- a/internal/app/load/fleet/fleet.go
+++ b/internal/app/load/fleet/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -60,11 +62,13 @@
 	agents      []*agentProcess
 	entries     []*entryProcess
 	settings    *settingsWriter
+	port        atomic.Uint32 // last one tried for an agent
 }
 
 // Start starts a fleet. Its context bounds the start only.
 func Start(ctx context.Context, cfg Config) (*Fleet, error) {
 	f := &Fleet{cfg: cfg, network: NewNetwork(), dialFrom: make(map[string]string), Balancer: NewBalancer()}
+	f.port.Store(rand.Uint32N(lastPort - firstPort))
 	running, stop := context.WithCancel(context.Background())
 	f.stop = stop
 	f.group, f.ctx = errgroup.WithContext(running)
