Keep callers' bad bodies from casting doubt on a target; tell entries what did not run

FuzzCall (frames from an entry) hung on a body that is no JSON: the failure counted as the engine's, halved the limit and stopped new work until the next report. Ruled out: checking at the entry only, since an agent may not trust it.

An agent answers AskOutcome with "not run" for calls it has refused, and "running" while it serves them. Repeats of a key wait outside the gate, so that they hold no place on the target.

--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -31,6 +31,9 @@
 var (
 	// ErrNotSent reports that nothing of the request reached the engine.
 	ErrNotSent = errors.New("engine: request not sent")
+	// ErrBadRequest reports that the caller's body is no JSON object. Nothing
+	// was sent.
+	ErrBadRequest = errors.New("engine: body is no JSON object")
 	// ErrCut reports that an answer ended before it was whole.
 	ErrCut = errors.New("engine: answer cut off")
 	// ErrMalformed reports an answer that breaks the protocol.
@@ -89,7 +92,10 @@
 func (c Completion) encode() ([]byte, error) {
 	fields := make(map[string]json.RawMessage)
 	if err := json.Unmarshal(c.Body, &fields); err != nil {
-		return nil, errors.Wrap(err, "decode chat completion")
+		return nil, errors.Wrapf(ErrBadRequest, "decode chat completion: %v", err)
+	}
+	if fields == nil {
+		return nil, errors.Wrap(ErrBadRequest, "decode chat completion: null")
 	}
 	set := func(name string, value any) error {
 		encoded, err := json.Marshal(value)
@@ -133,7 +139,7 @@
 		return nil, errors.Wrapf(err, "build request for engine %s", c.base)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	if requestID != "" {
+	if isToken(requestID) {
 		request.Header.Set(RequestIDHeader, requestID)
 	}
 	response, err := c.transport.RoundTrip(request)
@@ -146,6 +152,16 @@
 	return nil, errors.Wrapf(err, "send %s to engine %s", path, c.base)
 }
 
+// isToken reports whether an ID can stand in a header.
+func isToken(id string) bool {
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return id != ""
+}
+
 // Load is an engine's report of its load, which lags.
 type Load struct {
 	Incarnation string `json:"incarnation"`
--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -51,6 +51,7 @@
 	unreachable atomic.Bool // the engine does not answer
 	closing     sync.Mutex  // held while the gate is closed or opened
 	gate        *gate
+	outcomes    *outcomes
 	work        context.Context // of all calls; ends with errLeaving after the grace
 	stopWork    context.CancelCauseFunc
 }
@@ -66,7 +67,7 @@
 
 // New returns an agent by its start-up file.
 func New(config Config) (*Agent, error) {
-	a := &Agent{config: config, incarnation: rand.Text(), registry: metrics.New()}
+	a := &Agent{config: config, incarnation: rand.Text(), registry: metrics.New(), outcomes: newOutcomes()}
 	a.settings = settingssync.NewReceiver(config.Name, a.incarnation)
 	a.work, a.stopWork = context.WithCancelCause(context.Background())
 	if config.LinksTLS != nil {
--- a/internal/app/agent/agent_test.go
+++ b/internal/app/agent/agent_test.go
@@ -30,7 +30,7 @@
 }
 
 // fakeEngine answers completions with answer and load reports as idle and warm.
-func fakeEngine(t *testing.T, answer http.HandlerFunc) string {
+func fakeEngine(t testing.TB, answer http.HandlerFunc) string {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", answer)
--- a/internal/app/agent/answer.go
+++ b/internal/app/agent/answer.go
@@ -23,6 +23,7 @@
 	frames    int64 // chunks sent
 	bytes     int64 // body bytes sent
 	position  int64 // tokens that the caller has
+	notRun    bool  // the call was refused
 }
 
 func (a *answer) send(frame *wire.AnswerFrame) error {
@@ -40,6 +41,7 @@
 }
 
 func (a *answer) refused(refusal *wire.Refused) error {
+	a.notRun = true
 	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Refused{Refused: refusal}, Load: a.load()})
 }
 
@@ -75,6 +77,7 @@
 	"Transfer-Encoding": true,
 	"Upgrade":           true,
 	"Content-Length":    true,
+	"X-Incarnation":     true, // of the engine, for its agent only
 }
 
 func wireHeaders(header http.Header) []*wire.Header {
--- a/internal/app/agent/call.go
+++ b/internal/app/agent/call.go
@@ -21,6 +21,8 @@
 	go watchCaller(stream, cancel)
 
 	out := &answer{stream: stream, requestID: call.GetRequestId(), load: a.load}
+	a.outcomes.begin(call.GetRequestId())
+	defer func() { a.outcomes.end(call.GetRequestId(), out.notRun) }()
 	if err := a.run(ctx, call, out); err != nil {
 		log.WithError(err).WithField("request", call.GetRequestId()).Debug("answer not delivered")
 	}
--- a/internal/app/agent/gate.go
+++ b/internal/app/agent/gate.go
@@ -141,6 +141,13 @@
 	g.advance()
 }
 
+// note changes the controller where nothing can run because of it.
+func (g *gate) note(change func(c *admission.Controller, now time.Time)) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	change(g.controller, g.now())
+}
+
 func (g *gate) leave(t *ticket, end admission.End) {
 	g.update(func(c *admission.Controller, now time.Time) { c.End(now, t.request.ID, end) })
 }
--- a/internal/app/agent/model.go
+++ b/internal/app/agent/model.go
@@ -36,7 +36,7 @@
 	g := &generation{agent: a, call: call, out: out, ticket: t, end: admission.Cancelled, started: time.Now()}
 	defer func() { a.gate.leave(t, g.end) }()
 	if err != nil {
-		g.end = admission.Finished // nothing was sent to the engine
+		g.end = admission.Unused
 		return err
 	}
 	return g.run(ctx)
@@ -44,7 +44,7 @@
 
 func (g *generation) run(ctx context.Context) error {
 	if err := g.out.admitted(); err != nil {
-		g.end = admission.Finished // nothing was sent to the engine
+		g.end = admission.Unused
 		return err
 	}
 	g.out.position = g.call.GetModel().GetResumePosition()
@@ -124,7 +124,7 @@
 	}
 	g.last = now
 	g.agent.registry.Observe(timing, metricsKey(g.call), since)
-	g.agent.gate.update(func(c *admission.Controller, now time.Time) {
+	g.agent.gate.note(func(c *admission.Controller, now time.Time) {
 		if timing == metrics.FirstToken {
 			c.FirstToken(now, since)
 			return
@@ -135,6 +135,10 @@
 
 // failed ends an answer after the engine failed it.
 func (g *generation) failed(ctx context.Context, err error) error {
+	if errors.Is(err, engine.ErrBadRequest) {
+		g.end = admission.Unused
+		return g.refuse(&wire.Refused{Reason: reasonBadCall, Detail: err.Error()})
+	}
 	if errors.Is(err, engine.ErrNotSent) && ctx.Err() == nil {
 		g.end = admission.NotSent
 		return g.refuse(&wire.Refused{Reason: reasonUnreachable, Detail: err.Error()})
--- a/internal/app/agent/once.go
+++ b/internal/app/agent/once.go
@@ -63,17 +63,22 @@
 	return defaultServiceTimeout
 }
 
-// runOnce runs a call that may not be repeated. Its run goes on to its end when
-// the caller goes away, so that a repeat can have the answer.
-func (a *Agent) runOnce(ctx context.Context, call *wire.Call, out *answer) (admission.End, error) {
-	end := admission.Finished
+// once is the claim request of a call that may not be repeated.
+func once(call *wire.Call) claimlog.Request {
 	work := call.GetService()
-	request := claimlog.Request{
+	return claimlog.Request{
 		Account:     call.GetAccount(),
 		Key:         work.GetIdempotencyKey(),
 		Fingerprint: claims.FingerprintOf(work.GetMethod(), work.GetPath(), work.GetBody()),
 	}
-	result := a.claims.Do(ctx, request, func() claimlog.Outcome {
+}
+
+// runOnce runs a call that may not be repeated. Its run goes on to its end when
+// the caller goes away, so that a repeat can have the answer.
+func (a *Agent) runOnce(ctx context.Context, call *wire.Call, out *answer) (admission.End, error) {
+	end := admission.Unused
+	work := call.GetService()
+	result := a.claims.Do(ctx, once(call), func() claimlog.Outcome {
 		_ = out.admitted() // the caller may be gone; the run is decided all the same
 		outcome := a.runClaimed(work)
 		switch {
@@ -81,6 +86,8 @@
 			end = admission.NotSent
 		case outcome.Answer == nil:
 			end = admission.Broken
+		default:
+			end = admission.Finished
 		}
 		return outcome
 	})
@@ -139,7 +146,16 @@
 		_ = stream.Send(&wire.Outcome{Ran: wire.Ran_RAN_UNKNOWN, Running: true})
 		return
 	}
-	_ = stream.Send(outcomeOf(a.claims.Ask(ask.GetAccount(), ask.GetIdempotencyKey())))
+	serving, notRun := a.outcomes.ask(ask.GetRequestId())
+	outcome := outcomeOf(a.claims.Ask(ask.GetAccount(), ask.GetIdempotencyKey()))
+	switch {
+	case outcome.GetRan() != wire.Ran_RAN_UNKNOWN:
+	case serving:
+		outcome.Running = true
+	case notRun:
+		outcome.Ran, outcome.Running = wire.Ran_RAN_NO, false
+	}
+	_ = stream.Send(outcome)
 }
 
 // outcomeOf says what is known of a key. A free key is unknown too: a claim
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -23,6 +23,12 @@
 	if !work.GetIdempotent() && work.GetIdempotencyKey() == "" {
 		return a.refuse(call, out, &wire.Refused{Reason: reasonBadCall, Detail: "a call that may not be repeated needs an idempotency key"})
 	}
+	if !work.GetIdempotent() {
+		// A repeat needs no place on the target.
+		if result, settled := a.claims.Await(ctx, once(call)); settled {
+			return a.relayResult(call, out, result)
+		}
+	}
 	t, err := a.enter(ctx, call, out)
 	if t == nil {
 		return err
@@ -41,7 +47,7 @@
 
 func (a *Agent) runIdempotent(ctx context.Context, call *wire.Call, out *answer) (admission.End, error) {
 	if err := out.admitted(); err != nil {
-		return admission.Cancelled, err
+		return admission.Unused, err
 	}
 	response, err := a.service.Do(ctx, serviceCall(call.GetService()))
 	if errors.Is(err, service.ErrNotSent) {
--- a/internal/claimlog/do.go
+++ b/internal/claimlog/do.go
@@ -65,18 +65,12 @@
 func (l *Log) Do(ctx context.Context, request Request, run func() Outcome) Result {
 	key := claims.KeyOf(request.Account, request.Key)
 	for {
-		l.lock.Lock()
-		state := l.claimant.Lookup(key)
-		if result, settled := l.settled(state, request); settled {
-			l.lock.Unlock()
+		if result, settled := l.Await(ctx, request); settled {
 			return result
 		}
-		if state.Phase == claims.Claimed {
-			changed := l.changed(key)
+		l.lock.Lock()
+		if l.claimant.Lookup(key).Phase != claims.Free {
 			l.lock.Unlock()
-			if !waitFor(ctx, changed) {
-				return Result{Reason: OutcomeUnknown}
-			}
 			continue
 		}
 		if reason, refused := l.refuseNew(request.Key); refused {
@@ -92,6 +86,31 @@
 	}
 }
 
+// Await answers a request that needs no run, after waiting for a run of its key
+// that may be going on. It reports false if the key is free, or refuses a new
+// key that cannot be claimed now.
+func (l *Log) Await(ctx context.Context, request Request) (Result, bool) {
+	key := claims.KeyOf(request.Account, request.Key)
+	for {
+		l.lock.Lock()
+		state := l.claimant.Lookup(key)
+		result, settled := l.settled(state, request)
+		if !settled && state.Phase == claims.Free {
+			if reason, refused := l.refuseNew(request.Key); refused {
+				result, settled = notRun(reason), true
+			}
+		}
+		changed := l.changed(key)
+		l.lock.Unlock()
+		if settled || state.Phase == claims.Free {
+			return result, settled
+		}
+		if !waitFor(ctx, changed) {
+			return Result{Reason: OutcomeUnknown}, true
+		}
+	}
+}
+
 // settled answers what needs no claim. The caller holds the lock.
 func (l *Log) settled(state claims.State, request Request) (Result, bool) {
 	if state.Phase != claims.Free && state.Fingerprint != request.Fingerprint {
--- a/internal/core/admission/evidence.go
+++ b/internal/core/admission/evidence.go
@@ -56,6 +56,7 @@
 	Cancelled            // from this side; the target may not have noticed yet
 	Broken               // by the target, or by the way to it
 	NotSent              // the target was not reached
+	Unused               // nothing was sent to the target, for no fault of its own
 )
 
 // End takes a running request out.
@@ -77,6 +78,7 @@
 		c.doubt(now)
 	case NotSent:
 		c.doubt(now)
+	case Unused:
 	}
 }
 
