--- a/internal/core/balance/types.go
+++ b/internal/core/balance/types.go
@@ -1,6 +1,10 @@
 package balance
 
-import "github.com/pkg/errors"
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
 
 // Empty marks a slot that holds no expert.
 const Empty int32 = -1
@@ -51,8 +55,34 @@
 // Map is an expert map of one layer: a placement and, for each slot, the
 // fraction of its expert's load that the slot carries.
 type Map struct {
-	Placement Placement
-	Shares    []float64 // sum to 1 over the slots of an expert
+	Placement Placement `json:"placement"`
+	Shares    []float64 `json:"shares"` // sum to 1 over the slots of an expert
+}
+
+// EncodeLayers returns the maps of all layers in their form between processes.
+func EncodeLayers(layers []Map) ([]byte, error) {
+	data, err := json.Marshal(layers)
+	return data, errors.Wrap(err, "encode expert map")
+}
+
+// DecodeLayers reads what EncodeLayers has written and checks it against the
+// shape of the layers.
+func DecodeLayers(data []byte, shape Shape) ([]Map, error) {
+	var layers []Map
+	if err := json.Unmarshal(data, &layers); err != nil {
+		return nil, errors.Wrap(err, "decode expert map")
+	}
+	for l, m := range layers {
+		if len(m.Placement) != shape.TotalSlots() || len(m.Shares) != len(m.Placement) {
+			return nil, errors.Errorf("expert map: layer %d has %d slots and %d shares, want %d", l, len(m.Placement), len(m.Shares), shape.TotalSlots())
+		}
+		for slot, e := range m.Placement {
+			if e < Empty || int(e) >= shape.Experts {
+				return nil, errors.Errorf("expert map: layer %d slot %d holds expert %d of %d", l, slot, e, shape.Experts)
+			}
+		}
+	}
+	return layers, nil
 }
 
 // Moves returns the number of slots of next that need weights which their rank
