--- a/internal/app/load/control/run.go
+++ b/internal/app/load/control/run.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/settingssync"
 )
 
@@ -32,13 +33,15 @@
 	log.SetLevel(log.ErrorLevel)
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	f, err := newFleet(ctx, c.Accounts)
+	f, err := newFleet(ctx, c.Accounts, c.Probe)
 	if err != nil {
 		cancel()
 		return Result{}, err
 	}
-	result := Result{Seed: c.Seed, Nodes: c.Nodes, Targets: c.Targets, Accounts: c.Accounts}
-	err = c.measure(ctx, group, f, &result)
+	result := Result{Seed: c.Seed, Nodes: c.Nodes, Targets: c.Targets, Accounts: c.Accounts, KeepAliveMS: c.Probe.Milliseconds()}
+	if err = f.measureState(ctx, &result); err == nil {
+		err = c.measure(ctx, group, f, &result)
+	}
 	cancel()
 	f.stop()
 	if waitErr := group.Wait(); err == nil {
@@ -75,7 +78,7 @@
 		return err
 	}
 	c.sum(result)
-	return c.measureState(ctx, f, result)
+	return nil
 }
 
 // measureIdle measures the cost without changes.
@@ -158,20 +161,26 @@
 			share = nodes / 2 // each byte between entries concerns two of them
 		}
 		result.IdleBytesPerSecondPerNode += l.IdleBytesPerSecond / share
+		result.IdlePacketsPerNode += l.IdlePacketsPerSecond / share
 		result.BytesPerChangePerNode += l.BytesPerChange / share
 	}
 	result.BytesPerSecondPerNode = result.IdleBytesPerSecondPerNode + result.BytesPerChangePerNode*changesPerDay/secondsPerDay
 }
 
-// measureState measures the heap of one more copy of the settings.
-func (c *Command) measureState(ctx context.Context, f *fleet, result *Result) error {
+// measureState measures the heap of one more copy of the settings, and of the
+// tables that an entry builds from it.
+func (f *fleet) measureState(ctx context.Context, result *Result) error {
 	before := heapInUse()
 	snapshot, err := settingssync.Load(ctx, f.platform.Log())
 	if err != nil {
 		return err
 	}
-	result.StateBytes = heapInUse() - before
+	after := heapInUse()
+	result.StateBytes = after - before
+	tables := catalog.Build(snapshot)
+	result.CatalogBytes = heapInUse() - after
 	runtime.KeepAlive(snapshot)
+	runtime.KeepAlive(tables)
 	return nil
 }
 
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -112,7 +112,9 @@
 
 type noCounter struct{}
 
-func (noCounter) Count(string) {}
+func (noCounter) Count(Event) {}
+
+func (noCounter) CountFailedAttempt(string) {}
 
 // collect is a StreamWriter that keeps what it gets.
 type collect struct{ text string }
@@ -240,4 +242,4 @@
 	return bodies
 }
 
-var refuses = answers(&wire.Refused{Reason: reasonAtLimit, RetryAfterMs: 1500})
+var refuses = answers(&wire.Refused{Reason: reasonBusy, RetryAfterMs: 1500})
