--- a/cmd/quetzalbend-standin/main.go
+++ b/cmd/quetzalbend-standin/main.go
@@ -1,4 +1,5 @@
-// Command quetzalbend-standin plays the platform, an engine or a plain service
+// Command quetzalbend-standin plays the platform, an engine, a group of ranks or a
+// plain service
 // in tests and in the demo.
 package main
 
@@ -11,6 +12,7 @@
 
 	"quetzalbend/internal/app/standin/engine"
 	"quetzalbend/internal/app/standin/platform"
+	"quetzalbend/internal/app/standin/ranks"
 	"quetzalbend/internal/app/standin/service"
 	"quetzalbend/internal/program"
 )
@@ -24,6 +26,9 @@
 	"platform": func(name string, args []string) program.ExitCode {
 		return program.Main(name, args, nil, platform.Run)
 	},
+	"ranks": func(name string, args []string) program.ExitCode {
+		return program.Main(name, args, nil, ranks.Run)
+	},
 	"service": func(name string, args []string) program.ExitCode {
 		return program.Main(name, args, nil, service.Run)
 	},
--- /dev/null
+++ b/internal/adapter/rankengine/client.go
@@ -0,0 +1,126 @@
+package rankengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/core/expertmap"
+	"quetzalbend/internal/mapgroup"
+)
+
+// maxAnswerBytes bounds an engine's answer.
+const maxAnswerBytes = 64 << 20
+
+// ErrRefused reports an order that the engine refused for its fencing number.
+var ErrRefused = errors.New("order refused")
+
+// Client talks to one rank's engine.
+type Client struct {
+	http *http.Client
+	base string
+	rank int
+}
+
+var (
+	_ expertmap.Engine = (*Client)(nil)
+	_ mapgroup.Reports = (*Client)(nil)
+)
+
+// New returns a client of a rank's engine behind the base URL.
+func New(client *http.Client, base string, rank int) *Client {
+	return &Client{http: client, base: base, rank: rank}
+}
+
+// order is the body of an order.
+type order struct {
+	Fencing  expertmap.Ballot    `json:"fencing"`
+	Map      *expertmap.Map      `json:"map,omitempty"`
+	Hold     *expertmap.Hold     `json:"hold,omitempty"`
+	Decision *expertmap.Decision `json:"decision,omitempty"`
+}
+
+// State implements expertmap.Engine.
+func (c *Client) State(ctx context.Context) (expertmap.EngineState, error) {
+	var state expertmap.EngineState
+	err := c.get(ctx, fmt.Sprintf("/v1/ranks/%d/state", c.rank), &state)
+	return state, err
+}
+
+// Report implements mapgroup.Reports.
+func (c *Client) Report(ctx context.Context) (mapgroup.Report, error) {
+	var report mapgroup.Report
+	err := c.get(ctx, "/v1/report", &report)
+	return report, err
+}
+
+// Fence implements expertmap.Engine.
+func (c *Client) Fence(ctx context.Context, fencing expertmap.Ballot) error {
+	_, err := c.give(ctx, order{Fencing: fencing})
+	return err
+}
+
+// Stage implements expertmap.Engine.
+func (c *Client) Stage(ctx context.Context, fencing expertmap.Ballot, next expertmap.Map) error {
+	_, err := c.give(ctx, order{Fencing: fencing, Map: &next})
+	return err
+}
+
+// Hold implements expertmap.Engine.
+func (c *Client) Hold(ctx context.Context, fencing expertmap.Ballot, hold expertmap.Hold) (bool, error) {
+	return c.give(ctx, order{Fencing: fencing, Hold: &hold})
+}
+
+// Follow implements expertmap.Engine.
+func (c *Client) Follow(ctx context.Context, fencing expertmap.Ballot, decision expertmap.Decision) (bool, error) {
+	return c.give(ctx, order{Fencing: fencing, Decision: &decision})
+}
+
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "request to engine")
+	}
+	return c.do(request, into)
+}
+
+// give sends one order. POST without an idempotency key is not resent by the
+// transport once it may have been taken.
+func (c *Client) give(ctx context.Context, o order) (bool, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return false, errors.Wrap(err, "encode order")
+	}
+	url := fmt.Sprintf("%s/v1/ranks/%d/orders", c.base, c.rank)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return false, errors.Wrap(err, "order to engine")
+	}
+	var answer struct {
+		Done bool `json:"done"`
+	}
+	err = c.do(request, &answer)
+	return answer.Done, err
+}
+
+func (c *Client) do(request *http.Request, into any) error {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "engine of rank %d", c.rank)
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return errors.Wrapf(ErrRefused, "engine of rank %d", c.rank)
+	default:
+		return errors.Errorf("engine of rank %d answers %s", c.rank, response.Status)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(into)
+	return errors.Wrapf(err, "answer of the engine of rank %d", c.rank)
+}
--- a/internal/app/load/skew/command.go
+++ b/internal/app/load/skew/command.go
@@ -1,6 +1,7 @@
 package skew
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -33,6 +34,13 @@
 	if err != nil {
 		return err
 	}
+	if c.Live {
+		live, err := RunLive(context.Background(), c.Options)
+		if err != nil {
+			return err
+		}
+		results = append(results, live)
+	}
 	if c.Plot != "" {
 		if err := draw(c.Options, results); err != nil {
 			return err
--- a/internal/app/load/skew/options.go
+++ b/internal/app/load/skew/options.go
@@ -1,6 +1,10 @@
 package skew
 
-import "github.com/pkg/errors"
+import (
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/core/balance"
+)
 
 // Options are the sizes and the shape of one run.
 type Options struct {
@@ -27,22 +31,27 @@
 	StepMS        float64 `long:"step-ms" default:"40" description:"step time of a perfectly balanced group"`
 	StallMS       float64 `long:"stall-ms" default:"2" description:"stall of the group when a map is activated"`
 	Slowdown      float64 `long:"transfer-slowdown" default:"0.02" description:"part by which steps slow down while weights are fetched"`
+	Live          bool    `long:"live" description:"run the planner also through the agents' map protocol, on loopback"`
+	LiveStepUS    int     `long:"live-step-us" default:"200" description:"time of a step of the live run in microseconds"`
+	LeadSteps     int     `long:"lead-steps" default:"100" description:"steps from an order to hold to the change, live"`
 	JSON          bool    `long:"json" description:"print JSON"`
 	Plot          string  `long:"plot" value-name:"FILE.svg" description:"draw the skew over the trace"`
 }
 
 func (o *Options) check() error {
 	switch {
-	case o.Ranks < 1 || o.Experts < 1 || o.Layers < 1:
+	case min(o.Ranks, o.Experts, o.Layers) < 1:
 		return errors.New("--ranks, --experts and --layers must be at least 1")
 	case o.ReportSteps < 1 || o.IntervalSteps < o.ReportSteps:
 		return errors.New("--report-steps must be at least 1, --interval-steps no less than it")
-	case o.Steps < o.IntervalSteps:
-		return errors.New("--steps must be at least --interval-steps")
-	case o.Lag < 0 || o.Noise < 0 || o.Period < 0:
+	case o.Steps < o.IntervalSteps || o.LeadSteps < 1:
+		return errors.New("--steps must be at least --interval-steps, --lead-steps at least 1")
+	case min(float64(o.Lag), o.Noise, float64(o.Period)) < 0:
 		return errors.New("--lag, --noise and --period must not be negative")
-	case o.StoreRate <= 0 || o.CopyRate <= 0 || o.StepMS <= 0:
+	case min(o.StoreRate, o.CopyRate, o.StepMS) <= 0:
 		return errors.New("rates and --step-ms must be positive")
+	case o.LiveStepUS < 1:
+		return errors.New("--live-step-us must be at least 1")
 	case o.TopicWeight < 0 || o.TopicWeight > 1:
 		return errors.New("--topic-weight must be from 0 to 1")
 	}
@@ -72,3 +81,14 @@
 func (o *Options) ahead() float64 {
 	return (float64(o.Lag) + float64(o.IntervalSteps)/2) / float64(o.ReportSteps)
 }
+
+// balance returns the planner's settings for the options.
+func (o *Options) balance() balance.Config {
+	cfg := balance.DefaultConfig()
+	cfg.Ahead = o.ahead()
+	cfg.StallMS = o.StallMS
+	cfg.MoveMS = o.ExpertBytes / o.CopyRate * msPerSecond
+	cfg.ExpertBytes = o.ExpertBytes
+	cfg.ByteMS = o.Slowdown / o.StoreRate * msPerSecond
+	return cfg
+}
--- a/internal/app/load/skew/plot.go
+++ b/internal/app/load/skew/plot.go
@@ -24,6 +24,9 @@
 	p.Y.Label.Text = "slowest rank / mean"
 	p.Legend.Top = true
 	for i, r := range results {
+		if len(r.trace) == 0 {
+			continue
+		}
 		line, err := plotter.NewLine(points(r.trace, o.ReportSteps))
 		if err != nil {
 			return errors.Wrap(err, "draw skew")
--- a/internal/app/load/skew/run.go
+++ b/internal/app/load/skew/run.go
@@ -104,13 +104,7 @@
 	case policyFullRepack:
 		return &fullRepack{shape: shape, loads: balance.NewEstimator(loads, o.ahead()), speeds: balance.NewEstimator(speeds, 0)}
 	case policyPlanner:
-		cfg := balance.DefaultConfig()
-		cfg.Ahead = o.ahead()
-		cfg.StallMS = o.StallMS
-		cfg.MoveMS = o.ExpertBytes / o.CopyRate * msPerSecond
-		cfg.ExpertBytes = o.ExpertBytes
-		cfg.ByteMS = o.Slowdown / o.StoreRate * msPerSecond
-		return &planned{balance.NewPlanner(cfg, shape, loads, speeds), o.StepMS / float64(o.Layers)}
+		return &planned{balance.NewPlanner(o.balance(), shape, loads, speeds), o.StepMS / float64(o.Layers)}
 	default:
 		return static{}
 	}
--- a/internal/app/load/skew/skew_test.go
+++ b/internal/app/load/skew/skew_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -106,3 +107,14 @@
 	assert.NilError(t, printTable(&table, results))
 	assert.Assert(t, bytes.Contains(table.Bytes(), []byte(policyPlanner)))
 }
+
+// TestLiveRunUsesOneMapAndBalances runs the planner through the agents' map
+// protocol. RunLive fails on a step with two maps.
+func TestLiveRunUsesOneMapAndBalances(t *testing.T) {
+	args := []string{"--ranks=4", "--experts=8", "--slots-per-rank=4", "--layers=1", "--steps=6000", "--drift=daily", "--period=12000", "--seed=5"}
+	static, _, _ := run(t, args...)
+	live, err := RunLive(context.Background(), parse(t, args...))
+	assert.NilError(t, err)
+	assert.Assert(t, live.Activations > 0)
+	assert.Assert(t, live.MeanSkew < (1+static.MeanSkew)/2, "live %.4f, static %.4f", live.MeanSkew, static.MeanSkew)
+}
--- a/internal/app/standin/ranks/group.go
+++ b/internal/app/standin/ranks/group.go
@@ -23,6 +23,7 @@
 	used  map[stepKey]expertmap.Map
 	truth Truth
 	born  int
+	meter *meter // nil without a load
 }
 
 // Truth is what really happened in a group.
@@ -34,6 +35,7 @@
 	Fenced      int64   `json:"fenced"`       // orders refused for their fencing number
 	HeldSteps   int64   `json:"held_steps"`   // attempts to begin a step that a hold forbade
 	StagedBytes int64   `json:"staged_bytes"` // payload bytes staged
+	MeanSkew    float64 `json:"mean_skew"`    // slowest rank's time over the mean, 0 without a load
 	Versions    []int64 `json:"versions"`     // map in use at each rank
 	At          []int64 `json:"at"`           // next step of each rank
 	Epochs      []int64 `json:"epochs"`       // epoch of each rank
@@ -127,6 +129,9 @@
 		g.used[key] = now
 		delete(g.used, stepKey{key.epoch, key.step - 2})
 		g.truth.Steps++
+		if g.meter != nil {
+			g.meter.measure(key.step, now.Version, now.Payload)
+		}
 		return
 	}
 	if before.Version != now.Version || string(before.Payload) != string(now.Payload) {
@@ -139,6 +144,9 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	truth := g.truth
+	if g.meter != nil && g.meter.steps > 0 {
+		truth.MeanSkew = g.meter.sum / float64(g.meter.steps)
+	}
 	for _, r := range g.ranks {
 		truth.Versions = append(truth.Versions, r.state.Current.Version)
 		truth.At = append(truth.At, r.state.Step)
--- /dev/null
+++ b/internal/app/standin/ranks/server.go
@@ -0,0 +1,207 @@
+package ranks
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/standin/serve"
+	"quetzalbend/internal/core/balance"
+	"quetzalbend/internal/core/expertmap"
+)
+
+// Config is the start-up configuration.
+type Config struct {
+	Listen        string `json:"listen"` // IP address and port
+	Ranks         int    `json:"ranks"`
+	Experts       int    `json:"experts"` // of each layer
+	Layers        int    `json:"layers"`
+	Slots         int    `json:"slots"`   // of each layer, over all ranks
+	StepUS        int    `json:"step_us"` // time of a step in microseconds, default 1000
+	ChecksFencing bool   `json:"checks_fencing"`
+}
+
+const defaultStepUS = 1000
+
+// Order is the body of an order to a rank.
+type Order struct {
+	Fencing  expertmap.Ballot    `json:"fencing"`
+	Map      *expertmap.Map      `json:"map,omitempty"`
+	Hold     *expertmap.Hold     `json:"hold,omitempty"`
+	Decision *expertmap.Decision `json:"decision,omitempty"`
+}
+
+// Done is the answer to an order.
+type Done struct {
+	Done bool `json:"done"`
+}
+
+// Faults change a group. Fields left out change nothing.
+type Faults struct {
+	Stall       *int `json:"stall,omitempty"`         // rank that begins no more steps
+	Resume      *int `json:"resume,omitempty"`        // rank that goes on
+	Replace     *int `json:"replace,omitempty"`       // rank whose engine is replaced by a fresh one
+	LateRank    *int `json:"late_rank,omitempty"`     // rank whose orders arrive late
+	LateOrderMS int  `json:"late_order_ms,omitempty"` // by how much; 0 ends it
+}
+
+// Server serves a group over HTTP.
+type Server struct {
+	group *Group
+	first expertmap.Map
+	mux   *http.ServeMux
+
+	lock sync.Mutex
+	late map[int]time.Duration // by rank
+}
+
+// FirstMap returns the map that engines start with: equal loads.
+func FirstMap(shape balance.Shape, layers int) (expertmap.Map, error) {
+	loads := slices.Repeat([]float64{1}, shape.Experts)
+	speeds := slices.Repeat([]float64{1}, shape.Ranks())
+	payload, err := balance.EncodeLayers(slices.Repeat([]balance.Map{balance.Pack(shape, loads, speeds)}, layers))
+	return expertmap.Map{Payload: payload}, err
+}
+
+// NewServer returns a server of a group; first is the map of fresh engines.
+func NewServer(group *Group, first expertmap.Map) *Server {
+	s := &Server{group: group, first: first, mux: http.NewServeMux(), late: map[int]time.Duration{}}
+	s.mux.HandleFunc("GET /v1/ranks/{rank}/state", s.state)
+	s.mux.HandleFunc("POST /v1/ranks/{rank}/orders", s.order)
+	s.mux.HandleFunc("GET /v1/report", s.report)
+	s.mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	s.mux.HandleFunc("GET /standin/truth", func(w http.ResponseWriter, _ *http.Request) { serve.JSON(w, group.Truth()) })
+	s.mux.HandleFunc("POST /standin/fault", s.fault)
+	return s
+}
+
+// ServeHTTP serves the group's protocol.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Run serves a group on config.Listen and lets it step until ctx ends.
+func Run(ctx context.Context, config Config) error {
+	if config.StepUS == 0 {
+		config.StepUS = defaultStepUS
+	}
+	shape, err := balance.EvenShape(config.Ranks, config.Experts, config.Slots)
+	if err != nil {
+		return err
+	}
+	first, err := FirstMap(shape, max(1, config.Layers))
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", config.Listen)
+	}
+	group := NewGroup(config.Ranks, first, config.ChecksFencing)
+	go group.Drive(ctx, time.Duration(config.StepUS)*time.Microsecond)
+	return serve.HTTP(ctx, listener, NewServer(group, first))
+}
+
+func (s *Server) rank(w http.ResponseWriter, r *http.Request) (int, bool) {
+	rank, err := strconv.Atoi(r.PathValue("rank"))
+	if err != nil || rank < 0 || rank >= s.group.size() {
+		http.Error(w, "no such rank", http.StatusNotFound)
+		return 0, false
+	}
+	return rank, true
+}
+
+func (s *Server) state(w http.ResponseWriter, r *http.Request) {
+	rank, ok := s.rank(w, r)
+	if !ok {
+		return
+	}
+	state, _ := s.group.Engine(rank).State(r.Context())
+	serve.JSON(w, state)
+}
+
+// order carries out an order, also if its sender has gone meanwhile.
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	rank, ok := s.rank(w, r)
+	if !ok {
+		return
+	}
+	var order Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.Sleep(s.delay(rank))
+	done, err := carryOut(s.group.Engine(rank), order)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	serve.JSON(w, Done{done})
+}
+
+func carryOut(engine expertmap.Engine, order Order) (bool, error) {
+	ctx := context.Background()
+	switch {
+	case order.Map != nil:
+		return true, engine.Stage(ctx, order.Fencing, *order.Map)
+	case order.Hold != nil:
+		return engine.Hold(ctx, order.Fencing, *order.Hold)
+	case order.Decision != nil:
+		return engine.Follow(ctx, order.Fencing, *order.Decision)
+	default:
+		return true, engine.Fence(ctx, order.Fencing)
+	}
+}
+
+func (s *Server) delay(rank int) time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.late[rank]
+}
+
+func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	report, ok := s.group.Report()
+	if !ok {
+		http.Error(w, "no report yet", http.StatusServiceUnavailable)
+		return
+	}
+	serve.JSON(w, report)
+}
+
+func (s *Server) fault(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for _, rank := range []*int{faults.Stall, faults.Resume, faults.Replace, faults.LateRank} {
+		if rank != nil && (*rank < 0 || *rank >= s.group.size()) {
+			http.Error(w, "no such rank", http.StatusBadRequest)
+			return
+		}
+	}
+	s.apply(faults)
+}
+
+func (s *Server) apply(faults Faults) {
+	if faults.Stall != nil {
+		s.group.Stall(*faults.Stall, true)
+	}
+	if faults.Resume != nil {
+		s.group.Stall(*faults.Resume, false)
+	}
+	if faults.Replace != nil {
+		s.group.Replace(*faults.Replace, s.first)
+	}
+	if faults.LateRank != nil {
+		s.lock.Lock()
+		s.late[*faults.LateRank] = time.Duration(faults.LateOrderMS) * time.Millisecond
+		s.lock.Unlock()
+	}
+}
