--- a/cmd/quetzalbend-standin/main.go
+++ b/cmd/quetzalbend-standin/main.go
@@ -1,6 +1,5 @@
-// Command quetzalbend-standin plays the platform, an engine, a group of ranks or a
-// plain service
-// in tests and in the demo.
+// Command quetzalbend-standin plays the platform, an engine, a group of ranks or
+// a plain service in tests and in the demo.
 package main
 
 import (
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -40,6 +40,7 @@
 	{"### Route", schema.Route{}},
 	{"### `quetzalbend-entry`", entry.Config{}},
 	{"### `quetzalbend-agent`", agent.Config{}},
+	{"### Rank", agent.Rank{}},
 	{"### Peer", settingssync.Peer{}},
 	{"### Bounds", entry.Bounds{}},
 	{"### Routing", entry.Routing{}},
--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -44,6 +44,7 @@
 	engine      *engine.Client  // nil in front of a service
 	service     *service.Client // nil in front of an engine
 	claims      *claimlog.Log   // nil in front of an engine
+	rank        *rankMember     // nil if the target is no rank
 	view        atomic.Pointer[catalog.Catalog]
 	leaving     atomic.Bool // by signal
 	out         atomic.Bool // by the settings
@@ -85,7 +86,12 @@
 		a.gate = newGate(time.Now, admission.Config{})
 		a.claims = a.newClaims()
 	}
-	return a, nil
+	if config.Rank == nil {
+		return a, nil
+	}
+	var err error
+	a.rank, err = a.newRankMember()
+	return a, err
 }
 
 // Run serves until ctx ends, then leaves: it refuses new work, lets running
@@ -181,6 +187,8 @@
 		a.settings.Handle(ctx, open, stream)
 	case open.GetStatus() != nil:
 		_ = stream.Send(a.status())
+	case open.GetExpertMap() != nil && a.rank != nil:
+		a.rank.serve(ctx, open.GetExpertMap(), stream)
 	}
 }
 
--- a/internal/app/agent/config.go
+++ b/internal/app/agent/config.go
@@ -34,6 +34,7 @@
 	ServiceName    string      `json:"service_name,omitempty"`     // as in the settings
 	Team           string      `json:"team,omitempty"`             // that owns the service
 	Platform       string      `json:"platform,omitempty"`         // base URL
+	Rank           *Rank       `json:"rank,omitempty"`             // set if the target is a rank of a group
 	LinksTLS       *keys.Files `json:"links_tls,omitempty"`        // mutual TLS with entries, default: plain TCP
 	GraceMS        int64       `json:"grace_ms,omitempty"`         // for running work on leaving, default 30000
 	LoadIntervalMS int64       `json:"load_interval_ms,omitempty"` // between readings of the engine's load, default 50
@@ -49,6 +50,9 @@
 	report.Range("grace_ms", config.GraceMS, 1, maxGraceMS, "milliseconds")
 	report.Range("load_interval_ms", config.LoadIntervalMS, 1, maxLoadMS, "milliseconds")
 	report.Range("order_life_ms", config.OrderLifeMS, 1, maxOrderMS, "milliseconds")
+	if config.Rank != nil {
+		config.Rank.check(report)
+	}
 	if config.LinksTLS != nil {
 		config.LinksTLS.Check(report, "links_tls")
 	}
@@ -111,13 +115,17 @@
 		if u.value == "" {
 			continue
 		}
-		parsed, err := url.Parse(u.value)
-		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		if !isBaseURL(u.value) {
 			report.Add(u.field, u.value, wantBaseURL)
 		}
 	}
 }
 
+func isBaseURL(value string) bool {
+	parsed, err := url.Parse(value)
+	return err == nil && parsed.Host != "" && (parsed.Scheme == "http" || parsed.Scheme == "https")
+}
+
 func (c *Config) grace() time.Duration { return milliseconds(c.GraceMS) }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/app/agent/rank.go
@@ -0,0 +1,241 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/adapter/link"
+	"quetzalbend/internal/adapter/rankengine"
+	"quetzalbend/internal/adapter/rankpeers"
+	"quetzalbend/internal/core/balance"
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/check"
+	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/mapgroup"
+	"quetzalbend/internal/wire"
+)
+
+// Rank is the part of the start-up file for a target that is a rank of a group.
+// Zero means the default.
+type Rank struct {
+	Engine              string `json:"engine"`                           // base URL of the rank's orders and load reports
+	StepMS              int64  `json:"step_ms,omitempty"`                // time of a step of the balanced group, default 40
+	StoreBytesPerSecond int64  `json:"store_bytes_per_second,omitempty"` // that the group may fetch from the weight store, default 1073741824
+	ReportIntervalMS    int64  `json:"report_interval_ms,omitempty"`     // between readings of the load, default 1000
+	PlanIntervalMS      int64  `json:"plan_interval_ms,omitempty"`       // between plans, default 5000
+	AskTimeoutMS        int64  `json:"ask_timeout_ms,omitempty"`         // for one answer of another rank, default 1000
+	LeadSteps           int64  `json:"lead_steps,omitempty"`             // from the newest known step to a change, default 100
+}
+
+// Defaults and bounds of Rank.
+const (
+	defaultStepMS         = 40
+	defaultStoreRate      = 1 << 30 // bytes a second
+	defaultReportMS       = 1000
+	defaultPlanMS         = 5000
+	defaultAskMS          = 1000
+	defaultLeadSteps      = 100
+	maxRankIntervalMS     = 600_000
+	maxStoreRate          = 1 << 50 // bytes a second
+	maxLeadSteps          = 1_000_000
+	rankIncarnationFormat = "%s/%d" // agent's incarnation and version of the group
+)
+
+// check fills in defaults and reports what is wrong.
+func (r *Rank) check(report *check.Report) {
+	if !isBaseURL(r.Engine) {
+		report.Add("rank.engine", r.Engine, wantBaseURL)
+	}
+	for _, number := range []struct {
+		field     string
+		value     *int64
+		def, high int64
+		unit      string
+	}{
+		{"rank.step_ms", &r.StepMS, defaultStepMS, maxRankIntervalMS, "milliseconds"},
+		{"rank.store_bytes_per_second", &r.StoreBytesPerSecond, defaultStoreRate, maxStoreRate, "bytes a second"},
+		{"rank.report_interval_ms", &r.ReportIntervalMS, defaultReportMS, maxRankIntervalMS, "milliseconds"},
+		{"rank.plan_interval_ms", &r.PlanIntervalMS, defaultPlanMS, maxRankIntervalMS, "milliseconds"},
+		{"rank.ask_timeout_ms", &r.AskTimeoutMS, defaultAskMS, maxRankIntervalMS, "milliseconds"},
+		{"rank.lead_steps", &r.LeadSteps, defaultLeadSteps, maxLeadSteps, "steps"},
+	} {
+		if *number.value == 0 {
+			*number.value = number.def
+		}
+		report.Range(number.field, *number.value, 1, number.high, number.unit)
+	}
+}
+
+// membership is the group of this target's rank as the settings have it.
+type membership struct {
+	name      string
+	version   int64 // of the group's setting
+	rank      int
+	group     schema.Group
+	addresses []string // of the agents, by rank
+}
+
+func (m *membership) same(other *membership) bool {
+	return other != nil && m.name == other.name && m.version == other.version && slices.Equal(m.addresses, other.addresses)
+}
+
+// rankMember takes part in the group of this target's rank. A change of the
+// group's setting ends its runner and starts another, which no message for the
+// former one reaches.
+type rankMember struct {
+	config      Rank
+	target      string
+	incarnation string
+	settle      time.Duration
+	pool        *link.Pool
+
+	lock    sync.Mutex
+	current *membership
+	runner  *mapgroup.Runner
+	stop    context.CancelFunc
+	running sync.WaitGroup
+}
+
+func (a *Agent) newRankMember() (*rankMember, error) {
+	links, err := a.peerLinkConfig()
+	if err != nil {
+		return nil, err
+	}
+	return &rankMember{
+		config:      *a.config.Rank,
+		target:      a.config.Name,
+		incarnation: a.incarnation,
+		settle:      milliseconds(a.config.OrderLifeMS),
+		pool:        link.NewPool(links),
+	}, nil
+}
+
+// peerLinkConfig is for links to the agents of other ranks. They are dialled
+// from the IP address on which this agent listens, if it is one.
+func (a *Agent) peerLinkConfig() (link.Config, error) {
+	config := link.Config{}
+	host, _, _ := net.SplitHostPort(a.config.Listen)
+	if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+		config.LocalIP = ip
+	}
+	if a.keys == nil {
+		return config, nil
+	}
+	client, err := a.keys.ClientConfig()
+	config.TLS = client
+	return config, errors.Wrap(err, "links_tls")
+}
+
+// follow keeps the runner at the group of the newest settings.
+func (m *rankMember) follow(ctx context.Context, view *catalog.Catalog) {
+	next := membershipOf(m.target, view)
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if next == nil && m.current == nil || next != nil && next.same(m.current) {
+		return
+	}
+	m.end()
+	if next == nil {
+		return
+	}
+	runner, err := mapgroup.New(m.groupConfig(view, next), m.ports(next))
+	if err != nil {
+		log.WithError(err).Error("the group cannot be balanced")
+		return
+	}
+	runCtx, stop := context.WithCancel(ctx)
+	m.current, m.runner, m.stop = next, runner, stop
+	m.running.Go(func() { _ = runner.Run(runCtx) })
+	log.WithFields(log.Fields{"group": next.name, "rank": next.rank, "version": next.version}).Info("takes part in group")
+}
+
+// end stops the runner. The caller holds the lock.
+func (m *rankMember) end() {
+	if m.stop != nil {
+		m.stop()
+		m.running.Wait()
+	}
+	m.current, m.runner, m.stop = nil, nil, nil
+}
+
+// close ends the part in the group.
+func (m *rankMember) close() {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.end()
+	_ = m.pool.Close()
+}
+
+// serve answers one message of another rank's agent.
+func (m *rankMember) serve(ctx context.Context, message *wire.MapMessage, stream *link.Stream) {
+	m.lock.Lock()
+	runner := m.runner
+	if runner == nil {
+		m.lock.Unlock()
+		return
+	}
+	m.running.Add(1) // the runner's successor waits for this answer
+	m.lock.Unlock()
+	defer m.running.Done()
+	if answer := runner.Handle(ctx, message); answer != nil {
+		_ = stream.Send(answer)
+	}
+}
+
+// membershipOf returns the group that names the target as a rank, or nil.
+func membershipOf(target string, view *catalog.Catalog) *membership {
+	for name, group := range view.Groups {
+		rank := slices.Index(group.Ranks, target)
+		if rank < 0 {
+			continue
+		}
+		m := &membership{name: name, version: view.GroupVersion(name), rank: rank, group: group}
+		for _, member := range group.Ranks {
+			known, ok := view.Targets[member]
+			if !ok {
+				return nil // the settings of a rank have not come yet
+			}
+			m.addresses = append(m.addresses, known.Agent)
+		}
+		return m
+	}
+	return nil
+}
+
+func (m *rankMember) groupConfig(view *catalog.Catalog, next *membership) mapgroup.Config {
+	ranks := len(next.group.Ranks)
+	shape, err := balance.EvenShape(ranks, next.group.Experts, ranks*next.group.SlotsPerRank)
+	if err != nil {
+		log.WithError(err).Error("the group has no valid shape")
+	}
+	return mapgroup.Config{
+		Group:          fmt.Sprintf("%s@%d", next.name, next.version),
+		Rank:           next.rank,
+		Ranks:          ranks,
+		Incarnation:    fmt.Sprintf(rankIncarnationFormat, m.incarnation, next.version),
+		Layers:         next.group.Layers,
+		Shape:          shape,
+		Balance:        balance.DefaultConfig(),
+		StepMS:         float64(m.config.StepMS),
+		StoreRate:      float64(m.config.StoreBytesPerSecond),
+		ReportInterval: milliseconds(m.config.ReportIntervalMS),
+		PlanInterval:   milliseconds(m.config.PlanIntervalMS),
+		AskTimeout:     milliseconds(m.config.AskTimeoutMS),
+		LeadSteps:      m.config.LeadSteps,
+		SettleTime:     m.settle,
+		ChecksFencing:  view.Targets[m.target].ChecksFencing,
+	}
+}
+
+func (m *rankMember) ports(next *membership) mapgroup.Ports {
+	engine := rankengine.New(http.DefaultClient, m.config.Engine, next.rank)
+	return mapgroup.Ports{Engine: engine, Reports: engine, Peers: rankpeers.New(m.pool, next.addresses)}
+}
--- a/internal/app/agent/settings.go
+++ b/internal/app/agent/settings.go
@@ -16,10 +16,16 @@
 
 // followSettings keeps the catalog at the newest settings until ctx ends.
 func (a *Agent) followSettings(ctx context.Context) {
+	if a.rank != nil {
+		defer a.rank.close()
+	}
 	for {
 		changed := a.settings.Changed()
 		if snapshot := a.settings.Snapshot(); snapshot != nil {
 			a.takeCatalog(catalog.Rebuild(a.view.Load(), snapshot))
+			if a.rank != nil {
+				a.rank.follow(ctx, a.view.Load())
+			}
 		}
 		select {
 		case <-changed:
--- a/internal/app/standin/ranks/server.go
+++ b/internal/app/standin/ranks/server.go
@@ -1,6 +1,7 @@
 package ranks
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -12,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/standin/engine"
 	"quetzalbend/internal/app/standin/serve"
 	"quetzalbend/internal/core/balance"
 	"quetzalbend/internal/core/expertmap"
@@ -23,12 +25,18 @@
 	Ranks         int    `json:"ranks"`
 	Experts       int    `json:"experts"` // of each layer
 	Layers        int    `json:"layers"`
-	Slots         int    `json:"slots"`   // of each layer, over all ranks
-	StepUS        int    `json:"step_us"` // time of a step in microseconds, default 1000
+	Slots         int    `json:"slots"`       // of each layer, over all ranks
+	StepUS        int    `json:"step_us"`     // time of a step in microseconds, default 1000
+	ShiftSteps    int64  `json:"shift_steps"` // steps until the popularity of experts changes, default 5000
+	Seed          uint64 `json:"seed"`        // of the popularity
 	ChecksFencing bool   `json:"checks_fencing"`
 }
 
-const defaultStepUS = 1000
+// Defaults of Config.
+const (
+	defaultStepUS     = 1000
+	defaultShiftSteps = 5000
+)
 
 // Order is the body of an order to a rank.
 type Order struct {
@@ -76,6 +84,7 @@
 	s.mux.HandleFunc("GET /v1/ranks/{rank}/state", s.state)
 	s.mux.HandleFunc("POST /v1/ranks/{rank}/orders", s.order)
 	s.mux.HandleFunc("GET /v1/report", s.report)
+	s.mux.HandleFunc("GET /v1/load", s.load)
 	s.mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	s.mux.HandleFunc("GET /standin/truth", func(w http.ResponseWriter, _ *http.Request) { serve.JSON(w, group.Truth()) })
 	s.mux.HandleFunc("POST /standin/fault", s.fault)
@@ -87,14 +96,12 @@
 
 // Run serves a group on config.Listen and lets it step until ctx ends.
 func Run(ctx context.Context, config Config) error {
-	if config.StepUS == 0 {
-		config.StepUS = defaultStepUS
-	}
+	config = config.withDefaults()
 	shape, err := balance.EvenShape(config.Ranks, config.Experts, config.Slots)
 	if err != nil {
 		return err
 	}
-	first, err := FirstMap(shape, max(1, config.Layers))
+	first, err := FirstMap(shape, config.Layers)
 	if err != nil {
 		return err
 	}
@@ -103,10 +110,23 @@
 		return errors.Wrapf(err, "listen on %s", config.Listen)
 	}
 	group := NewGroup(config.Ranks, first, config.ChecksFencing)
+	group.SetLoad(newShiftingLoad(config, shape))
 	go group.Drive(ctx, time.Duration(config.StepUS)*time.Microsecond)
 	return serve.HTTP(ctx, listener, NewServer(group, first))
 }
 
+func (c Config) withDefaults() Config {
+	c.StepUS = cmp.Or(c.StepUS, defaultStepUS)
+	c.ShiftSteps = cmp.Or(c.ShiftSteps, defaultShiftSteps)
+	c.Layers = cmp.Or(c.Layers, 1)
+	return c
+}
+
+// load answers as an engine that takes no requests of its own.
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, engine.Load{Incarnation: "ranks"})
+}
+
 func (s *Server) rank(w http.ResponseWriter, r *http.Request) (int, bool) {
 	rank, err := strconv.Atoi(r.PathValue("rank"))
 	if err != nil || rank < 0 || rank >= s.group.size() {
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -65,3 +65,12 @@
 	items    []item // of all paths, in path order
 	accounts accountIndex
 }
+
+// GroupVersion returns the version of a group's setting.
+func (c *Catalog) GroupVersion(name string) int64 {
+	entry, ok := c.snapshot.Get(c.GroupPaths[name])
+	if !ok {
+		return settings.NoOffset
+	}
+	return entry.Version
+}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -10,6 +10,7 @@
 	"quetzalbend/internal/app/entry"
 	"quetzalbend/internal/app/standin/engine"
 	"quetzalbend/internal/app/standin/platform"
+	"quetzalbend/internal/app/standin/ranks"
 	"quetzalbend/internal/app/standin/service"
 	"quetzalbend/internal/port"
 	"quetzalbend/internal/settingssync"
@@ -49,6 +50,7 @@
 	Entries  int
 	Engines  int
 	Services int
+	Group    ranks.Config // a group with a target for each of its ranks; no ranks: none
 	Platform platform.Config
 	Engine   engine.Config
 	Agent    agent.Config // bounds and grace times only
@@ -102,6 +104,7 @@
 	for d := range options.Domains {
 		b.domain(d)
 	}
+	b.group()
 	b.linkEntries()
 	if b.err != nil {
 		return nil, b.err
--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -26,7 +26,7 @@
 // system domains=3 entries=1 engines=1 services=1 first=20 between=5 cold=4
 // grace=5000 slots=64 lag=0.
 func (w *world) cmdSystem(args []string) error {
-	options, rest := splitOptions(args, "domains", "entries", "engines", "services", "first", "between", "cold", "grace", "slots", "lag", "retention")
+	options, rest := splitOptions(args, "domains", "entries", "engines", "services", "first", "between", "cold", "grace", "slots", "lag", "retention", "ranks", "fencing")
 	if len(rest) > 0 {
 		return errors.Errorf("unknown option %s", rest[0])
 	}
@@ -46,6 +46,7 @@
 		{"slots", &layout.Engine.Slots, 64},
 		{"lag", &layout.Engine.LoadLagMS, 0},
 		{"retention", &layout.Platform.RetentionRecords, 0},
+		{"ranks", &layout.Group.Ranks, 0},
 	} {
 		value, err := number(options, option.key, option.otherwise)
 		if err != nil {
@@ -58,6 +59,10 @@
 		return err
 	}
 	layout.Agent.GraceMS = int64(grace)
+	const expertsPerRank, slotsPerRank = 4, 8
+	layout.Group.Experts = expertsPerRank * layout.Group.Ranks
+	layout.Group.Slots = slotsPerRank * layout.Group.Ranks
+	layout.Group.ChecksFencing = options["fencing"] != "no"
 	for d := range layout.Domains {
 		w.network.domains[topology.DomainIP(d)] = topology.DomainName(d)
 	}
