Look through the log for a write whose verdict was passed over

Before: Outcome answered unknown from memory where the node had only seen the rejected repeat (the new test). Now it folds the log from the last checkpoint and finds the accepted landing.

--- a/internal/settingssync/agents_bench_test.go
+++ b/internal/settingssync/agents_bench_test.go
@@ -37,7 +37,7 @@
 	return catalog.Build(settings.NewSnapshot(1, entries))
 }
 
-// BenchmarkReview is one look at which agents an entry feeds, after a change.
+// BenchmarkReview is one look at which agents an entry feeds.
 func BenchmarkReview(b *testing.B) {
 	var peers []Peer
 	for i := range benchEntries {
@@ -49,9 +49,15 @@
 	cancel()
 	feeder := NewFeeder(node, nil, func(*settings.Snapshot) []Agent { return AgentsOf(c) })
 	var streams sync.WaitGroup
-	for offset := int64(0); b.Loop(); offset++ {
-		node.store.snapshot.Store(settings.NewSnapshot(offset, nil))
-		feeder.review(ctx, &streams)
-	}
-	b.ReportMetric(float64(len(feeder.want)), "agents")
+	b.Run("changed", func(b *testing.B) {
+		for offset := int64(0); b.Loop(); offset++ {
+			node.store.snapshot.Store(settings.NewSnapshot(offset, nil))
+			feeder.review(ctx, &streams)
+		}
+	})
+	b.Run("unchanged", func(b *testing.B) {
+		for b.Loop() {
+			feeder.review(ctx, &streams)
+		}
+	})
 }
--- a/internal/settingssync/node_test.go
+++ b/internal/settingssync/node_test.go
@@ -207,3 +207,27 @@
 	fresh, _ := b.ready(b.config("e2"))
 	assert.Assert(t, holds(fresh, "/a", `1`)())
 }
+
+func TestTheOutcomeOfAWriteThatWasPassedOverIsInTheLog(t *testing.T) {
+	b := newBench(t)
+	first := landed(0)
+	repeat := landed(1)
+	for _, r := range []numbered{first, repeat} {
+		data, err := settings.EncodeRecord(r.record)
+		assert.NilError(t, err)
+		_, err = b.platform.Log().Append(t.Context(), port.SettingsStream, [][]byte{data})
+		assert.NilError(t, err)
+	}
+	folded := settings.NewState()
+	_, err := folded.Apply(first.offset, first.record)
+	assert.NilError(t, err)
+	node := NewNode(b.config("e1"))
+	_, err = node.store.advance(folded.DeltaFrom(settings.NoOffset))
+	assert.NilError(t, err)
+	_, _, err = node.store.apply([]numbered{repeat})
+	assert.NilError(t, err)
+	outcome, err := node.Outcome(t.Context(), "op")
+	assert.NilError(t, err)
+	assert.Equal(t, outcome.Status, Accepted)
+	assert.Equal(t, outcome.Offset, int64(0))
+}
--- a/internal/settingssync/store_test.go
+++ b/internal/settingssync/store_test.go
@@ -8,17 +8,18 @@
 	"quetzalbend/internal/core/settings"
 )
 
-// landed is a write of /a that landed at an offset.
-func landed(offset, asOf int64, operation string) numbered {
+// landed is the operation "op", a write of /a as of the empty state, that landed
+// at an offset.
+func landed(offset int64) numbered {
 	return numbered{offset: offset, record: settings.Record{Write: &settings.Write{
-		Operation: operation, Path: "/a", Value: []byte("1"), AsOf: asOf,
+		Operation: "op", Path: "/a", Value: []byte("1"), AsOf: settings.NoOffset,
 	}}}
 }
 
 func TestARepeatIsNotTakenForTheFirstLanding(t *testing.T) {
 	peer := newStore()
 	peer.install(settings.NewState(), settings.NoOffset, nil)
-	_, _, err := peer.apply([]numbered{landed(0, settings.NoOffset, "op")})
+	_, _, err := peer.apply([]numbered{landed(0)})
 	assert.NilError(t, err)
 
 	s := newStore()
@@ -28,7 +29,7 @@
 	moved, err := s.advance(delta)
 	assert.NilError(t, err)
 	assert.Assert(t, moved)
-	_, rejected, err := s.apply([]numbered{landed(1, settings.NoOffset, "op")})
+	_, rejected, err := s.apply([]numbered{landed(1)})
 	assert.NilError(t, err)
 	assert.Equal(t, rejected, 1)
 	assert.Equal(t, judgedResult(<-waiter).Status, Unknown)
--- a/internal/settingssync/write.go
+++ b/internal/settingssync/write.go
@@ -221,23 +221,28 @@
 }
 
 // Outcome tells what became of an earlier write by its operation id. It looks
-// through the log where the node does not remember the operation.
+// through the log where the node does not remember the operation for certain.
 func (n *Node) Outcome(ctx context.Context, operation string) (Result, error) {
 	if judged, ok := n.store.verdict(operation); ok {
-		return judgedResult(judged), nil
+		if result := judgedResult(judged); result.Status != Unknown {
+			return result, nil
+		}
 	}
+	result := Result{Status: Unknown, Operation: operation, Offset: settings.NoOffset}
 	again, err := loadFromLog(ctx, n.cfg.Log)
 	if err != nil {
-		return Result{Status: Unknown, Operation: operation, Offset: settings.NoOffset, Reason: "the log is away"}, err
+		result.Reason = "the log is away"
+		return result, err
 	}
+	result.Reason = "not in the log since the last checkpoint"
 	for _, judged := range again.judged {
-		if judged.Write.Operation == operation {
-			first := judged.Write.AsOf >= again.from
-			return judgedResult(judgement{Judged: judged, first: first}), nil
+		if judged.Write.Operation != operation {
+			continue
+		}
+		result = judgedResult(judgement{Judged: judged, first: judged.Write.AsOf >= again.from})
+		if result.Status != Unknown {
+			break
 		}
 	}
-	return Result{
-		Status: Unknown, Operation: operation, Offset: settings.NoOffset,
-		Reason: "not in the log since the last checkpoint",
-	}, nil
+	return result, nil
 }
