Write a checkpoint before the last one expires, whatever the retention

Cause: the time between checkpoints is 6 hours; with a shorter retention the log had no usable checkpoint from the moment the last lost a record until a node had noticed, and lost chunks were not noticed at all. Now a checkpoint is urgent as soon as its base is in the older half of what the log keeps, or a chunk is gone.

--- a/internal/settingssync/checkpoint.go
+++ b/internal/settingssync/checkpoint.go
@@ -30,6 +30,7 @@
 type checkpointView struct {
 	last   *settings.Close // newest seen
 	oldest int64           // oldest record that the log keeps
+	chunks int64           // oldest record that the stream of chunks keeps
 	since  time.Time       // first read of the log; zero before it
 }
 
@@ -47,17 +48,26 @@
 	switch {
 	case v.since.IsZero() || offset == settings.NoOffset:
 		return notNeeded
-	case v.last == nil && v.oldest > 0, v.last != nil && v.last.Base+1 < v.oldest:
+	case v.last == nil && v.oldest > 0, v.last != nil && v.expires(offset):
 		return urgent
 	case v.last == nil:
 		return dueIf(offset+1 >= checkpointRecords || now.Sub(v.since) >= interval)
-	case offset-v.last.Base >= checkpointRecords:
-		return due
 	default:
-		return dueIf(now.Sub(time.UnixMilli(v.last.UnixMS)) >= interval)
+		late := now.Sub(time.UnixMilli(v.last.UnixMS)) >= interval
+		return dueIf(late || offset-v.last.Base >= checkpointRecords)
 	}
 }
 
+// expires reports whether the newest checkpoint has lost records that a fresh
+// reader needs, or soon will: its base is in the older half of what the log
+// keeps.
+func (v checkpointView) expires(offset int64) bool {
+	if v.last.Chunks > 0 && v.last.First < v.chunks {
+		return true
+	}
+	return v.oldest > 0 && v.last.Base+1-v.oldest < offset-v.last.Base
+}
+
 func dueIf(is bool) need {
 	if is {
 		return due
@@ -124,6 +134,7 @@
 // writes, until ctx ends.
 func (n *Node) authorCheckpoints(ctx context.Context) error {
 	for ctx.Err() == nil {
+		n.observeChunks(ctx)
 		wanted := n.checkpointNeed()
 		if wanted == notNeeded {
 			n.awaitLook(ctx)
@@ -138,6 +149,17 @@
 	return nil
 }
 
+// observeChunks keeps what the stream of chunks still holds.
+func (n *Node) observeChunks(ctx context.Context) {
+	oldest, _, err := bounds(ctx, n.cfg.Log, port.CheckpointStream)
+	if err != nil {
+		return // the follower counts and logs that the log is away
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.checkpoint.chunks = oldest
+}
+
 // awaitLook waits until it is time to look again whether one is needed.
 func (n *Node) awaitLook(ctx context.Context) {
 	timer := time.NewTimer(jitter(min(checkEvery, n.cfg.CheckpointInterval/spreadPart)))
