--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -124,6 +124,9 @@
 		}
 		assert.Check(t, strings.Contains(page, "`"+code+"`"), "no code %s", code)
 	}
+	for _, reason := range inSource(t, `reason[A-Za-z]+ += "([a-z_]+)"`, "internal/app/agent") {
+		assert.Check(t, strings.Contains(page, "`"+reason+"`"), "no reason %s", reason)
+	}
 	for _, resource := range inSource(t, `handle\("GET", "([a-z-]+)`, "internal/adapter/adminhttp") {
 		assert.Check(t, strings.Contains(page, "`GET "+resource), "no resource %s", resource)
 	}
