--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -126,6 +126,7 @@
 		"two keys":       {"POST", "/v1/services/entries/confirm", "{}", []string{IdempotencyKeyHeader, "a", IdempotencyKeyHeader, "b"}, 400, CodeInvalidKey},
 		"long key":       {"POST", "/v1/services/entries/confirm", "{}", []string{IdempotencyKeyHeader, strings.Repeat("a", 256)}, 400, CodeInvalidKey},
 		"encoded slash":  {"GET", "/v1/services/entries/status%2f..%2fconfirm", "", nil, 400, CodeBadRequest},
+		"slash in name":  {"GET", "/v1/services/entries/status/a%2fb", "", nil, 400, CodeBadRequest},
 		"encoded parent": {"GET", "/v1/services/entries/status/%2e%2e/confirm", "", nil, 400, CodeBadRequest},
 	} {
 		t.Run(what, func(t *testing.T) {
