--- a/internal/settingssync/peers_test.go
+++ b/internal/settingssync/peers_test.go
@@ -147,6 +147,9 @@
 	})
 }
 
+// subtrees returns a constant list of subtrees.
+func subtrees(paths ...string) func() []string { return func() []string { return paths } }
+
 // agentSettings are those of one agent's target with others around it.
 var agentSettings = map[string]string{
 	"/domains/d1": `{"state":"in"}`, "/domains/d2": `{"state":"in"}`,
@@ -160,7 +163,7 @@
 	receiver := NewReceiver("t1", "t1-1")
 	addr, _ := listen(t, receiver.Handle)
 	agents := func(*settings.Snapshot) []Agent {
-		return []Agent{{Name: "t1", Addr: addr, FailureDomain: "d1", Subtrees: []string{"/domains/d1", "/targets/t1"}}}
+		return []Agent{{Name: "t1", Addr: addr, FailureDomain: "d1", Subtrees: subtrees("/domains/d1", "/targets/t1")}}
 	}
 	feeder := NewFeeder(entry, newPool(t), agents)
 	go func() { _ = feeder.Run(t.Context()) }()
@@ -187,7 +190,7 @@
 	first := NewReceiver("t1", "t1-1")
 	addr, stop := listen(t, first.Handle)
 	feeder := NewFeeder(entry, newPool(t), func(*settings.Snapshot) []Agent {
-		return []Agent{{Name: "t1", Addr: addr, Subtrees: []string{"/domains"}}}
+		return []Agent{{Name: "t1", Addr: addr, Subtrees: subtrees("/domains")}}
 	})
 	go func() { _ = feeder.Run(t.Context()) }()
 	<-first.Ready()
@@ -202,6 +205,26 @@
 	assert.Equal(t, second.Snapshot().Len(), 1)
 }
 
+func TestAnAgentGetsANewSubtreeWithTheChangeThatNamesIt(t *testing.T) {
+	b := newBench(t)
+	entry, _ := b.ready(b.config("e1"))
+	b.put(entry, set("/x", `1`))
+	receiver := NewReceiver("t1", "t1-1")
+	addr, _ := listen(t, receiver.Handle)
+	feeder := NewFeeder(entry, newPool(t), func(snapshot *settings.Snapshot) []Agent {
+		paths := []string{"/groups"}
+		if entries := snapshot.List("/groups"); len(entries) > 0 {
+			paths = append(paths, "/x")
+			<-time.After(200 * time.Millisecond) // a feed that does not wait for the review runs ahead
+		}
+		return []Agent{{Name: "t1", Addr: addr, Subtrees: subtrees(paths...)}}
+	})
+	go func() { _ = feeder.Run(t.Context()) }()
+	<-receiver.Ready()
+	b.put(entry, set("/groups/g", `1`))
+	eventually(t, "the agent holds /x", func() bool { return receiver.Snapshot().Len() == 2 })
+}
+
 func TestAnUpdateFromASlowEntryMovesNoAgentBack(t *testing.T) {
 	r := NewReceiver("t1", "t1-1")
 	full := func(to int64, value string) *wire.SettingsUpdate {
@@ -260,6 +283,6 @@
 	})
 	agents := AgentsOf(catalog.Build(snapshot))
 	assert.Equal(t, len(agents), 3)
-	assert.DeepEqual(t, agents[0].Subtrees, []string{"/domains/d1", "/groups/g", "/targets/t1", "/targets/t2"})
-	assert.DeepEqual(t, agents[2].Subtrees, []string{"/domains/d1", "/targets/t3", "/teams/x/services/s"})
+	assert.DeepEqual(t, agents[0].Subtrees(), []string{"/domains/d1", "/groups/g", "/targets/t1", "/targets/t2"})
+	assert.DeepEqual(t, agents[2].Subtrees(), []string{"/domains/d1", "/targets/t3", "/teams/x/services/s"})
 }
