Order engines by the settings, with their offset as fencing number

An agent is the only giver of orders to its engine. Before an engine that ignores fencing numbers it waits, after its start and after an order of unknown fate, until no earlier order can arrive (order_life_ms).

--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -132,6 +132,7 @@
 	}
 	if a.engine != nil {
 		group.Go(func() error { a.followLoad(ctx); return nil })
+		group.Go(func() error { a.followOrders(ctx); return nil })
 	}
 	if a.claims != nil {
 		group.Go(func() error { return a.claims.Run(ctx) })
--- /dev/null
+++ b/internal/app/agent/orders_test.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	standin "quetzalbend/internal/app/standin/engine"
+	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/settings"
+)
+
+// settingsAt returns a catalog in which target t1 serves model m.
+func settingsAt(offset int64, domain string) *catalog.Catalog {
+	return catalog.Build(settings.NewSnapshot(offset, []settings.Entry{
+		{Path: "/domains/a", Version: 1, Value: []byte(`{"state":"` + domain + `"}`)},
+		{Path: "/teams/t", Version: 1, Value: []byte(`{"share":1}`)},
+		{Path: "/teams/t/models/m", Version: 1, Value: []byte(`{"versions":["7"]}`)},
+		{Path: "/targets/t1", Version: 1, Value: []byte(`{"agent":"127.0.0.1:1","failure_domain":"a","kind":"model","team":"t","serves":["m"]}`)},
+	}))
+}
+
+func TestEngineIsOrderedByTheSettings(t *testing.T) {
+	engine := standin.New(standin.Config{})
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	agent, _ := runAgent(t, Config{Engine: server.URL, OrderLifeMS: 1})
+	agent.takeCatalog(settingsAt(12, "in"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, order := range engine.Truth().Orders {
+			if order == (standin.Order{Fencing: 12, Kind: "load_model", Name: "m", Version: "7"}) {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("%v", engine.Truth().Orders)
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+func TestTargetOfADomainThatIsOutGetsNoWork(t *testing.T) {
+	engine := standin.New(standin.Config{})
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	agent, _ := runAgent(t, Config{Engine: server.URL})
+	agent.takeCatalog(settingsAt(12, "out"))
+	last, _ := lastFrame(t, openCall(t, agent, modelCall()))
+	assert.Equal(t, last.GetRefused().GetReason(), reasonLeaving)
+	agent.takeCatalog(settingsAt(13, "in"))
+	last, _ = lastFrame(t, openCall(t, agent, modelCall()))
+	assert.Assert(t, last.GetFinal() != nil, "%v", last)
+	assert.Equal(t, engine.Truth().Requests, 1)
+}
+
+func TestRefusedCallIsKnownNotToHaveRun(t *testing.T) {
+	known := newOutcomes()
+	known.begin("r")
+	serving, notRun := known.ask("r")
+	assert.Assert(t, serving && !notRun)
+	known.end("r", true)
+	serving, notRun = known.ask("r")
+	assert.Assert(t, !serving && notRun)
+	known.begin("r") // the same request once more
+	_, notRun = known.ask("r")
+	assert.Assert(t, !notRun)
+	known.end("r", false)
+	for i := range 2 * rememberedRefusals {
+		id := string(rune('a' + i%26))
+		known.begin(id)
+		known.end(id, true)
+	}
+	assert.Assert(t, len(known.order) <= rememberedRefusals)
+}
