--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -51,6 +51,7 @@
 	Engines  int
 	Services int
 	Group    ranks.Config // a group with a target for each of its ranks; no ranks: none
+	Queue    int          // requests that may wait at the agent of an engine
 	Platform platform.Config
 	Engine   engine.Config
 	Agent    agent.Config // bounds and grace times only
@@ -171,7 +172,11 @@
 	})
 	agentConfig := b.agentConfig(d, name)
 	agentConfig.Engine = base
-	b.agent(d, name, agentConfig, map[string]any{"kind": "model", "serves": []string{Model}})
+	b.agent(d, name, agentConfig, map[string]any{
+		"kind":   "model",
+		"serves": []string{Model},
+		"queue":  b.options.Queue,
+	})
 }
 
 func (b *builder) service(d int, name string) {
@@ -217,7 +222,7 @@
 	if setting["kind"] == "service" {
 		setting["cold_limit"] = targetLimit
 	}
-	setting["max_limit"] = targetLimit
+	setting["max_limit"] = max(targetLimit, b.options.Engine.ColdLimit)
 	b.set("/targets/"+target, setting)
 }
 
