Refuse updates of settings that no fold can have led to; back off from the log

An update with a version above its offset, a malformed path or a missing value was taken as it came.

--- a/internal/core/settings/delta.go
+++ b/internal/core/settings/delta.go
@@ -23,9 +23,26 @@
 	return Delta{From: offset, To: s.Offset(), Entries: s.entriesSince(offset)}
 }
 
+// check refuses entries that no fold can have led to.
+func (d *Delta) check() error {
+	for i := range d.Entries {
+		entry := &d.Entries[i]
+		if entry.Version <= NoOffset || entry.Version > d.To {
+			return errors.Errorf("settings up to offset %d: path %.80q has version %d", d.To, entry.Path, entry.Version)
+		}
+		if !ValidPath(entry.Path) || entry.Deleted != (len(entry.Value) == 0) {
+			return errors.Errorf("settings up to offset %d: path %.80q is malformed", d.To, entry.Path)
+		}
+	}
+	return nil
+}
+
 // FromDelta returns the state of a delta that holds the whole state.
-func FromDelta(delta Delta) *State {
-	return fromEntries(Window, delta.To, delta.Entries)
+func FromDelta(delta Delta) (*State, error) {
+	if err := delta.check(); err != nil {
+		return nil, err
+	}
+	return fromEntries(Window, delta.To, delta.Entries), nil
 }
 
 // Advance returns the state that a delta leads to. It fails, and the state
@@ -35,6 +52,9 @@
 	if delta.To <= s.Offset() {
 		return nil, errors.Errorf("advance settings: offset %d is not above %d", delta.To, s.Offset())
 	}
+	if err := delta.check(); err != nil {
+		return nil, err
+	}
 	if delta.From == NoOffset {
 		return fromEntries(s.window, delta.To, delta.Entries), nil
 	}
--- a/internal/core/settings/delta_test.go
+++ b/internal/core/settings/delta_test.go
@@ -51,3 +51,20 @@
 	_, err = states[4].Advance(states[2].DeltaFrom(0))
 	assert.ErrorContains(t, err, "not above")
 }
+
+func TestADeltaThatNoFoldCanGiveIsRefused(t *testing.T) {
+	for name, entry := range map[string]CheckpointEntry{
+		"later version":  {Path: "/a", Version: 5, Value: []byte("1")},
+		"no version":     {Path: "/a", Version: NoOffset, Value: []byte("1")},
+		"no path":        {Version: 1, Value: []byte("1")},
+		"no value":       {Path: "/a", Version: 1},
+		"deleted value":  {Path: "/a", Version: 1, Value: []byte("1"), Deleted: true},
+		"malformed path": {Path: "/a//b", Version: 1, Value: []byte("1")},
+	} {
+		delta := Delta{From: NoOffset, To: 4, Entries: []CheckpointEntry{entry}}
+		_, err := FromDelta(delta)
+		assert.ErrorContains(t, err, "settings up to offset 4", name)
+		_, err = NewState().Advance(delta)
+		assert.ErrorContains(t, err, "settings up to offset 4", name)
+	}
+}
--- a/internal/settingssync/follow.go
+++ b/internal/settingssync/follow.go
@@ -13,14 +13,21 @@
 // readRecords is the largest number of records in one read.
 const readRecords = 500
 
+// maxRetryDelays is how far the delay after failed reads grows, in first delays.
+const maxRetryDelays = 8
+
 // follow folds the log until ctx ends.
 func (n *Node) follow(ctx context.Context) error {
+	delay := n.cfg.RetryDelay
 	for ctx.Err() == nil {
 		err := n.followOnce(ctx)
 		n.noteLog(ctx, err)
-		if err != nil && !pause(ctx, n.cfg.RetryDelay) {
-			break
+		if err == nil {
+			delay = n.cfg.RetryDelay
+			continue
 		}
+		pause(ctx, delay)
+		delay = min(2*delay, maxRetryDelays*n.cfg.RetryDelay)
 	}
 	return nil
 }
--- a/internal/settingssync/receiver.go
+++ b/internal/settingssync/receiver.go
@@ -133,7 +133,7 @@
 // advance returns the state that a delta leads to.
 func (r *Receiver) advance(delta settings.Delta, full bool) (*settings.State, error) {
 	if full {
-		return settings.FromDelta(delta), nil
+		return settings.FromDelta(delta)
 	}
 	if r.state == nil {
 		return nil, errors.New("no settings to start from")
--- a/internal/settingssync/store.go
+++ b/internal/settingssync/store.go
@@ -118,7 +118,11 @@
 		if delta.From != settings.NoOffset {
 			return false, errors.Errorf("no settings to apply a delta from offset %d to", delta.From)
 		}
-		s.state = settings.FromDelta(delta)
+		state, err := settings.FromDelta(delta)
+		if err != nil {
+			return false, err
+		}
+		s.state = state
 		s.from = delta.To
 		s.publish()
 		return true, nil
