--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -40,6 +40,7 @@
 	{"### Route", schema.Route{}},
 	{"### `quetzalbend-entry`", entry.Config{}},
 	{"### `quetzalbend-agent`", agent.Config{}},
+	{"### Rank", agent.Rank{}},
 	{"### Peer", settingssync.Peer{}},
 	{"### Bounds", entry.Bounds{}},
 	{"### Routing", entry.Routing{}},
@@ -124,6 +125,9 @@
 		}
 		assert.Check(t, strings.Contains(page, "`"+code+"`"), "no code %s", code)
 	}
+	for _, reason := range inSource(t, `reason[A-Za-z]+ += "([a-z_]+)"`, "internal/app/agent") {
+		assert.Check(t, strings.Contains(page, "`"+reason+"`"), "no reason %s", reason)
+	}
 	for _, resource := range inSource(t, `handle\("GET", "([a-z-]+)`, "internal/adapter/adminhttp") {
 		assert.Check(t, strings.Contains(page, "`GET "+resource), "no resource %s", resource)
 	}
