--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -54,6 +54,7 @@
 	outcomes    *outcomes
 	work        context.Context // of all calls; ends with errLeaving after the grace
 	stopWork    context.CancelCauseFunc
+	streams     *handBack
 }
 
 // Run serves a target until ctx ends and its work is done.
@@ -70,6 +71,7 @@
 	a := &Agent{config: config, incarnation: rand.Text(), registry: metrics.New(), outcomes: newOutcomes()}
 	a.settings = settingssync.NewReceiver(config.Name, a.incarnation)
 	a.work, a.stopWork = context.WithCancelCause(context.Background())
+	a.streams = newHandBack(a.work, config.grace())
 	if config.LinksTLS != nil {
 		loaded, err := keys.Load(*config.LinksTLS)
 		if err != nil {
@@ -212,6 +214,22 @@
 	}
 }
 
+// updateGauges brings the gauges to the present state.
+func (a *Agent) updateGauges() {
+	view := a.gate.view()
+	gauges := map[string]int64{
+		"target_running": int64(view.Running),
+		"target_queued":  int64(view.Queued),
+		"target_limit":   int64(view.Limit),
+	}
+	if a.claims != nil {
+		gauges["claims_appends"], gauges["claims_ops"] = a.claims.Counts()
+	}
+	for name, value := range gauges {
+		a.registry.Gauge(name).Update(value)
+	}
+}
+
 func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // ready reports whether the target can take work.
@@ -224,7 +242,10 @@
 
 func (a *Agent) statusHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", a.registry.Handler())
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		a.updateGauges()
+		a.registry.Handler().ServeHTTP(w, r)
+	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
--- a/internal/app/agent/call.go
+++ b/internal/app/agent/call.go
@@ -94,7 +94,11 @@
 
 // callContext joins the session's context, the agent's own and the deadline.
 func (a *Agent) callContext(session context.Context, call *wire.Call) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(a.work)
+	parent := a.work
+	if call.GetModel() != nil {
+		parent = a.streams.context()
+	}
+	ctx, cancel := context.WithCancel(parent)
 	stop := context.AfterFunc(session, cancel)
 	end := func() {
 		stop()
--- a/internal/app/agent/orders_test.go
+++ b/internal/app/agent/orders_test.go
@@ -11,6 +11,7 @@
 	standin "quetzalbend/internal/app/standin/engine"
 	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/settings"
+	"quetzalbend/internal/wire"
 )
 
 // settingsAt returns a catalog in which target t1 serves model m.
@@ -53,6 +54,31 @@
 	assert.Equal(t, engine.Truth().Requests, 1)
 }
 
+func TestStreamsOfADomainThatIsOutAreHandedBackAfterTheGrace(t *testing.T) {
+	engine := standin.New(standin.Config{BetweenTokensMS: 20, Warm: true})
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	agent, _ := runAgent(t, Config{Engine: server.URL, GraceMS: 50})
+	call := modelCall()
+	call.GetModel().Body = []byte(`{"max_tokens":1000}`)
+	stream := openCall(t, agent, call)
+	for frame := new(wire.AnswerFrame); frame.GetChunk() == nil; {
+		assert.NilError(t, stream.Receive(frame))
+	}
+	agent.takeCatalog(settingsAt(12, "out"))
+	for {
+		frame := &wire.AnswerFrame{}
+		assert.NilError(t, stream.Receive(frame))
+		if frame.GetFailed() != nil {
+			assert.Equal(t, frame.GetFailed().GetReason(), reasonLeaving)
+			break
+		}
+	}
+	agent.takeCatalog(settingsAt(13, "in"))
+	last, _ := lastFrame(t, openCall(t, agent, modelCall()))
+	assert.Assert(t, last.GetFinal() != nil, "%v", last)
+}
+
 func TestRefusedCallIsKnownNotToHaveRun(t *testing.T) {
 	known := newOutcomes()
 	known.begin("r")
--- a/internal/app/agent/settings.go
+++ b/internal/app/agent/settings.go
@@ -68,6 +68,7 @@
 func (a *Agent) closeGate() {
 	a.closing.Lock()
 	defer a.closing.Unlock()
+	a.streams.set(a.refusesNewWork())
 	switch {
 	case a.refusesNewWork():
 		a.gate.close(reasonLeaving)
