--- a/internal/claimlog/do.go
+++ b/internal/claimlog/do.go
@@ -100,11 +100,12 @@
 				result, settled = notRun(reason), true
 			}
 		}
-		changed := l.changed(key)
-		l.lock.Unlock()
 		if settled || state.Phase == claims.Free {
+			l.lock.Unlock()
 			return result, settled
 		}
+		changed := l.changed(key)
+		l.lock.Unlock()
 		if !waitFor(ctx, changed) {
 			return Result{Reason: OutcomeUnknown}, true
 		}
--- a/internal/core/claims/fold.go
+++ b/internal/core/claims/fold.go
@@ -216,7 +216,7 @@
 			delete(f.released, m.claim)
 		}
 	}
-	f.marks = append(f.marks[:0:0], f.marks[count:]...)
+	f.marks = f.marks[count:]
 	f.compacted = max(0, f.compacted-count)
 }
 
