--- a/internal/app/load/skew/skew_test.go
+++ b/internal/app/load/skew/skew_test.go
@@ -72,6 +72,12 @@
 	}
 }
 
+// TestPlannerMeetsTargetsWithFourOrFiveSlotsARank has 288 slots on 64 ranks.
+func TestPlannerMeetsTargetsWithFourOrFiveSlotsARank(t *testing.T) {
+	static, full, planned := run(t, "--ranks=64", "--spare-slots=32", "--layers=1", "--drift=daily", "--seed=21")
+	checkTargets(t, static, full, planned)
+}
+
 func TestRunIsReproducible(t *testing.T) {
 	args := []string{"--ranks=8", "--experts=16", "--steps=5000", "--drift=daily"}
 	var texts [2][]byte
--- a/internal/core/balance/exchange.go
+++ b/internal/core/balance/exchange.go
@@ -8,7 +8,7 @@
 	exchangeOuter   = 2  // slots of each such rank
 	exchangeTrials  = 6  // exchanges tried out for one expert
 	exchangeExperts = 6  // experts with unserved load that are looked at
-	trialsPerPlan   = 24 // exchanges tried out in one plan
+	trialsPerPlan   = 12 // exchanges tried out in one plan
 )
 
 // A move must serve this part of an expert's unserved load, of which at most
--- a/internal/core/balance/planner.go
+++ b/internal/core/balance/planner.go
@@ -48,8 +48,12 @@
 	kept   []float64 // decayed largest load of each slot
 
 	allowance float64 // moves that packing anew may make
+	reach     float64 // what packing anew reached lately, as a part of the lower bound
 }
 
+// reachRetention is the part of the reach above 1 that a plan keeps.
+const reachRetention = 0.9
+
 // NewPlanner returns a planner whose estimates start at the given values.
 func NewPlanner(cfg Config, shape Shape, loads, speeds []float64) *Planner {
 	return &Planner{
@@ -60,6 +64,7 @@
 		kept:   make([]float64, shape.TotalSlots()),
 
 		allowance: float64(shape.TotalSlots()),
+		reach:     1,
 	}
 }
 
@@ -74,7 +79,7 @@
 func (p *Planner) Urgent(present Map) bool {
 	loads, speeds := p.loads.Values(), p.speeds.Values()
 	bound := LowerBound(loads, speeds, p.shape.TotalSlots())
-	return p.shape.Slowest(present, loads, speeds) > bound*(1+p.cfg.Urgent)
+	return p.shape.Slowest(present, loads, speeds) > bound*p.reach*(1+p.cfg.Urgent)
 }
 
 // Plan is the outcome of one round.
@@ -104,6 +109,8 @@
 	slots := float64(p.shape.TotalSlots())
 	p.allowance = min(p.cfg.RepackDepth*slots, p.allowance+p.cfg.RepackShare*slots)
 	stay := Plan{Map: shares, Shares: shares, Now: now, After: now}
+	p.reach = 1 + (p.reach-1)*reachRetention
+	bound *= p.reach
 	if now <= bound*(1+p.cfg.Trigger) {
 		return stay
 	}
@@ -112,7 +119,9 @@
 		best = p.better(stay, p.improved(present, bound), now, msPerTime)
 	}
 	if best.After > bound*(1+p.cfg.Trigger) {
-		if anew := p.repacked(present); float64(len(anew.Moves)) <= p.allowance {
+		anew := p.repacked(present)
+		p.reach = max(1, p.reach*min(best.After, anew.After)/bound)
+		if float64(len(anew.Moves)) <= p.allowance {
 			best = p.better(best, anew, now, msPerTime)
 		}
 	}
