--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -44,6 +44,7 @@
 	engine      *engine.Client  // nil in front of a service
 	service     *service.Client // nil in front of an engine
 	claims      *claimlog.Log   // nil in front of an engine
+	rank        *rankMember     // nil if the target is no rank
 	view        atomic.Pointer[catalog.Catalog]
 	leaving     atomic.Bool // by signal
 	out         atomic.Bool // by the settings
@@ -51,6 +52,7 @@
 	unreachable atomic.Bool // the engine does not answer
 	closing     sync.Mutex  // held while the gate is closed or opened
 	gate        *gate
+	outcomes    *outcomes
 	work        context.Context // of all calls; ends with errLeaving after the grace
 	stopWork    context.CancelCauseFunc
 }
@@ -66,7 +68,7 @@
 
 // New returns an agent by its start-up file.
 func New(config Config) (*Agent, error) {
-	a := &Agent{config: config, incarnation: rand.Text(), registry: metrics.New()}
+	a := &Agent{config: config, incarnation: rand.Text(), registry: metrics.New(), outcomes: newOutcomes()}
 	a.settings = settingssync.NewReceiver(config.Name, a.incarnation)
 	a.work, a.stopWork = context.WithCancelCause(context.Background())
 	if config.LinksTLS != nil {
@@ -84,7 +86,12 @@
 		a.gate = newGate(time.Now, admission.Config{})
 		a.claims = a.newClaims()
 	}
-	return a, nil
+	if config.Rank == nil {
+		return a, nil
+	}
+	var err error
+	a.rank, err = a.newRankMember()
+	return a, err
 }
 
 // Run serves until ctx ends, then leaves: it refuses new work, lets running
@@ -131,6 +138,7 @@
 	}
 	if a.engine != nil {
 		group.Go(func() error { a.followLoad(ctx); return nil })
+		group.Go(func() error { a.followOrders(ctx); return nil })
 	}
 	if a.claims != nil {
 		group.Go(func() error { return a.claims.Run(ctx) })
@@ -180,6 +188,8 @@
 		a.settings.Handle(ctx, open, stream)
 	case open.GetStatus() != nil:
 		_ = stream.Send(a.status())
+	case open.GetExpertMap() != nil && a.rank != nil:
+		a.rank.serve(ctx, open.GetExpertMap(), stream)
 	}
 }
 
--- a/internal/settingssync/feed.go
+++ b/internal/settingssync/feed.go
@@ -28,7 +28,20 @@
 	Name          string // of its target
 	Addr          string // IP address and port
 	FailureDomain string
-	Subtrees      []string // paths that it needs, each with all below
+	Subtrees      func() []string // paths that it needs, each with all below
+}
+
+// fedAgent is an agent that this entry feeds.
+type fedAgent struct {
+	Agent
+	subtrees []string
+	hash     string // of the subtrees
+}
+
+// newFedAgent returns an agent with its subtrees.
+func newFedAgent(agent Agent) fedAgent {
+	subtrees := agent.Subtrees()
+	return fedAgent{Agent: agent, subtrees: subtrees, hash: subtreesHash(subtrees)}
 }
 
 // Feeder sends agents the settings that they need. Each agent is fed by the
@@ -41,7 +54,12 @@
 	mu   sync.Mutex
 	fed  map[string]context.CancelFunc // by address
 	acks map[string]ack                // by agent
-	want map[string]Agent              // by address
+	want map[string]fedAgent           // by address
+	done chan struct{}                 // closed and replaced at the end of each review
+
+	// Agents of the last snapshot that was looked at; used by review only.
+	offset int64
+	known  []Agent
 }
 
 // ack is what an agent last said to be in force.
@@ -55,7 +73,7 @@
 func NewFeeder(node *Node, dial Dialer, agents func(*settings.Snapshot) []Agent) *Feeder {
 	f := &Feeder{
 		node: node, dial: dial, agents: agents,
-		fed: map[string]context.CancelFunc{}, acks: map[string]ack{}, want: map[string]Agent{},
+		fed: map[string]context.CancelFunc{}, acks: map[string]ack{}, want: map[string]fedAgent{}, offset: emptyOffset, done: make(chan struct{}),
 	}
 	node.mu.Lock()
 	node.feeder = f
@@ -89,11 +107,14 @@
 // review starts and stops feeding so that it matches the settings and the
 // entries that are live.
 func (f *Feeder) review(ctx context.Context, streams *sync.WaitGroup) {
-	want := map[string]Agent{}
+	want := map[string]fedAgent{}
 	rivals := f.liveEntries(time.Now())
-	for _, agent := range f.agents(f.node.Snapshot()) {
+	if snapshot := f.node.Snapshot(); snapshot.Offset() != f.offset {
+		f.offset, f.known = snapshot.Offset(), f.agents(snapshot)
+	}
+	for _, agent := range f.known {
 		if agent.Addr != "" && f.responsible(agent, rivals) {
-			want[agent.Addr] = agent
+			want[agent.Addr] = newFedAgent(agent)
 		}
 	}
 	f.mu.Lock()
@@ -106,6 +127,8 @@
 		}
 	}
 	f.want = want
+	close(f.done)
+	f.done = make(chan struct{})
 	for addr := range want {
 		if _, ok := f.fed[addr]; !ok {
 			feedCtx, cancel := context.WithCancel(ctx)
@@ -242,16 +265,25 @@
 	}
 }
 
+// reviewed returns a channel that closes at the end of the next review. A change
+// of the settings may change which subtrees an agent needs, so agents hear of it
+// only after the review.
+func (f *Feeder) reviewed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done
+}
+
 // awaitUpdate waits until an agent lacks something and returns that. It
 // returns nothing if the stream or ctx has ended.
 func (f *Feeder) awaitUpdate(ctx context.Context, addr string, held *wire.SettingsAck, acks <-chan *wire.SettingsAck) []*wire.SettingsUpdate {
 	for {
-		changed := f.node.Changed()
+		reviewed := f.reviewed()
 		if parts := f.updateFor(addr, held); len(parts) > 0 {
 			return parts
 		}
 		select {
-		case <-changed:
+		case <-reviewed:
 		case <-acks:
 			return nil
 		case <-ctx.Done():
@@ -269,8 +301,7 @@
 		return nil
 	}
 	from := held.GetOffset()
-	hash := subtreesHash(agent.Subtrees)
-	if held.GetSubtreesHash() != hash {
+	if held.GetSubtreesHash() != agent.hash {
 		from = emptyOffset
 	}
 	delta, ok := f.node.store.deltaFrom(from)
@@ -278,11 +309,11 @@
 		return nil
 	}
 	delta.Entries = slices.DeleteFunc(delta.Entries, func(entry settings.CheckpointEntry) bool {
-		return !within(entry.Path, agent.Subtrees) || (entry.Deleted && delta.From == settings.NoOffset)
+		return !within(entry.Path, agent.subtrees) || (entry.Deleted && delta.From == settings.NoOffset)
 	})
 	first := &wire.SettingsUpdate{Sender: f.node.cfg.Name}
 	if delta.From == settings.NoOffset {
-		first.Subtrees = agent.Subtrees
+		first.Subtrees = agent.subtrees
 	}
 	parts := updateParts(first, delta)
 	for _, part := range parts {
