--- /dev/null
+++ b/internal/adapter/rankengine/client_test.go
@@ -0,0 +1,66 @@
+package rankengine
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"quetzalbend/internal/app/standin/ranks"
+	"quetzalbend/internal/core/expertmap"
+)
+
+func newStandin(t *testing.T, checksFencing bool) (*Client, *httptest.Server) {
+	t.Helper()
+	first := expertmap.Map{Payload: []byte("first")}
+	server := httptest.NewServer(ranks.NewServer(ranks.NewGroup(1, first, checksFencing), first))
+	t.Cleanup(server.Close)
+	return New(server.Client(), server.URL, 0), server
+}
+
+func TestOrdersReachTheEngine(t *testing.T) {
+	ctx := context.Background()
+	c, _ := newStandin(t, true)
+	next := expertmap.Map{Version: 1, Payload: []byte("next")}
+	assert.NilError(t, c.Fence(ctx, 5))
+	assert.NilError(t, c.Stage(ctx, 5, next))
+	held, err := c.Hold(ctx, 5, expertmap.Hold{Instance: 1, Version: 1, Now: true})
+	assert.NilError(t, err)
+	assert.Assert(t, held)
+	followed, err := c.Follow(ctx, 5, expertmap.Decision{Instance: 1, Activate: true, Map: next, Step: 1, Epoch: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, followed)
+	state, err := c.State(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, state.Epoch, int64(1))
+	assert.DeepEqual(t, state.Current, next)
+	assert.Assert(t, errors.Is(c.Stage(ctx, 4, next), ErrRefused))
+	_, err = c.Report(ctx)
+	assert.ErrorContains(t, err, "503")
+}
+
+// TestLateOrder shows what a restarted agent has to wait for: an order that its
+// predecessor gave up on still reaches an engine that ignores fencing numbers.
+func TestLateOrder(t *testing.T) {
+	c, server := newStandin(t, false)
+	fault := bytes.NewBufferString(`{"late_rank":0,"late_order_ms":50}`)
+	response, err := http.Post(server.URL+"/standin/fault", "application/json", fault)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, c.Stage(ctx, 1, expertmap.Map{Version: 7}) != nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		state, err := c.State(context.Background())
+		if err == nil && state.Staged == 7 {
+			return poll.Success()
+		}
+		return poll.Continue("state %+v, %v", state, err)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
