Probe sessions every 10 s instead of every 2 s

Cause: at 420 entries and 3,700 targets the probes alone put an entry above 4 KB a second with headers. Who relies on the probes: a call notices a silent agent by its own deadlines (1 s for the first frame, 5 s between frames), a feed by its acknowledgement (5 s), entries by the 3 s of an exchange. With 2 s a dead session was closed after up to 7 s, so no promise of 3 s rested on it. What would get worse is a session to a silent peer that further calls keep using, so a session is now closed too when a stream opened on it is not confirmed within the write timeout (5 s; yamux's default is 75 s). An idle silent peer is noticed after up to 15 s instead of 7 s; an agent whose entry vanished without closing its connection cancels its calls that much later. The new test fails without the stream timeout.

--- a/internal/adapter/link/config.go
+++ b/internal/adapter/link/config.go
@@ -13,7 +13,7 @@
 const (
 	DefaultDialTimeout       = 2 * time.Second
 	DefaultWriteTimeout      = 5 * time.Second
-	DefaultKeepAliveInterval = 2 * time.Second
+	DefaultKeepAliveInterval = 10 * time.Second
 )
 
 const (
@@ -27,8 +27,9 @@
 type Config struct {
 	TLS               *tls.Config   // nil for plain TCP
 	DialTimeout       time.Duration // for TCP and TLS together
-	WriteTimeout      time.Duration // of one message; also until a silent peer is given up
-	KeepAliveInterval time.Duration // between probes of an idle session
+	WriteTimeout      time.Duration // of one message; also until the session to a peer is closed that confirms no new stream
+	KeepAliveInterval time.Duration // between probes of a session; its end is noticed after that and WriteTimeout
+	IdleTimeout       time.Duration // after which a Pool closes a session without streams; 0: never
 	LocalIP           net.IP        // to dial from; nil for the system's choice
 }
 
@@ -50,6 +51,7 @@
 	session.AcceptBacklog = acceptBacklog
 	session.KeepAliveInterval = c.KeepAliveInterval
 	session.ConnectionWriteTimeout = c.WriteTimeout
+	session.StreamOpenTimeout = c.WriteTimeout
 	session.LogOutput = io.Discard
 	return session
 }
--- a/internal/adapter/link/link_test.go
+++ b/internal/adapter/link/link_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,3 +104,72 @@
 	assert.Equal(t, frame.GetSequence(), int64(1))
 	assert.NilError(t, <-stopped)
 }
+
+// A peer that falls silent is noticed by the streams opened to it, long before
+// the next probe of its session.
+func TestASilentPeersSessionClosesSoonAfterAStreamIsOpened(t *testing.T) {
+	proxy := newStallingProxy(t)
+	pool := NewPool(Config{WriteTimeout: 200 * time.Millisecond, KeepAliveInterval: time.Hour})
+	defer func() { _ = pool.Close() }()
+	stream, err := pool.Open(context.Background(), proxy.addr, call())
+	assert.NilError(t, err)
+	assert.Assert(t, errors.Is(stream.Receive(&wire.AnswerFrame{}), io.EOF))
+	assert.Assert(t, pool.session(proxy.addr) != nil)
+	proxy.stalled.Store(true)
+	_, err = pool.Open(context.Background(), proxy.addr, call())
+	assert.NilError(t, err)
+	waitForNoSession(t, pool, proxy.addr)
+}
+
+func waitForNoSession(t *testing.T, pool *Pool, addr string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if pool.session(addr) == nil {
+			return poll.Success()
+		}
+		return poll.Continue("the session is still open")
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// stallingProxy passes bytes on to a server until it stalls, without closing
+// anything.
+type stallingProxy struct {
+	addr    string
+	stalled atomic.Bool
+}
+
+func newStallingProxy(t *testing.T) *stallingProxy {
+	t.Helper()
+	_, server := serve(t, func(context.Context, *wire.Open, *Stream) {})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	proxy := &stallingProxy{addr: listener.Addr().String()}
+	go func() {
+		near, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", server)
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+		go proxy.pass(near, far)
+		proxy.pass(far, near)
+	}()
+	t.Cleanup(func() { _ = listener.Close() })
+	return proxy
+}
+
+func (p *stallingProxy) pass(to io.Writer, from io.Reader) {
+	buffer := make([]byte, readBufferSize)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if !p.stalled.Load() {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
--- a/internal/app/load/control/command.go
+++ b/internal/app/load/control/command.go
@@ -22,7 +22,7 @@
 	Domains  int           `long:"domains" default:"6" description:"failure domains"`
 	Idle     time.Duration `long:"idle" default:"20s" description:"time measured without changes"`
 	Changes  int           `long:"changes" default:"20" description:"changes measured, one after the other"`
-	Probe    time.Duration `long:"keep-alive" default:"2s" description:"time between probes of an idle session, at both ends"`
+	Probe    time.Duration `long:"keep-alive" default:"10s" description:"time between probes of an idle session, at both ends"`
 	JSON     bool          `long:"json" description:"print JSON"`
 }
 
