Write what waits for a link's connection in one piece

Cause: yamux writes header and body of each frame by themselves, so an answer of four frames cost eight writes at the agent and as many wake-ups.

Ruled out: merging frames in the agent (a stream's tokens must go out at once).

--- a/internal/adapter/link/link_test.go
+++ b/internal/adapter/link/link_test.go
@@ -173,3 +173,41 @@
 		}
 	}
 }
+
+func TestWhatWasWrittenBeforeCloseArrivesInOrder(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	conn := coalesce(dialled, time.Second)
+	var want []byte
+	for i := range 1000 {
+		piece := []byte{byte(i), byte(i >> 8)}
+		want = append(want, piece...)
+		_, err := conn.Write(piece)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, conn.Close())
+	got, err := io.ReadAll(accepted)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+	_, err = conn.Write([]byte{0})
+	assert.ErrorIs(t, err, net.ErrClosed)
+}
+
+func TestWritesToAPeerThatDoesNotReadFailInTime(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	conn := coalesce(dialled, 50*time.Millisecond)
+	piece := make([]byte, maxUnwritten)
+	for err == nil {
+		_, err = conn.Write(piece)
+	}
+	assert.ErrorContains(t, err, "timeout")
+}
--- a/internal/adapter/link/pool.go
+++ b/internal/adapter/link/pool.go
@@ -145,7 +145,7 @@
 			return nil, err
 		}
 	}
-	session, err := yamux.Client(conn, p.config.session())
+	session, err := yamux.Client(coalesce(conn, p.config.WriteTimeout), p.config.session())
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/adapter/link/server.go
+++ b/internal/adapter/link/server.go
@@ -105,7 +105,7 @@
 }
 
 func (s *Server) serveSession(conn net.Conn) {
-	session, err := yamux.Server(conn, s.config.session())
+	session, err := yamux.Server(coalesce(conn, s.config.WriteTimeout), s.config.session())
 	if err != nil {
 		_ = conn.Close()
 		return
