--- a/internal/settingssync/feed.go
+++ b/internal/settingssync/feed.go
@@ -138,58 +138,6 @@
 	}
 }
 
-// liveEntries returns the other entries that have been heard of lately, by
-// failure domain.
-func (f *Feeder) liveEntries(now time.Time) map[string][]Peer {
-	live := map[string][]Peer{}
-	for _, peer := range f.node.cfg.Peers {
-		if f.node.table.live(peer.Name, now) {
-			live[peer.FailureDomain] = append(live[peer.FailureDomain], peer)
-		}
-	}
-	return live
-}
-
-// responsible reports whether this entry feeds an agent: it is one of the
-// first live entries for it, those of its own failure domain before others.
-func (f *Feeder) responsible(agent Agent, live map[string][]Peer) bool {
-	own := Peer{Name: f.node.cfg.Name, FailureDomain: f.node.cfg.FailureDomain}
-	near := live[agent.FailureDomain]
-	if own.FailureDomain != agent.FailureDomain && len(near) >= feedersPerAgent {
-		return false
-	}
-	better := countPreceding(near, own, agent)
-	for domain, entries := range live {
-		if better >= feedersPerAgent {
-			break
-		}
-		if domain != agent.FailureDomain && own.FailureDomain != agent.FailureDomain {
-			better += countPreceding(entries, own, agent)
-		}
-	}
-	return better < feedersPerAgent
-}
-
-// countPreceding returns how many entries come before own for an agent.
-func countPreceding(entries []Peer, own Peer, agent Agent) int {
-	count := 0
-	for _, entry := range entries {
-		if precedes(entry, own, agent) {
-			count++
-		}
-	}
-	return count
-}
-
-// precedes reports whether entry a comes before entry b for an agent.
-func precedes(a, b Peer, agent Agent) bool {
-	near, other := a.FailureDomain == agent.FailureDomain, b.FailureDomain == agent.FailureDomain
-	if near != other {
-		return near
-	}
-	return score(a.Name, agent.Name) < score(b.Name, agent.Name)
-}
-
 // feedUntil feeds the agent at an address until ctx ends.
 func (f *Feeder) feedUntil(ctx context.Context, addr string) {
 	for ctx.Err() == nil {
@@ -343,39 +291,3 @@
 		f.acks[agent.Name] = ack{offset: held.GetOffset(), incarnation: held.GetIncarnation(), at: time.Now()}
 	}
 }
-
-// AgentStatus is what is in force at one agent.
-type AgentStatus struct {
-	Agent       string
-	Offset      int64 // NoOffset before the agent has said so
-	Incarnation string
-	Age         time.Duration // since the agent said so
-}
-
-// Agents returns the status of the agents that this entry feeds, in name order.
-func (f *Feeder) Agents() []AgentStatus {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	statuses := make([]AgentStatus, 0, len(f.want))
-	for _, agent := range f.want {
-		status := AgentStatus{Agent: agent.Name, Offset: settings.NoOffset}
-		if known, ok := f.acks[agent.Name]; ok {
-			status.Offset, status.Incarnation, status.Age = known.offset, known.incarnation, now.Sub(known.at)
-		}
-		statuses = append(statuses, status)
-	}
-	slices.SortFunc(statuses, func(a, b AgentStatus) int { return strings.Compare(a.Agent, b.Agent) })
-	return statuses
-}
-
-// fillStatus sums up the agents in the entry's own row.
-func (f *Feeder) fillStatus(status *NodeStatus) {
-	for _, agent := range f.Agents() {
-		status.Agents++
-		status.AgentsOffset = min(status.AgentsOffset, agent.Offset)
-		if agent.Offset < status.Offset && len(status.AgentsBehind) < namesPerRow {
-			status.AgentsBehind = append(status.AgentsBehind, agent.Agent)
-		}
-	}
-}
--- a/internal/settingssync/peers.go
+++ b/internal/settingssync/peers.go
@@ -42,16 +42,28 @@
 		return nil
 	}
 	for ctx.Err() == nil {
-		if _, ok := n.store.offset(); ok {
+		_, ok := n.store.offset()
+		switch {
+		case ok:
 			n.exchangeWithPartner(ctx)
-		} else {
+		case n.hasTriedLog():
 			n.askAllPeers(ctx)
+		default:
+			pause(ctx, n.cfg.RetryDelay)
+			continue
 		}
 		pause(ctx, n.cfg.PeerInterval)
 	}
 	return nil
 }
 
+// hasTriedLog reports whether a first read of the log has ended, well or not.
+func (n *Node) hasTriedLog() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.logTried
+}
+
 // exchangeWithPartner asks one of the node's partners at random.
 func (n *Node) exchangeWithPartner(ctx context.Context) {
 	partners := n.partners()
@@ -66,14 +78,8 @@
 }
 
 // askAllPeers fetches the settings of all peers that answer and takes those
-// with the highest offset. It waits first for the log to give the settings.
+// with the highest offset.
 func (n *Node) askAllPeers(ctx context.Context) {
-	n.mu.Lock()
-	tried := n.logTried
-	n.mu.Unlock()
-	if !tried {
-		return
-	}
 	pool := n.cfg.Dial
 	if n.cfg.NewPool != nil {
 		own := n.cfg.NewPool()
