Keep new calls from an engine whose streams all stand still

A stalled engine took calls up to its limit, each of which then waited for the entry's stall timeout. Now calls are refused as target_stalled once all begun streams have waited 1 s for a token, so entries go elsewhere. Ruled out: counting time since the last token, since a single slow caller then stalls the target for all (streams that wait for their caller do not count).

--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -49,6 +49,7 @@
 	out         atomic.Bool // by the settings
 	vmLeaving   atomic.Bool // by the platform's list
 	unreachable atomic.Bool // the engine does not answer
+	stalled     atomic.Bool // the engine's streams do not advance
 	closing     sync.Mutex  // held while the gate is closed or opened
 	gate        *gate
 	outcomes    *outcomes
--- a/internal/app/agent/cold_test.go
+++ b/internal/app/agent/cold_test.go
@@ -74,9 +74,7 @@
 	assert.Assert(t, engine.Truth().MaxRunning > 2, "the limit never grew")
 
 	for range 3 { // turns cold under full load, without warning
-		response, err := http.Post(server.URL+"/standin/fault", "application/json", strings.NewReader(`{"cold":true}`))
-		assert.NilError(t, err)
-		assert.NilError(t, response.Body.Close())
+		setFault(t, server.URL, `{"cold":true}`)
 		awaitCount(t, whole, whole.Load()+100)
 	}
 	assert.NilError(t, stop()) // a new agent beside the busy engine
@@ -88,3 +86,45 @@
 	assert.Assert(t, truth.MaxRunningCold <= truth.ColdLimit, "%d on a cold engine", truth.MaxRunningCold)
 	assert.Equal(t, truth.FellOver, 0)
 }
+
+func setFault(t *testing.T, url, fault string) {
+	t.Helper()
+	response, err := http.Post(url+"/standin/fault", "application/json", strings.NewReader(fault))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+}
+
+func TestStalledEngineGetsNoNewCalls(t *testing.T) {
+	engine := standin.New(standin.Config{BetweenTokensMS: 10, Warm: true})
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	agent, _ := runAgent(t, Config{Engine: server.URL, GraceMS: 1})
+	long := modelCall()
+	long.DeadlineMs = 60_000
+	long.GetModel().Body = []byte(`{"max_tokens":100000}`)
+	stream := openCall(t, agent, long)
+	for frame := new(wire.AnswerFrame); frame.GetChunk() == nil; {
+		assert.NilError(t, stream.Receive(frame))
+	}
+	refusedAs := func(reason string) func(poll.LogT) poll.Result {
+		return func(poll.LogT) poll.Result {
+			call := modelCall()
+			call.DeadlineMs = 50
+			last, _ := lastFrame(t, openCall(t, agent, call))
+			if last.GetRefused().GetReason() == reason {
+				return poll.Success()
+			}
+			return poll.Continue("%v", last)
+		}
+	}
+	setFault(t, server.URL, `{"stall":true}`)
+	poll.WaitOn(t, refusedAs(reasonStalled), poll.WithDelay(20*time.Millisecond))
+	setFault(t, server.URL, `{"stall":false}`)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		last, _ := lastFrame(t, openCall(t, agent, modelCall()))
+		if last.GetFinal() != nil {
+			return poll.Success()
+		}
+		return poll.Continue("%v", last)
+	}, poll.WithDelay(20*time.Millisecond))
+}
--- a/internal/app/agent/gate.go
+++ b/internal/app/agent/gate.go
@@ -182,6 +182,12 @@
 	return g.controller.Incarnation()
 }
 
+func (g *gate) stalled() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.controller.Stalled(g.now())
+}
+
 func endReason(ctx context.Context) string {
 	cause := context.Cause(ctx)
 	switch {
--- a/internal/app/agent/load.go
+++ b/internal/app/agent/load.go
@@ -25,10 +25,21 @@
 			reachable = works
 			a.reachable(works)
 		}
+		a.watchStall()
 		a.waitForLoad(ctx)
 	}
 }
 
+// watchStall keeps new calls from a target whose streams do not advance.
+func (a *Agent) watchStall() {
+	stalled := a.gate.stalled()
+	if a.stalled.Swap(stalled) == stalled {
+		return
+	}
+	a.closeGate()
+	log.WithFields(log.Fields{"target": a.config.Name, "stalled": stalled}).Warn("the engine's streams changed their pace")
+}
+
 func (a *Agent) waitForLoad(ctx context.Context) {
 	interval := milliseconds(a.config.LoadIntervalMS)
 	if view := a.gate.view(); view.Running == 0 && !view.InDoubt {
--- a/internal/app/agent/model.go
+++ b/internal/app/agent/model.go
@@ -109,6 +109,9 @@
 		if err := g.out.chunk(piece.Data, piece.Position); err != nil {
 			return err
 		}
+		if !g.last.IsZero() {
+			g.agent.gate.note(func(c *admission.Controller, now time.Time) { c.Awaiting(now, g.ticket.request.ID) })
+		}
 	}
 }
 
@@ -126,10 +129,10 @@
 	g.agent.registry.Observe(timing, metricsKey(g.call), since)
 	g.agent.gate.note(func(c *admission.Controller, now time.Time) {
 		if timing == metrics.FirstToken {
-			c.FirstToken(now, since)
+			c.FirstToken(now, g.ticket.request.ID, since)
 			return
 		}
-		c.BetweenTokens(now, since)
+		c.BetweenTokens(now, g.ticket.request.ID, since)
 	})
 }
 
--- a/internal/app/agent/reasons.go
+++ b/internal/app/agent/reasons.go
@@ -5,8 +5,9 @@
 // Stable codes of refusals and failures.
 const (
 	reasonLeaving       = "leaving"
-	reasonBusy          = "target_busy" // the target has all that it can bear
-	reasonDisplaced     = "displaced"   // by a more urgent request, or one of another account
+	reasonBusy          = "target_busy"    // the target has all that it can bear
+	reasonStalled       = "target_stalled" // no stream on the target advances
+	reasonDisplaced     = "displaced"      // by a more urgent request, or one of another account
 	reasonWrongTarget   = "wrong_target"
 	reasonBadCall       = "bad_call"
 	reasonUnreachable   = string(claimlog.NotSent)
--- a/internal/app/agent/settings.go
+++ b/internal/app/agent/settings.go
@@ -74,6 +74,8 @@
 		a.gate.close(reasonLeaving)
 	case a.unreachable.Load():
 		a.gate.close(reasonUnreachable)
+	case a.stalled.Load():
+		a.gate.close(reasonStalled)
 	default:
 		a.gate.update(func(c *admission.Controller, _ time.Time) { c.RampUp() })
 		a.gate.close("")
--- a/internal/claimlog/log.go
+++ b/internal/claimlog/log.go
@@ -121,6 +121,8 @@
 		switch {
 		case errors.Is(err, port.ErrExpired):
 			l.rebase(page.Oldest)
+		case ctx.Err() != nil:
+			return
 		case err != nil:
 			l.setReading(false, err)
 			sleep(ctx, retryDelay)
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -18,6 +18,7 @@
 	decrease         = 0.9                    // factor of the limit when latency is over its target
 	breakFactor      = 0.5                    // factor of the limit when an answer breaks off
 	adjustInterval   = 250 * time.Millisecond // between two decreases for latency
+	stallAfter       = time.Second            // without a token of any stream that has begun
 	transit          = 10 * time.Millisecond  // within which a request reaches the engine
 	minRetryAfter    = 20 * time.Millisecond
 	maxRetryAfter    = 5 * time.Second
@@ -55,6 +56,7 @@
 type run struct {
 	started   time.Time
 	confirmed time.Time // when it was known to be in the current incarnation; zero if it is not
+	awaited   time.Time // since when the next token of a stream is awaited; zero while it is not
 	suspect   bool
 }
 
--- a/internal/core/admission/controller_test.go
+++ b/internal/core/admission/controller_test.go
@@ -126,7 +126,7 @@
 	}
 	work()
 	assert.Equal(t, c.Limit(), 10)
-	c.BetweenTokens(start.Add(time.Second), 10*DefaultBetweenTokens)
+	c.BetweenTokens(start.Add(time.Second), 0, 10*DefaultBetweenTokens)
 	assert.Equal(t, c.Limit(), 9)
 	c.End(start, 0, Broken)
 	assert.Equal(t, c.Limit(), 9)
@@ -136,3 +136,24 @@
 	c.End(start, started[0], NotSent)
 	assert.Equal(t, c.Limit(), 2)
 }
+
+func TestStallIsThatNoStreamAdvances(t *testing.T) {
+	c := warm(4, 4)
+	for id := uint64(1); id <= 3; id++ {
+		c.Offer(Request{ID: id})
+	}
+	assert.Equal(t, len(c.Next(start)), 3)
+	late := start.Add(10 * stallAfter)
+	assert.Assert(t, !c.Stalled(late), "no stream has begun")
+	for id := uint64(1); id <= 2; id++ {
+		c.FirstToken(start, id, time.Millisecond)
+	}
+	assert.Assert(t, !c.Stalled(late), "callers take their time")
+	c.Awaiting(start, 1)
+	c.Awaiting(start, 2)
+	assert.Assert(t, !c.Stalled(start.Add(stallAfter-1)))
+	assert.Assert(t, c.Stalled(start.Add(stallAfter)))
+	c.BetweenTokens(late, 1, time.Millisecond)
+	c.Awaiting(late, 1)
+	assert.Assert(t, !c.Stalled(late))
+}
--- a/internal/core/admission/evidence.go
+++ b/internal/core/admission/evidence.go
@@ -16,7 +16,8 @@
 }
 
 // FirstToken notes the time from a request's start to its first token.
-func (c *Controller) FirstToken(now time.Time, d time.Duration) {
+func (c *Controller) FirstToken(now time.Time, id uint64, d time.Duration) {
+	c.sawToken(id)
 	smooth(&c.firstToken, d)
 	if c.firstToken > c.config.FirstToken.Seconds() {
 		c.slowDown(now)
@@ -24,13 +25,44 @@
 }
 
 // BetweenTokens notes the time between two tokens of an answer.
-func (c *Controller) BetweenTokens(now time.Time, d time.Duration) {
+func (c *Controller) BetweenTokens(now time.Time, id uint64, d time.Duration) {
+	c.sawToken(id)
 	smooth(&c.betweenTokens, d)
 	if c.betweenTokens > c.config.BetweenTokens.Seconds() {
 		c.slowDown(now)
 	}
 }
 
+// Awaiting says that a stream has handed its last token on and waits for the
+// next one of the target. Until then a slow caller may hold it up.
+func (c *Controller) Awaiting(now time.Time, id uint64) {
+	if r, ok := c.running[id]; ok {
+		r.awaited = now
+	}
+}
+
+func (c *Controller) sawToken(id uint64) {
+	if r, ok := c.running[id]; ok {
+		r.awaited = time.Time{}
+	}
+}
+
+// Stalled reports whether streams have begun on the target and all of them
+// have waited for its next token for a while.
+func (c *Controller) Stalled(now time.Time) bool {
+	begun := false
+	for _, r := range c.running {
+		if r.awaited.IsZero() {
+			continue
+		}
+		if now.Sub(r.awaited) < stallAfter {
+			return false
+		}
+		begun = true
+	}
+	return begun
+}
+
 func smooth(value *float64, sample time.Duration) {
 	if *value == 0 {
 		*value = sample.Seconds()
