--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -10,6 +10,7 @@
 	"quetzalbend/internal/app/entry"
 	"quetzalbend/internal/app/standin/engine"
 	"quetzalbend/internal/app/standin/platform"
+	"quetzalbend/internal/app/standin/ranks"
 	"quetzalbend/internal/app/standin/service"
 	"quetzalbend/internal/port"
 	"quetzalbend/internal/settingssync"
@@ -49,6 +50,8 @@
 	Entries  int
 	Engines  int
 	Services int
+	Group    ranks.Config // a group with a target for each of its ranks; no ranks: none
+	Queue    int          // requests that may wait at the agent of an engine
 	Platform platform.Config
 	Engine   engine.Config
 	Agent    agent.Config // bounds and grace times only
@@ -102,6 +105,7 @@
 	for d := range options.Domains {
 		b.domain(d)
 	}
+	b.group()
 	b.linkEntries()
 	if b.err != nil {
 		return nil, b.err
@@ -168,7 +172,11 @@
 	})
 	agentConfig := b.agentConfig(d, name)
 	agentConfig.Engine = base
-	b.agent(d, name, agentConfig, map[string]any{"kind": "model", "serves": []string{Model}})
+	b.agent(d, name, agentConfig, map[string]any{
+		"kind":   "model",
+		"serves": []string{Model},
+		"queue":  b.options.Queue,
+	})
 }
 
 func (b *builder) service(d int, name string) {
@@ -214,7 +222,7 @@
 	if setting["kind"] == "service" {
 		setting["cold_limit"] = targetLimit
 	}
-	setting["max_limit"] = targetLimit
+	setting["max_limit"] = max(targetLimit, b.options.Engine.ColdLimit)
 	b.set("/targets/"+target, setting)
 }
 
