--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -8,6 +8,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/load/affinity"
 	"quetzalbend/internal/app/load/checkpoint"
 	"quetzalbend/internal/app/load/control"
 	"quetzalbend/internal/app/load/demo"
@@ -21,6 +22,7 @@
 
 // experiments add their subcommands to the parser.
 var experiments = []func(parser *flags.Parser) error{
+	affinity.Register,
 	checkpoint.Register,
 	control.Register,
 	demo.Register,
--- /dev/null
+++ b/internal/app/load/affinity/result.go
@@ -0,0 +1,40 @@
+package affinity
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	millisecondsPerSecond = 1000
+	median                = 0.50
+	tail                  = 0.95
+)
+
+func (s *simulation) result(policy string) Result {
+	finished := float64(len(s.latencies))
+	busiest, sum := time.Duration(0), time.Duration(0)
+	for _, t := range s.targets {
+		busiest = max(busiest, t.busy)
+		sum += t.busy
+	}
+	return Result{
+		Policy:    policy,
+		HitRate:   float64(s.hits) / finished,
+		Imbalance: float64(busiest) * float64(len(s.targets)) / float64(sum),
+		P50MS:     quantile(s.latencies, median),
+		P95MS:     quantile(s.latencies, tail),
+		Waited:    float64(s.waited) / finished,
+	}
+}
+
+// quantile returns a quantile in milliseconds; it sorts the values.
+func quantile(values []time.Duration, part float64) float64 {
+	slices.Sort(values)
+	return float64(values[int(part*float64(len(values)-1))]) / float64(time.Millisecond)
+}
+
+func sortedNames(targets map[string]*target) []string { return slices.Sorted(maps.Keys(targets)) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
