--- a/internal/app/load/affinity/run.go
+++ b/internal/app/load/affinity/run.go
@@ -90,7 +90,11 @@
 func (e events) Len() int           { return len(e) }
 func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
 func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
 func (e *events) Pop() any {
 	old := *e
 	last := old[len(old)-1]
