Feed a restarted agent again after 0.2 s instead of 1 s

An agent that restarts holds no settings until an entry feeds it. The delay now starts at 0.2 s and doubles up to 2 s while the agent does not answer.

--- a/internal/settingssync/feed.go
+++ b/internal/settingssync/feed.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	feedersPerAgent = 2 // entries that feed each agent
-	feedRetryDelay  = time.Second
+	feedersPerAgent = 2                      // entries that feed each agent
+	feedRetryDelay  = 200 * time.Millisecond // after a stream has ended
+	maxFeedDelay    = 2 * time.Second        // after several that did not start
 	ackTimeout      = 5 * time.Second
 	reviewEvery     = 5 * time.Second // between two looks at which agents to feed
 )
@@ -140,11 +141,17 @@
 
 // feedUntil feeds the agent at an address until ctx ends.
 func (f *Feeder) feedUntil(ctx context.Context, addr string) {
+	delay := feedRetryDelay
 	for ctx.Err() == nil {
+		began := time.Now()
 		if err := f.feed(ctx, addr); err != nil {
 			f.node.counts.feedErrors.Inc(1)
 		}
-		pause(ctx, feedRetryDelay)
+		if time.Since(began) > maxFeedDelay {
+			delay = feedRetryDelay
+		}
+		pause(ctx, delay)
+		delay = min(2*delay, maxFeedDelay)
 	}
 }
 
