Confirm requests from when they were written, not from when they were let in

On a starved machine a request can leave the agent long after it was let in; a report sampled in between confirmed it wrongly.

--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -72,6 +72,7 @@
 	Priority   int32
 	ResumeFrom int64 // tokens to leave out
 	Stream     bool
+	Sent       func() // called once the request is written; nil for none
 }
 
 // Complete sends a chat completion and returns once the head of the answer is
@@ -81,6 +82,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if completion.Sent != nil {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			WroteRequest: func(httptrace.WroteRequestInfo) { completion.Sent() },
+		})
+	}
 	response, err := c.do(ctx, http.MethodPost, "/v1/chat/completions", completion.RequestID, body)
 	if err != nil {
 		return nil, err
--- a/internal/app/agent/model.go
+++ b/internal/app/agent/model.go
@@ -49,7 +49,11 @@
 	}
 	g.out.position = g.call.GetModel().GetResumePosition()
 	g.incarnation = g.agent.gate.incarnation()
-	response, err := g.agent.engine.Complete(ctx, completionOf(g.call))
+	completion := completionOf(g.call)
+	completion.Sent = func() {
+		g.agent.gate.note(func(c *admission.Controller, now time.Time) { c.Sent(now, g.ticket.request.ID) })
+	}
+	response, err := g.agent.engine.Complete(ctx, completion)
 	if err != nil {
 		return g.failed(ctx, err)
 	}
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -55,6 +55,7 @@
 // run is an admitted request that has not ended.
 type run struct {
 	started   time.Time
+	sent      time.Time // when it was written to the target; zero before
 	confirmed time.Time // when it was known to be in the current incarnation; zero if it is not
 	awaited   time.Time // since when the next token of a stream is awaited; zero while it is not
 	suspect   bool
--- a/internal/core/admission/evidence.go
+++ b/internal/core/admission/evidence.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+// Sent says that a running request has been written to the target.
+func (c *Controller) Sent(now time.Time, id uint64) {
+	if r, ok := c.running[id]; ok {
+		r.sent = now
+	}
+}
+
 // Confirm says that the target has answered a request in the given
 // incarnation; empty if the target does not tell.
 func (c *Controller) Confirm(now time.Time, id uint64, incarnation string) {
@@ -164,7 +171,7 @@
 	Sampled     time.Time
 }
 
-// Observe takes in a report. Requests started well before it are confirmed to
+// Observe takes in a report. Requests sent well before it are confirmed to
 // be in its incarnation.
 func (c *Controller) Observe(now time.Time, report Report) {
 	if report.Incarnation != c.incarnation {
@@ -213,7 +220,7 @@
 
 func (c *Controller) confirmBefore(now time.Time, report Report) {
 	for _, r := range c.running {
-		if r.confirmed.IsZero() && r.started.Add(transit).Before(report.Sampled) {
+		if r.confirmed.IsZero() && !r.sent.IsZero() && r.sent.Add(transit).Before(report.Sampled) {
 			r.confirmed = now
 		}
 	}
--- a/internal/core/admission/machine_test.go
+++ b/internal/core/admission/machine_test.go
@@ -29,6 +29,7 @@
 	now        time.Time
 	controller *Controller
 	lastID     uint64
+	unsent     []uint64 // started, and held up at the agent
 	flights    []flight
 
 	incarnation int
@@ -54,9 +55,17 @@
 
 func (m *targetMachine) name() string { return fmt.Sprint("e", m.incarnation) }
 
+// advance starts what may run. It stays at the agent until Send.
 func (m *targetMachine) advance() {
-	for _, id := range m.controller.Next(m.now) {
-		m.flights = append(m.flights, flight{id, m.now})
+	m.unsent = append(m.unsent, m.controller.Next(m.now)...)
+}
+
+// Send puts requests that the controller has started on their way.
+func (m *targetMachine) Send(t *rapid.T) {
+	for n := rapid.IntRange(1, 4).Draw(t, "requests"); n > 0 && len(m.unsent) > 0; n-- {
+		m.controller.Sent(m.now, m.unsent[0])
+		m.flights = append(m.flights, flight{m.unsent[0], m.now})
+		m.unsent = m.unsent[1:]
 	}
 }
 
@@ -180,7 +189,7 @@
 	for len(m.flights) > 0 {
 		m.arrive(0)
 	}
-	m.broken, m.finished, m.report = nil, nil, nil
+	m.unsent, m.broken, m.finished, m.report = nil, nil, nil, nil
 	m.now = m.now.Add(time.Millisecond)
 	m.startAgent()
 }
