--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -35,7 +35,6 @@
 	noise  float64 // standard deviation of a report, relative to its value
 	excess float64 // smoothed square of differences, in squares of the noise
 	gain   float64
-	jumped int
 	ratios []float64
 }
 
@@ -60,26 +59,20 @@
 // Values returns the current estimate. The caller must not change it.
 func (e *Estimator) Values() []float64 { return e.values }
 
-// Jumped returns the number of values that the last report moved at once.
-func (e *Estimator) Jumped() int { return e.jumped }
-
-// Noise returns the learnt relative standard deviation of a report.
-func (e *Estimator) Noise() float64 { return e.noise }
-
 // Observe takes one report, with a value for each expert or rank.
 func (e *Estimator) Observe(report []float64) {
 	e.learnNoise(report)
-	e.jumped = 0
+	jumped := 0
 	width := jumpPart + jumpDeviates*e.noise*math.Sqrt(quickGain/(2-quickGain))
 	for i, v := range report {
 		expected := e.level[i] + e.trend[i]
 		e.quick[i] += quickGain * (v - expected - e.quick[i])
 		if math.Abs(e.quick[i]) > width*max(expected, v) {
 			e.restart(i, v)
-			e.jumped++
+			jumped++
 		}
 	}
-	if e.jumped*restartShare > len(report) {
+	if jumped*restartShare > len(report) {
 		for i, v := range report {
 			e.restart(i, v)
 		}
--- a/internal/core/balance/flow.go
+++ b/internal/core/balance/flow.go
@@ -78,7 +78,7 @@
 // augment serves as much unserved load as possible.
 func (s *solver) augment() {
 	for s.search() {
-		copyFirst(s.rankNext, s.first)
+		copy(s.rankNext, s.first[:len(s.rankNext)])
 		clear(s.expertNext)
 		for e, left := range s.unserved {
 			if left > s.epsilon {
@@ -88,8 +88,6 @@
 	}
 }
 
-func copyFirst(dst, src []int32) { copy(dst, src[:len(dst)]) }
-
 // search levels all experts and ranks that unserved load can reach, and
 // reports whether one of those ranks has room.
 func (s *solver) search() bool {
--- a/internal/core/balance/pack.go
+++ b/internal/core/balance/pack.go
@@ -28,8 +28,8 @@
 		counts[e] = min(needed([]float64{l}, limit), shape.Ranks())
 		spare -= counts[e]
 	}
-	for spare < 0 {
-		spare += shrinkLargest(counts)
+	for ; spare < 0; spare++ {
+		shrinkLargest(counts)
 	}
 	for ; spare > 0; spare-- {
 		hottest := -1
@@ -49,7 +49,8 @@
 	return counts
 }
 
-func shrinkLargest(counts []int) int {
+// shrinkLargest takes one from the largest count.
+func shrinkLargest(counts []int) {
 	largest := 0
 	for e, n := range counts {
 		if n > counts[largest] {
@@ -57,7 +58,6 @@
 		}
 	}
 	counts[largest]--
-	return 1
 }
 
 type piece struct {
