Use capacity that came back soon; hold nobody back who is alone

Cause: scenarios/agent_restarts failed under load with 429 fair_share after 40 attempts in 20 s, though both engines had room. The entry's gate took two full cold engines for the capacity and raised it by a quarter of a request in each round, while its own refusals kept it shut.

Ruled out: the agents' admission (limit grew), the retry budget.

--- a/internal/core/limits/gate.go
+++ b/internal/core/limits/gate.go
@@ -20,6 +20,10 @@
 	gateShrink = 0.9
 	// gateGrowth is by how much a finished round of requests raises the capacity.
 	gateGrowth = 0.25
+	// gateCalm is how long targets have refused nothing when the capacity begins
+	// to grow by gateCalmGrowth of itself in a round.
+	gateCalm       = time.Second
+	gateCalmGrowth = 0.25
 	// gatePause is the least time between two reductions of the capacity.
 	gatePause = 100 * time.Millisecond
 	// gateFresh is how long computed parts are used.
@@ -115,7 +119,7 @@
 	m.advance(now)
 	if g.short(now) {
 		g.divide(now)
-		if m.heldBack(now) {
+		if g.contested(m, now) && m.heldBack(now) {
 			m.held = now
 			g.shortAt = now
 			return nil, &Refusal{Subject: work.Team + "/" + work.Account, Code: CodeFairShare, RetryAfter: gateRetryAfter}
@@ -140,6 +144,17 @@
 // minShare keeps weights positive.
 const minShare = 1e-3
 
+// contested reports whether anybody but one member has lately sent requests.
+// There is nothing to divide with nobody else.
+func (g *Gate) contested(m *gateMember, now time.Time) bool {
+	for _, other := range g.members {
+		if other != m && (other.running > 0 || now.Sub(other.seen) < gateHold) {
+			return true
+		}
+	}
+	return false
+}
+
 // short reports whether capacity has lately been short.
 func (g *Gate) short(now time.Time) bool {
 	return g.capacity > 0 && now.Sub(g.shortAt) < gateHold
@@ -155,13 +170,23 @@
 	case noCapacity:
 		g.shrink(now)
 	case g.short(now):
-		g.capacity += gateGrowth / g.capacity
+		g.grow(now)
 	}
 	t.member.advance(now)
 	t.member.running--
 	g.running--
 }
 
+// grow raises the capacity for a finished request: by a part of itself in each
+// round once targets have refused nothing for a while, slowly before that.
+func (g *Gate) grow(now time.Time) {
+	if now.Sub(g.shrunkAt) < gateCalm {
+		g.capacity += gateGrowth / g.capacity
+		return
+	}
+	g.capacity += gateCalmGrowth
+}
+
 // shrink takes what runs now as the capacity.
 func (g *Gate) shrink(now time.Time) {
 	g.shortAt = now
--- a/internal/core/limits/gate_test.go
+++ b/internal/core/limits/gate_test.go
@@ -126,3 +126,45 @@
 	small := fill(g, now, Work{Team: "a", Account: "small"}, 1)
 	assert.Equal(t, len(small), 1)
 }
+
+func TestAnAccountAloneIsNotHeldBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGate()
+	alone := Work{Team: "a", Account: "x"}
+	tickets := fill(g, now, alone, 10)
+	tickets[0].Leave(now, true)
+	assert.Equal(t, len(fill(g, now, alone, 50)), 50)
+}
+
+// Two accounts ask for all they can get of targets that were full for a moment
+// and then bear a hundred requests of half a second.
+func TestCapacityThatCameBackIsUsedSoon(t *testing.T) {
+	const bears, patience = 100, 10 * time.Second
+	now := time.Unix(1000, 0)
+	g := NewGate()
+	works := []Work{{Team: "a", Account: "x"}, {Team: "a", Account: "y"}}
+	for _, ticket := range fill(g, now, works[0], 6) {
+		ticket.Leave(now, true)
+	}
+	type end struct {
+		at     time.Time
+		ticket *Ticket
+	}
+	var running []end
+	for deadline := now.Add(patience); now.Before(deadline); now = now.Add(gateFresh) {
+		for len(running) > 0 && !running[0].at.After(now) {
+			running[0].ticket.Leave(now, false)
+			running = running[1:]
+		}
+		for _, work := range works {
+			for _, ticket := range fill(g, now, work, 20) {
+				if len(running) >= bears {
+					ticket.Leave(now, true)
+					continue
+				}
+				running = append(running, end{now.Add(500 * time.Millisecond), ticket})
+			}
+		}
+	}
+	assert.Assert(t, len(running) >= bears/2, "%d of %d run", len(running), bears)
+}
