--- a/internal/core/limits/gate.go
+++ b/internal/core/limits/gate.go
@@ -22,7 +22,7 @@
 	gateGrowth = 0.25
 	// gateCalm is how long targets have refused nothing when the capacity begins
 	// to grow by gateCalmGrowth of itself in a round.
-	gateCalm       = time.Second
+	gateCalm       = 2 * time.Second
 	gateCalmGrowth = 0.25
 	// gatePause is the least time between two reductions of the capacity.
 	gatePause = 100 * time.Millisecond
