Close sessions to peers that are told seldom

Cause: at 420 entries each peer is told once in 52 s, and the probes of 838 waiting sessions cost an entry 4 KB/s at a keep-alive of 10 s. A pool may now close sessions without streams after IdleTimeout; the exchange of limits and strikes has such a pool of its own (5 s). Up to 40 peers the round is shorter than that and nothing changes. Measured, go test -bench Tell -benchtime 200x ./internal/adapter/link, payload of one exchange: 89 B and 6.5 packets on a kept session, 113 B and 9.7 on a new one; with mutual TLS 285 B and 4,201 B. So sessions with TLS are kept: closing them would cost 16 x 4.2 KB/s. Not mended: the headers of 16 exchanges a second, and probes with TLS.

--- a/internal/adapter/link/config.go
+++ b/internal/adapter/link/config.go
@@ -21,6 +21,7 @@
 	acceptBacklog  = 1024             // streams opened but not yet accepted
 	maxMessageSize = 16 << 20         // bytes
 	readBufferSize = 4 << 10          // bytes
+	looksAtIdle    = 2                // at an idle session in IdleTimeout
 )
 
 // Config holds what both ends of a link share. Zero fields get the defaults.
--- a/internal/adapter/link/link_test.go
+++ b/internal/adapter/link/link_test.go
@@ -173,3 +173,65 @@
 		}
 	}
 }
+
+func TestAnIdleSessionIsClosedAndDialledAgain(t *testing.T) {
+	release := make(chan struct{})
+	server, addr := serve(t, func(_ context.Context, _ *wire.Open, stream *Stream) {
+		<-release
+		_ = stream.Send(&wire.AnswerFrame{Sequence: 1})
+	})
+	const idle = 20 * time.Millisecond
+	pool := NewPool(Config{IdleTimeout: idle})
+	defer func() { _ = pool.Close() }()
+	stream, err := pool.Open(context.Background(), addr, call())
+	assert.NilError(t, err)
+	session := pool.current(addr)
+	select {
+	case <-session.CloseChan():
+		t.Fatal("the session was closed below a running stream")
+	case <-time.After(5 * idle):
+	}
+	close(release)
+	assert.NilError(t, stream.Receive(&wire.AnswerFrame{}))
+	assert.NilError(t, stream.Close())
+	<-session.CloseChan()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		server.lock.Lock()
+		defer server.lock.Unlock()
+		if len(server.sessions) == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the server still holds the session")
+	}, poll.WithDelay(time.Millisecond))
+	stream, err = pool.Open(context.Background(), addr, call())
+	assert.NilError(t, err)
+	assert.NilError(t, stream.Receive(&wire.AnswerFrame{}))
+}
+
+// A stream may be opened on a session that was picked just before it counted as
+// idle: that one is closed only after the stream has ended.
+func TestASessionTakenOutAsIdleStillServesAStream(t *testing.T) {
+	release := make(chan struct{})
+	_, addr := serve(t, func(context.Context, *wire.Open, *Stream) { <-release })
+	pool := NewPool(Config{IdleTimeout: 800 * time.Millisecond})
+	defer func() { _ = pool.Close() }()
+	session, err := pool.connect(context.Background(), addr)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if pool.current(addr) == nil {
+			return poll.Success()
+		}
+		return poll.Continue("the session is still in the pool")
+	}, poll.WithDelay(time.Millisecond))
+	conn, err := session.OpenStream()
+	assert.NilError(t, err)
+	assert.NilError(t, newStream(conn, addr, time.Second).Send(call()))
+	select {
+	case <-session.CloseChan():
+		t.Fatal("the session was closed below a running stream")
+	case <-time.After(2 * time.Second):
+	}
+	close(release)
+	assert.NilError(t, conn.Close())
+	<-session.CloseChan()
+}
--- a/internal/adapter/link/pool.go
+++ b/internal/adapter/link/pool.go
@@ -19,13 +19,18 @@
 	dials  singleflight.Group // by address, so that callers of one peer share a dial
 
 	lock     sync.Mutex
-	sessions map[string]*yamux.Session // by address
+	sessions map[string]*yamux.Session   // by address
+	used     map[*yamux.Session]struct{} // since the last look for idle ones
 	closed   bool
 }
 
 // NewPool returns a pool without sessions.
 func NewPool(config Config) *Pool {
-	return &Pool{config: config.withDefaults(), sessions: make(map[string]*yamux.Session)}
+	return &Pool{
+		config:   config.withDefaults(),
+		sessions: make(map[string]*yamux.Session),
+		used:     make(map[*yamux.Session]struct{}),
+	}
 }
 
 // Open starts a stream to the peer at addr with the given first message. See
@@ -80,9 +85,17 @@
 	if session == nil || session.IsClosed() {
 		return nil
 	}
+	p.markUsed(session)
 	return session
 }
 
+// markUsed notes that a stream is opened on a session. The caller holds the lock.
+func (p *Pool) markUsed(session *yamux.Session) {
+	if p.config.IdleTimeout > 0 {
+		p.used[session] = struct{}{}
+	}
+}
+
 func (p *Pool) forget(addr string, session *yamux.Session) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
@@ -123,6 +136,8 @@
 		return net.ErrClosed
 	}
 	p.sessions[addr] = session
+	p.markUsed(session)
+	go p.closeWhenIdle(addr, session)
 	return nil
 }
 
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -100,7 +100,7 @@
 		name:        cfg.Name,
 		incarnation: incarnation,
 		peers:       cfg.Peers,
-		pool:        e.pool,
+		pool:        link.NewPool(toldSeldom(links)),
 		limits:      e.limits,
 		strikes:     e.strikes,
 		round:       roundTime(len(cfg.Peers)),
@@ -156,7 +156,7 @@
 // Run serves until ctx ends and then leaves: /readyz fails, requests are still
 // served for the notice time, and running ones finish within the grace time.
 func (e *Entry) Run(ctx context.Context) error {
-	defer func() { _ = e.pool.Close() }()
+	defer func() { _, _ = e.pool.Close(), e.exchange.pool.Close() }()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, work := errgroup.WithContext(work)
--- a/internal/app/entry/exchange.go
+++ b/internal/app/entry/exchange.go
@@ -18,6 +18,7 @@
 	shortestRound      = time.Second
 	tellsPerSecond     = 8 // to peers, unless the shortest round asks for more
 	tellTimeout        = 2 * time.Second
+	idleTellTimeout    = 5 * time.Second // until the session to a peer is closed, unless there is TLS
 	tellsAtOnce        = 32
 	peersToldOfStrikes = 32 // at once; the others hear of them in the next round
 	roundsOfNewStrikes = 5  // in which a new strike is told
@@ -48,7 +49,7 @@
 	name        string
 	incarnation string
 	peers       []settingssync.Peer
-	pool        *link.Pool
+	pool        *link.Pool // of its own
 	limits      *limits.Limiter
 	strikes     *strike.Table
 	struck      chan struct{} // a strike that peers are to hear of at once
--- a/internal/app/entry/security.go
+++ b/internal/app/entry/security.go
@@ -65,6 +65,16 @@
 	return cfg, err
 }
 
+// toldSeldom returns the configuration of links to peers that are told once in
+// a round. Without TLS a session that waits for the next round costs more in
+// probes than a new one; with TLS a new one costs more.
+func toldSeldom(cfg link.Config) link.Config {
+	if cfg.TLS == nil {
+		cfg.IdleTimeout = idleTellTimeout
+	}
+	return cfg
+}
+
 // linkServer returns the configuration of links that other entries open.
 func (s *security) linkServer() link.Config {
 	if s.links == nil {
