--- a/internal/app/standin/engine/chat.go
+++ b/internal/app/standin/engine/chat.go
@@ -80,7 +80,7 @@
 	if e.kills(&request) {
 		e.state.die()
 	}
-	w.Header().Set("X-Incarnation", e.state.currentTruth().Incarnation)
+	w.Header().Set("X-Incarnation", e.state.incarnation())
 	g := &generation{state: e.state, request: request, id: requestID, seed: seed(request.Messages)}
 	err = g.run(ctx, w)
 	e.state.end(id, g.sent, err == nil)
--- a/internal/app/standin/engine/state.go
+++ b/internal/app/standin/engine/state.go
@@ -228,6 +228,12 @@
 	return s.thaw
 }
 
+func (s *state) incarnation() string {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.truth.Incarnation
+}
+
 func (s *state) currentTruth() Truth {
 	s.lock.Lock()
 	defer s.lock.Unlock()
