--- a/internal/app/load/affinity/command.go
+++ b/internal/app/load/affinity/command.go
@@ -1,14 +1,14 @@
 package affinity
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/load/output"
 )
 
 // Command is the subcommand with its flags.
@@ -51,12 +51,7 @@
 	if err != nil {
 		return err
 	}
-	if !c.JSON {
-		return printTable(os.Stdout, results)
-	}
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	return errors.Wrap(encoder.Encode(results), "print result")
+	return output.Print(c.JSON, results, func(w io.Writer) error { return printTable(w, results) })
 }
 
 func printTable(w io.Writer, results []Result) error {
--- a/internal/app/load/control/command.go
+++ b/internal/app/load/control/command.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/load/output"
 )
 
 // Command is the subcommand with its flags.
@@ -75,12 +75,7 @@
 	if err != nil {
 		return err
 	}
-	if !c.JSON {
-		return result.print(os.Stdout)
-	}
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	return errors.Wrap(encoder.Encode(result), "print result")
+	return output.Print(c.JSON, result, result.print)
 }
 
 func (r Result) print(w io.Writer) error {
--- a/internal/app/load/departure/command.go
+++ b/internal/app/load/departure/command.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -11,6 +9,8 @@
 	"github.com/apex/log"
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/load/output"
 )
 
 // Command is the subcommand with its flags.
@@ -57,12 +57,7 @@
 			result.Runs = append(result.Runs, *run)
 		}
 	}
-	if !c.JSON {
-		return result.print(os.Stdout)
-	}
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	return errors.Wrap(encoder.Encode(result), "print result")
+	return output.Print(c.JSON, result, result.print)
 }
 
 // Mode is how a domain leaves.
--- a/internal/app/load/limits/command.go
+++ b/internal/app/load/limits/command.go
@@ -1,14 +1,14 @@
 package limits
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/load/output"
 )
 
 // Command is the subcommand with its flags.
@@ -52,12 +52,7 @@
 	if err != nil {
 		return err
 	}
-	if !c.JSON {
-		return result.print(os.Stdout)
-	}
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	return errors.Wrap(encoder.Encode(result), "print result")
+	return output.Print(c.JSON, result, result.print)
 }
 
 // Run runs the experiment.
--- a/internal/app/load/limits/live.go
+++ b/internal/app/load/limits/live.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"os"
+	"io"
 	"sync"
 	"time"
 
@@ -15,6 +14,7 @@
 	"quetzalbend/internal/app/load/caller"
 	"quetzalbend/internal/app/load/fleet"
 	"quetzalbend/internal/app/load/openloop"
+	"quetzalbend/internal/app/load/output"
 	"quetzalbend/internal/app/standin/engine"
 )
 
@@ -68,12 +68,11 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		encoder := json.NewEncoder(os.Stdout)
-		encoder.SetIndent("", "  ")
-		return errors.Wrap(encoder.Encode(result), "print result")
-	}
-	_, err = fmt.Printf("others p95 %.1f ms before, %.1f ms during (ratio %.3f), first token %.1f ms, %d failed; "+
+	return output.Print(c.JSON, result, result.print)
+}
+
+func (result LiveResult) print(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "others p95 %.1f ms before, %.1f ms during (ratio %.3f), first token %.1f ms, %d failed; "+
 		"flood %.1f/s, slots used %.3f, at most %d at one engine\n",
 		result.P95BeforeMS, result.P95DuringMS, result.Ratio, result.FirstTokenMS, result.OthersFailed,
 		result.FloodPerSecond, result.SlotsUsed, result.MaxRunning)
--- a/internal/app/load/overhead/command.go
+++ b/internal/app/load/overhead/command.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"os"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/load/output"
 )
 
 // Command is the subcommand with its flags.
@@ -44,12 +44,7 @@
 	if err != nil {
 		return err
 	}
-	if !c.JSON {
-		return result.print(os.Stdout)
-	}
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	return errors.Wrap(encoder.Encode(result), "print result")
+	return output.Print(c.JSON, result, result.print)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/app/load/skew/command.go
+++ b/internal/app/load/skew/command.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -10,6 +9,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/app/load/output"
 )
 
 const (
@@ -52,8 +53,8 @@
 	return printTable(os.Stdout, results)
 }
 
-// output is the JSON form of a run.
-type output struct {
+// figures is the JSON form of a run.
+type figures struct {
 	Seed     uint64   `json:"seed"`
 	Ranks    int      `json:"ranks"`
 	Experts  int      `json:"experts"`
@@ -65,10 +66,7 @@
 }
 
 func printJSON(w io.Writer, o Options, results []Result) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	err := encoder.Encode(output{o.Seed, o.Ranks, o.Experts, o.Layers, o.slots(), o.Steps, o.Drift, results})
-	return errors.Wrap(err, "print figures")
+	return output.JSON(w, figures{o.Seed, o.Ranks, o.Experts, o.Layers, o.slots(), o.Steps, o.Drift, results})
 }
 
 func printTable(w io.Writer, results []Result) error {
