Let requests that wait at targets show that capacity is short

Cause: quetzalbend-load flood: with a queue at the agents nothing is refused, so the entries' gate never divided capacity and the flooding account filled every queue; without one, others met full targets and waited for their Retry-After.

Answers tell how many wait at the target; the gate trims its capacity for that, more gently than for a refusal.

--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -170,6 +170,7 @@
 		return nil, failed
 	}
 	x.tokens, outcome.Tokens = answer.Tokens, answer.Tokens
+	outcome.Queued = answer.Queued > 0
 	return answer, nil
 }
 
--- a/internal/adapter/callerhttp/ports.go
+++ b/internal/adapter/callerhttp/ports.go
@@ -30,6 +30,7 @@
 type Outcome struct {
 	Code   string // CodeOK or the code of the failure
 	Tokens int64  // generated
+	Queued bool   // others waited at the target when this request ended
 }
 
 // Demand is what a request asks for.
--- a/internal/app/entry/limiter.go
+++ b/internal/app/entry/limiter.go
@@ -57,11 +57,22 @@
 	}
 	return func(outcome callerhttp.Outcome) {
 		now := time.Now()
-		ticket.Leave(now, dispatch.NoCapacity(outcome.Code))
+		ticket.Leave(now, shortageOf(outcome))
 		grant.Release(now, outcome.Tokens)
 	}, nil
 }
 
+// shortageOf returns what an outcome says of the targets' capacity.
+func shortageOf(outcome callerhttp.Outcome) limits.Shortage {
+	switch {
+	case dispatch.NoCapacity(outcome.Code):
+		return limits.Refused
+	case outcome.Queued:
+		return limits.Queued
+	}
+	return limits.NoShortage
+}
+
 func callerRefusal(refusal *limits.Refusal) *callerhttp.Refusal {
 	return &callerhttp.Refusal{Code: string(refusal.Code), RetryAfter: refusal.RetryAfter}
 }
--- a/internal/app/load/layout/layout.go
+++ b/internal/app/load/layout/layout.go
@@ -21,7 +21,7 @@
 	Services        int    `long:"services" default:"1" description:"plain services in each failure domain"`
 	FirstTokenMS    int    `long:"first-token-ms" default:"20" description:"time to the first token of an engine"`
 	BetweenTokensMS int    `long:"between-tokens-ms" default:"5" description:"time between tokens of an engine"`
-	Queue           int    `long:"queue" default:"0" description:"requests that may wait at the agent of an engine"`
+	Queue           int    `long:"queue" default:"4" description:"requests that may wait at the agent of an engine"`
 	ColdLimit       int    `long:"cold-limit" default:"4" description:"requests that a cold engine bears"`
 }
 
--- a/internal/app/load/limits/flood.go
+++ b/internal/app/load/limits/flood.go
@@ -200,7 +200,7 @@
 		}
 	}
 	if c.ticket != nil {
-		c.ticket.Leave(f.clock(), true)
+		c.ticket.Leave(f.clock(), limits.Refused)
 	}
 	return false
 }
@@ -223,7 +223,7 @@
 	f.busy[c.target]--
 	f.running[c.entry][c.account]--
 	if c.ticket != nil {
-		c.ticket.Leave(f.clock(), false)
+		c.ticket.Leave(f.clock(), limits.NoShortage)
 	}
 	latency := float64(f.now-c.first) / float64(time.Millisecond)
 	switch {
--- a/internal/app/load/limits/live.go
+++ b/internal/app/load/limits/live.go
@@ -30,7 +30,7 @@
 	Entries    int     `long:"entries" default:"2" description:"entries of a failure domain"`
 	Engines    int     `long:"engines" default:"2" description:"engines of a failure domain"`
 	MaxLimit   int     `long:"max-limit" default:"8" description:"concurrent requests of an engine"`
-	Queue      int     `long:"queue" default:"0" description:"requests that wait at an agent"`
+	Queue      int     `long:"queue" default:"4" description:"requests that wait at an agent"`
 	Tokens     int     `long:"tokens" default:"20" description:"tokens of each answer"`
 	BetweenMS  int     `long:"between-ms" default:"5" description:"time between tokens"`
 	OthersRate float64 `long:"others-rate" default:"40" description:"requests a second of the account that does not flood"`
--- a/internal/core/limits/gate.go
+++ b/internal/core/limits/gate.go
@@ -18,6 +18,8 @@
 	// gateShrink is the part of what ran that is kept as capacity when targets
 	// refuse; the rest stays free for accounts below their share.
 	gateShrink = 0.9
+	// gateTrim is the same while requests wait at targets.
+	gateTrim = 0.98
 	// gateGrowth is by how much a finished round of requests raises the capacity.
 	gateGrowth = 0.25
 	// gateCalm is how long targets have refused nothing when the capacity begins
@@ -160,15 +162,26 @@
 	return g.capacity > 0 && now.Sub(g.shortAt) < gateHold
 }
 
-// Leave counts a request out. NoCapacity says that targets refused it because
-// they were full.
-func (t *Ticket) Leave(now time.Time, noCapacity bool) {
+// Shortage is what a request met at its target.
+type Shortage int
+
+// Shortages.
+const (
+	NoShortage Shortage = iota
+	Queued              // it ran, while others waited
+	Refused             // targets refused it because they were full
+)
+
+// Leave counts a request out.
+func (t *Ticket) Leave(now time.Time, shortage Shortage) {
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case noCapacity:
-		g.shrink(now)
+	case shortage == Refused:
+		g.shrink(now, gateShrink*float64(g.running-1))
+	case shortage == Queued:
+		g.shrink(now, gateTrim*float64(g.running))
 	case g.short(now):
 		g.grow(now)
 	}
@@ -187,14 +200,14 @@
 	g.capacity += gateCalmGrowth
 }
 
-// shrink takes what runs now as the capacity.
-func (g *Gate) shrink(now time.Time) {
+// shrink takes a part of what runs now as the capacity.
+func (g *Gate) shrink(now time.Time, capacity float64) {
 	g.shortAt = now
 	if now.Sub(g.shrunkAt) < gatePause {
 		return
 	}
 	g.shrunkAt = now
-	g.capacity = max(1, gateShrink*float64(g.running-1))
+	g.capacity = max(1, capacity)
 }
 
 // divide computes the part of each account, unless that was done just now.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -194,6 +194,7 @@
 		FirstTokenMS:    load.GetFirstTokenMs(),
 		BetweenTokensMS: load.GetBetweenTokensMs(),
 	}
+	a.answer.Queued = report.Queued
 	a.member.State.Observe(report, a.run.d.cfg.Now())
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -45,4 +45,5 @@
 	Replayed bool  // answer of an earlier run of the same key
 	Target   string
 	Attempts int
+	Queued   int // requests that waited at the target when this one ended
 }
