--- /dev/null
+++ b/scenarios/keys_test.go
@@ -0,0 +1,148 @@
+//go:build scenarios
+
+package scenarios
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/adapter/keys"
+	"quetzalbend/internal/adapter/link"
+	"quetzalbend/internal/app/agent"
+	"quetzalbend/internal/wire"
+)
+
+const strangerTimeout = 2 * time.Second
+
+// authority signs the keys of a scenario's processes.
+type authority struct {
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+}
+
+func newAuthority() (*authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return &authority{key: key, certificate: certificate}, err
+}
+
+// issue returns a new certificate and its key.
+func (a *authority) issue() (certificate, key []byte, err error) {
+	own, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), NotAfter: time.Now().Add(time.Hour),
+		DNSNames:    []string{"quetzalbend"},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &own.PublicKey, a.key)
+	if err != nil {
+		return nil, nil, err
+	}
+	private, err := x509.MarshalECPrivateKey(own)
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: private}), err
+}
+
+// linkKeys writes the files for mutual TLS on all links.
+func (w *world) linkKeys() (*keys.Files, error) {
+	var err error
+	if w.authority, err = newAuthority(); err != nil {
+		return nil, err
+	}
+	files := &keys.Files{
+		CertificateFile: filepath.Join(w.folder, "links.crt"),
+		KeyFile:         filepath.Join(w.folder, "links.key"),
+		CAFile:          filepath.Join(w.folder, "ca.crt"),
+		PollMS:          100,
+	}
+	root := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: w.authority.certificate.Raw})
+	if err := os.WriteFile(files.CAFile, root, 0o600); err != nil {
+		return nil, err
+	}
+	w.linkFiles = files
+	return files, w.cmdRekey(nil)
+}
+
+// cmdRekey replaces the key and certificate of all links: rekey.
+func (w *world) cmdRekey([]string) error {
+	certificate, key, err := w.authority.issue()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(w.linkFiles.CertificateFile, certificate, 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(w.linkFiles.KeyFile, key, 0o600)
+}
+
+// cmdStranger checks that an agent answers nobody without TLS and nobody whose
+// key another authority has signed: stranger AGENT.
+func (w *world) cmdStranger(args []string) error {
+	if len(args) != 1 {
+		return errors.New("usage: stranger AGENT")
+	}
+	process, err := w.process(args[0])
+	if err != nil {
+		return err
+	}
+	other, err := newAuthority()
+	if err != nil {
+		return err
+	}
+	certificate, key, err := other.issue()
+	if err != nil {
+		return err
+	}
+	pair, err := tls.X509KeyPair(certificate, key)
+	if err != nil {
+		return err
+	}
+	foreign := &tls.Config{Certificates: []tls.Certificate{pair}, InsecureSkipVerify: true} //nolint:gosec // the stranger trusts anybody
+	for name, config := range map[string]*tls.Config{"without TLS": nil, "with a foreign key": foreign} {
+		if statusOf(process.Config.(agent.Config).Listen, config) == nil {
+			return errors.Errorf("%s answers %s", args[0], name)
+		}
+	}
+	return nil
+}
+
+// statusOf asks an agent for its status.
+func statusOf(addr string, config *tls.Config) error {
+	ctx, cancel := context.WithTimeout(context.Background(), strangerTimeout)
+	defer cancel()
+	pool := link.NewPool(link.Config{TLS: config, DialTimeout: strangerTimeout})
+	defer func() { _ = pool.Close() }()
+	stream, err := pool.Open(ctx, addr, &wire.Open{Purpose: &wire.Open_Status{Status: &wire.StatusRequest{}}})
+	if err != nil {
+		return err
+	}
+	if err := stream.SetDeadline(time.Now().Add(strangerTimeout)); err != nil {
+		return err
+	}
+	return stream.Receive(&wire.TargetStatus{})
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -49,6 +49,8 @@
 				"endload":   command((*world).cmdEndLoad),
 				"truth":     command((*world).cmdTruth),
 				"await":     command((*world).cmdAwait),
+				"rekey":     command((*world).cmdRekey),
+				"stranger":  command((*world).cmdStranger),
 				"mark":      command((*world).cmdMark),
 				"nowork":    command((*world).cmdNoWork),
 				"readiness": command((*world).cmdReadiness),
--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -26,7 +26,7 @@
 // system domains=3 entries=1 engines=1 services=1 first=20 between=5 cold=4
 // grace=5000 slots=64 lag=0.
 func (w *world) cmdSystem(args []string) error {
-	options, rest := splitOptions(args, "domains", "entries", "engines", "services", "first", "between", "cold", "grace", "slots", "lag", "retention", "ranks", "fencing")
+	options, rest := splitOptions(args, "domains", "entries", "engines", "services", "first", "between", "cold", "grace", "slots", "lag", "retention", "ranks", "fencing", "tls")
 	if len(rest) > 0 {
 		return errors.Errorf("unknown option %s", rest[0])
 	}
@@ -66,6 +66,14 @@
 	for d := range layout.Domains {
 		w.network.domains[topology.DomainIP(d)] = topology.DomainName(d)
 	}
+	if options["tls"] == "yes" {
+		files, err := w.linkKeys()
+		if err != nil {
+			return err
+		}
+		layout.Agent.LinksTLS = files
+		layout.Entry.LinksTLS = files
+	}
 	if w.system, err = topology.New(layout); err != nil {
 		return err
 	}
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"quetzalbend/internal/adapter/keys"
 	"quetzalbend/internal/topology"
 )
 
@@ -33,6 +34,9 @@
 	system    *topology.System
 	http      *http.Client
 
+	authority *authority  // with TLS only
+	linkFiles *keys.Files // with TLS only
+
 	platformCuts map[string]bool // failure domains
 	marks        map[string]time.Time
 	runners      map[string]string // agent that ran a key
