Let two operators really race in the scenario

Cause: in a trial the fold accepted stale versions and operators_race still passed: its operators wrote one after the other, so the check before the append caught it.

--- /dev/null
+++ b/scenarios/race_test.go
@@ -0,0 +1,66 @@
+//go:build scenarios
+
+package scenarios
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/topology"
+)
+
+// cmdRace lets one operator for each entry create the same account at the same
+// time, in so many rounds; exactly one of them may be told that it did:
+// race ROUNDS ENTRY ENTRY...
+func (w *world) cmdRace(args []string) error {
+	if len(args) < 3 {
+		return errors.New("usage: race ROUNDS ENTRY ENTRY [ENTRY]")
+	}
+	rounds, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	for round := range rounds {
+		path := fmt.Sprintf("/teams/%s/accounts/race-%d", topology.Team, round)
+		accepted, err := w.raceOnce(path, round, args[1:])
+		if err != nil {
+			return err
+		}
+		if accepted != 1 {
+			return errors.Errorf("round %d: %d operators were told that they created %s", round, accepted, path)
+		}
+	}
+	return nil
+}
+
+// raceOnce returns how many entries accept a creation of path.
+func (w *world) raceOnce(path string, round int, entries []string) (int64, error) {
+	var accepted atomic.Int64
+	var group sync.WaitGroup
+	for i, entry := range entries {
+		file := filepath.Join(w.folder, fmt.Sprintf("race-%d.json", i))
+		value := fmt.Sprintf(`{"token_sha256":"%064x","limits":{}}`, round*len(entries)+i+1000)
+		if err := os.WriteFile(file, []byte(value), 0o600); err != nil {
+			return 0, err
+		}
+		server, err := w.ctlArguments(entry)
+		if err != nil {
+			return 0, err
+		}
+		arguments := append(server, "put", "--if-absent", path, file)
+		group.Go(func() {
+			if exec.Command(filepath.Join(w.binaries, "quetzalbendctl"), arguments...).Run() == nil {
+				accepted.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	return accepted.Load(), nil
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -49,6 +49,7 @@
 				"endload":   command((*world).cmdEndLoad),
 				"truth":     command((*world).cmdTruth),
 				"await":     command((*world).cmdAwait),
+				"race":      command((*world).cmdRace),
 				"rekey":     command((*world).cmdRekey),
 				"stranger":  command((*world).cmdStranger),
 				"mark":      command((*world).cmdMark),
