--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 GO   ?= go
 TOOL := $(GO) tool -modfile=tools/go.mod
 BIN  := bin
+VERSION := $(shell git describe --always --dirty 2>/dev/null)
 
 .PHONY: all build setup generate format check test race model scenarios fuzz-seeds bench demo run clean
 
@@ -9,7 +10,7 @@
 
 # Builds every program into bin/.
 build:
-	$(GO) build -o $(BIN)/ ./cmd/...
+	$(GO) build -ldflags "-X quetzalbend/internal/program.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
 # Installs what the checks need beyond Go: protoc and spin.
 setup:
--- a/cmd/quetzalbend-load/main.go
+++ b/cmd/quetzalbend-load/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/jessevdk/go-flags"
@@ -34,8 +35,22 @@
 	skew.Register,
 }
 
+const name = "quetzalbend-load"
+
+// options are the flags beside those of the experiments.
+type options struct {
+	Version func() `long:"version" description:"print the version and exit"`
+}
+
 func main() {
-	parser := flags.NewNamedParser("quetzalbend-load", flags.Default)
+	parser := flags.NewNamedParser(name, flags.Default)
+	general := &options{Version: func() {
+		fmt.Println(name, program.Version())
+		os.Exit(int(program.ExitOK))
+	}}
+	if _, err := parser.AddGroup("Options", "", general); err != nil {
+		os.Exit(int(program.ExitFailed))
+	}
 	for _, register := range experiments {
 		if err := register(parser); err != nil {
 			os.Exit(int(program.ExitFailed))
--- a/cmd/quetzalbend-standin/main.go
+++ b/cmd/quetzalbend-standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"slices"
@@ -35,17 +36,25 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		usage()
+		usage(os.Stderr, program.ExitUsage)
+	}
+	switch os.Args[1] {
+	case "--help", "-h":
+		usage(os.Stdout, program.ExitOK)
+	case "--version":
+		fmt.Println(name, program.Version())
+		return
 	}
 	run, ok := subcommands[os.Args[1]]
 	if !ok {
-		usage()
+		usage(os.Stderr, program.ExitUsage)
 	}
 	os.Exit(int(run(name+" "+os.Args[1], os.Args[2:])))
 }
 
-func usage() {
+// usage prints how the command is called and exits.
+func usage(w io.Writer, code program.ExitCode) {
 	names := slices.Sorted(maps.Keys(subcommands))
-	fmt.Fprintf(os.Stderr, "usage: %s %s [OPTIONS]\n", name, strings.Join(names, "|"))
-	os.Exit(int(program.ExitUsage))
+	_, _ = fmt.Fprintf(w, "usage: %s %s [OPTIONS]\n", name, strings.Join(names, "|"))
+	os.Exit(int(code))
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -77,8 +77,14 @@
 	return ExitOK
 }
 
+// version is set by the build: -ldflags "-X quetzalbend/internal/program.version=…".
+var version string
+
 // Version returns the version that the build carries.
 func Version() string {
+	if version != "" {
+		return version
+	}
 	info, ok := debug.ReadBuildInfo()
 	if !ok || info.Main.Version == "" {
 		return "(devel)"
