Wait for a time in one place instead of four

The same wait that a context can cut short stood in the dispatcher, the fleet and two stand-ins. One test calls the shared function; its assertions are unchanged.

--- a/internal/app/load/fleet/entries.go
+++ b/internal/app/load/fleet/entries.go
@@ -10,6 +10,7 @@
 	"quetzalbend/internal/app/entry"
 	"quetzalbend/internal/app/load/caller"
 	"quetzalbend/internal/core/check"
+	"quetzalbend/internal/pause"
 	"quetzalbend/internal/settingssync"
 )
 
@@ -90,21 +91,10 @@
 func (f *Fleet) awaitReady(ctx context.Context) error {
 	for _, e := range f.entries {
 		for !f.Balancer.ready(ctx, e.operators+"/readyz") {
-			if !pause(ctx, readyPoll) {
+			if !pause.For(ctx, readyPoll) {
 				return errors.Wrap(ctx.Err(), "wait for entries")
 			}
 		}
 	}
 	return f.settings.awaitInForce(ctx)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/app/load/fleet/fleet_test.go
+++ b/internal/app/load/fleet/fleet_test.go
@@ -15,6 +15,7 @@
 	"quetzalbend/internal/app/load/caller"
 	"quetzalbend/internal/app/standin/engine"
 	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/pause"
 )
 
 const tokens = 20
@@ -83,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	for !holds() {
-		if !pause(ctx, time.Millisecond) {
+		if !pause.For(ctx, time.Millisecond) {
 			t.Fatalf("never came true: %s", what)
 		}
 	}
--- a/internal/app/load/fleet/settings.go
+++ b/internal/app/load/fleet/settings.go
@@ -15,6 +15,7 @@
 
 	"quetzalbend/internal/adapter/adminhttp"
 	"quetzalbend/internal/core/schema"
+	"quetzalbend/internal/pause"
 )
 
 const (
@@ -38,7 +39,7 @@
 		client: &http.Client{Timeout: settingsTimeout},
 	}
 	for !f.Balancer.ready(ctx, f.entries[0].operators+"/readyz") {
-		if !pause(ctx, readyPoll) {
+		if !pause.For(ctx, readyPoll) {
 			return errors.Wrap(ctx.Err(), "wait for the first entry")
 		}
 	}
@@ -153,7 +154,7 @@
 		if answer.InForce {
 			return nil
 		}
-		if !pause(ctx, readyPoll) {
+		if !pause.For(ctx, readyPoll) {
 			return errors.Errorf("settings are not in force at %d nodes, %v among them", len(answer.Missing), answer.Missing[0].Name)
 		}
 	}
--- a/internal/app/standin/platform/handler.go
+++ b/internal/app/standin/platform/handler.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	client "quetzalbend/internal/adapter/platform"
+	"quetzalbend/internal/pause"
 	"quetzalbend/internal/port"
 )
 
@@ -38,7 +39,7 @@
 func (p *Platform) faulty(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		faults, _ := p.currentFaults()
-		if faults.delay > 0 && !pause(r.Context(), faults.delay) {
+		if faults.delay > 0 && !pause.For(r.Context(), faults.delay) {
 			return
 		}
 		faults, _ = p.currentFaults()
@@ -174,7 +175,7 @@
 	piece := make([]byte, weightPiece)
 	for size > 0 {
 		part := min(size, weightPiece)
-		if !pause(r.Context(), p.weights.reserve(time.Now(), float64(part))) {
+		if !pause.For(r.Context(), p.weights.reserve(time.Now(), float64(part))) {
 			return
 		}
 		if _, err := w.Write(piece[:part]); err != nil {
@@ -200,21 +201,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// pause waits for a duration and reports false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // queryNumber returns a whole number of the query, or otherwise a default.
 func queryNumber(r *http.Request, name string, otherwise int) int {
 	number, err := strconv.Atoi(r.URL.Query().Get(name))
--- a/internal/app/standin/service/service.go
+++ b/internal/app/standin/service/service.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/app/standin/serve"
+	"quetzalbend/internal/pause"
 )
 
 // KeyHeader carries the key under which a call is counted.
@@ -95,7 +96,7 @@
 	if faults.DieAfterRun {
 		panic(http.ErrAbortHandler)
 	}
-	if !wait(r.Context(), time.Duration(faults.DelayMS)*time.Millisecond) {
+	if !pause.For(r.Context(), time.Duration(faults.DelayMS)*time.Millisecond) {
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -131,18 +132,3 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
 }
-
-// wait reports whether d passed before ctx ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalbend/internal/core/routing"
+	"quetzalbend/internal/pause"
 	"quetzalbend/internal/wire"
 )
 
@@ -28,7 +29,7 @@
 		if outcome != nil && r.settled(outcome, start) {
 			return r.concluded(outcome, peer)
 		}
-		if !wait(ctx, r.d.cfg.AskInterval) {
+		if !pause.For(ctx, r.d.cfg.AskInterval) {
 			return nil, &Failure{Code: CodeOutcomeUnknown, Ran: wire.Ran_RAN_UNKNOWN, Peer: r.last.Target.Name, Cause: ctx.Err()}
 		}
 		order = append(slices.Clone(others), r.last)
@@ -113,15 +114,3 @@
 	}
 	return outcome, nil
 }
-
-// wait waits for a while and reports whether ctx is still alive.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -8,6 +8,7 @@
 	"quetzalbend/internal/core/retry"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/strike"
+	"quetzalbend/internal/pause"
 	"quetzalbend/internal/wire"
 )
 
@@ -133,8 +134,8 @@
 		if member != nil || r.breaks == 0 || !r.req.repeatable() {
 			return member
 		}
-		pause, ok := retry.Pause(r.rounds)
-		if !ok || !wait(ctx, pause) {
+		between, ok := retry.Pause(r.rounds)
+		if !ok || !pause.For(ctx, between) {
 			return nil
 		}
 		r.rounds++
