Serve callers on the users' platform, the thin path

A gateway on each entry VM follows the store, forwards each request to the least loaded target and relays the answer; platform/ decodes the wire.

--- /dev/null
+++ b/cmd/quetzalbend-gateway/main.go
@@ -0,0 +1,14 @@
+// Command quetzalbend-gateway serves callers on an entry VM of the users'
+// platform. It reads its settings from the file that the platform provides.
+package main
+
+import (
+	"os"
+
+	"quetzalbend/internal/app/gateway"
+	"quetzalbend/internal/program"
+)
+
+func main() {
+	os.Exit(int(program.Hosted("quetzalbend-gateway", os.Args[1:], gateway.Run)))
+}
--- /dev/null
+++ b/internal/app/gateway/choose.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"quetzalbend/internal/core/fleet"
+	"quetzalbend/internal/core/pick"
+	"quetzalbend/internal/core/quota"
+	"quetzalbend/internal/core/registry"
+)
+
+// choose picks a target of the service for a request and counts the request
+// there, or returns false if no target may get it now.
+func (l *loads) choose(service *fleet.Service, targets []registry.Usable, tried map[string]bool, limits admissionLimits, now time.Time) (registry.Usable, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	candidates := make([]pick.Candidate, len(targets))
+	for i := range targets {
+		t := l.target(targets[i].ID, now)
+		cold := now.Before(targets[i].ColdUntil)
+		candidates[i] = pick.Candidate{
+			Load:    t.own + l.peerRequests(targets[i].ID, now),
+			Slots:   targets[i].Slots,
+			Limited: !t.admissions.Free(limits.of(service, cold), now),
+			Suspect: now.Before(t.suspectUntil),
+			Tried:   tried[targets[i].ID],
+		}
+	}
+	best := pick.Best(candidates, rand.Float64())
+	if best < 0 {
+		return registry.Usable{}, false
+	}
+	t := l.target(targets[best].ID, now)
+	t.own++
+	t.admissions.Take(now)
+	return targets[best], true
+}
+
+// admissionLimits are this gateway's shares of the targets' admission rates.
+type admissionLimits struct {
+	bounds   fleet.Bounds
+	gateways int
+}
+
+func (a admissionLimits) of(service *fleet.Service, cold bool) int {
+	return quota.AdmissionLimit(service.ColdRate, a.bounds.ColdFactor, a.bounds.ColdSlack, a.gateways, cold)
+}
--- /dev/null
+++ b/internal/app/gateway/serve.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"quetzalbend/internal/eventlog"
+	"quetzalbend/internal/pause"
+)
+
+const (
+	maxHeaderBytes    = 64 << 10
+	headerTimeout     = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	drainNotice       = 3 * time.Second // until the platform sends no new connections
+	streamsAfterTerm  = 2500 * time.Millisecond
+	graceMargin       = 500 * time.Millisecond // before SIGKILL
+	answerPathHealth  = "/v1/readiness"
+	peerStatePath     = "/fleet"
+	metricsPath       = "/metrics"
+	protobufMediaType = "application/x-protobuf"
+)
+
+// serve serves callers, health checks and peers until ctx ends, and then
+// until the requests that run have ended or the grace period has.
+func (g *Gateway) serve(ctx, background context.Context) error {
+	group := &errgroup.Group{}
+	callers := g.server(g)
+	if err := g.listen(group, callers, g.node.CallerAddress); err != nil {
+		return err
+	}
+	health := g.server(http.HandlerFunc(g.serveHealth))
+	if err := g.listen(group, health, g.node.HealthAddress); err != nil {
+		return err
+	}
+	control := g.server(g.controlHandler())
+	if err := g.listen(group, control, g.node.ControlAddress); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	g.drain(background, callers)
+	for _, server := range []*http.Server{health, control} {
+		if err := server.Close(); err != nil {
+			g.log.Problem("listener not closed", err, nil)
+		}
+	}
+	return group.Wait()
+}
+
+func (g *Gateway) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+func (g *Gateway) listen(group *errgroup.Group, server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrapf(err, "serve %s", address)
+		}
+		return nil
+	})
+	return nil
+}
+
+// drain fails the health check, serves on until the platform has noticed, and
+// then waits for the requests that run.
+func (g *Gateway) drain(ctx context.Context, callers *http.Server) {
+	started := time.Now()
+	g.stopping.Store(started.UnixNano())
+	g.log.State("stopping", eventlog.Fields{"grace_ms": g.node.GracePeriod.Milliseconds()})
+	pause.For(ctx, drainNotice)
+	ctx, cancel := context.WithDeadline(ctx, started.Add(g.node.GracePeriod-graceMargin))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		g.log.Problem("requests cut at the end of the grace period", err, nil)
+	}
+}
+
+// refusesStreams reports whether a stream that begins now could be cut by the
+// end of the grace period.
+func (g *Gateway) refusesStreams(now time.Time) bool {
+	stopping := g.stopping.Load()
+	return stopping != 0 && now.Sub(time.Unix(0, stopping)) > streamsAfterTerm
+}
+
+func (g *Gateway) ready() bool { return !g.draining() && g.state.View() != nil }
+
+func (g *Gateway) serveHealth(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != answerPathHealth:
+		w.WriteHeader(http.StatusNotFound)
+	case !g.ready():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+func (g *Gateway) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+peerStatePath, g.serveState)
+	mux.Handle("GET "+metricsPath, g.metrics.Handler())
+	return mux
+}
+
+// serveState gives a peer what this gateway has read from the store and the
+// peer has not.
+func (g *Gateway) serveState(w http.ResponseWriter, r *http.Request) {
+	settingsNext, errSettings := strconv.ParseInt(r.URL.Query().Get("settings"), 10, 64)
+	targetsNext, errTargets := strconv.ParseInt(r.URL.Query().Get("targets"), 10, 64)
+	if errSettings != nil || errTargets != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	data, err := proto.Marshal(g.state.Share(settingsNext, targetsNext))
+	if err != nil {
+		g.log.Problem("state not encoded", err, nil)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", protobufMediaType)
+	if _, err := w.Write(data); err != nil {
+		g.log.Decision("state not delivered", eventlog.Fields{"error": err.Error()})
+	}
+}
--- /dev/null
+++ b/internal/app/gateway/stream.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/eventlog"
+	"quetzalbend/platform"
+)
+
+// streamPosition is how far a stream has come at the caller.
+type streamPosition struct {
+	started bool
+	last    int64 // id of the last event passed on; 0: none
+}
+
+// resumeAt returns the event that another target goes on after.
+func (p *streamPosition) resumeAt() int64 { return p.last }
+
+const eventBuffer = 4 << 10 // bytes
+
+// event is one whole event of a stream as it came.
+type event struct {
+	raw []byte
+	id  int64 // 0: none
+}
+
+var errCutEvent = errors.New("stream ends within an event")
+
+// eventReader splits a stream into whole events.
+type eventReader struct{ from *bufio.Reader }
+
+func newEventReader(from io.Reader) *eventReader {
+	return &eventReader{bufio.NewReaderSize(from, eventBuffer)}
+}
+
+// next returns the next whole event. io.EOF says that the stream ended after
+// one.
+func (r *eventReader) next() (event, error) {
+	var e event
+	for {
+		line, err := r.from.ReadBytes('\n')
+		e.raw = append(e.raw, line...)
+		if err != nil {
+			if err == io.EOF && len(e.raw) > 0 {
+				return event{}, errCutEvent
+			}
+			return event{}, err
+		}
+		content := bytes.TrimRight(line, "\r\n")
+		if len(content) == 0 {
+			return e, nil
+		}
+		if value, found := bytes.CutPrefix(content, []byte("id:")); found {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			if err != nil {
+				return event{}, errors.Wrap(err, "event id")
+			}
+			e.id = id
+		}
+	}
+}
+
+// relay passes a stream's events on as they arrive.
+func (x *exchange) relay(answer *http.Response, target string, watch *watchdog) outcome {
+	reader := newEventReader(answer.Body)
+	flusher := http.NewResponseController(x.writer)
+	begun := false
+	for {
+		next, err := reader.next()
+		if err == io.EOF {
+			return x.finishStream(answer)
+		}
+		if err != nil {
+			x.gateway.log.Decision("stream broken", eventlog.Fields{"request": x.caller.RequestID, "target": target, "error": err.Error()})
+			switch {
+			case watch.fired():
+				return timedOut
+			case begun:
+				return cut
+			}
+			return unknown
+		}
+		now := time.Now()
+		watch.event(now)
+		x.gateway.loads.progressed(target, now)
+		if next.id > 0 && next.id <= x.stream.last {
+			continue // the caller has it
+		}
+		if next.id > x.stream.last+1 && x.stream.last > 0 {
+			return cut // an event is missing
+		}
+		if !begun {
+			begun = true
+			x.startStream(answer.Header)
+		}
+		if _, err := x.writer.Write(next.raw); err != nil {
+			return x.callerLeft()
+		}
+		if err := flusher.Flush(); err != nil {
+			return x.callerLeft()
+		}
+		if next.id > 0 {
+			x.stream.last = next.id
+		}
+	}
+}
+
+// startStream sends the caller the headers of the first target.
+func (x *exchange) startStream(from http.Header) {
+	if x.stream.started {
+		return
+	}
+	x.stream.started = true
+	platform.CallerHeaders(x.writer.Header(), from)
+	x.writer.WriteHeader(http.StatusOK)
+	x.firstEvent()
+}
+
+func (x *exchange) finishStream(answer *http.Response) outcome {
+	x.startStream(answer.Header)
+	x.answered()
+	x.logOutcome("streamed", http.StatusOK)
+	return delivered
+}
+
+// callerLeft ends a stream that its caller no longer reads.
+func (x *exchange) callerLeft() outcome {
+	x.logOutcome("caller_left", http.StatusOK)
+	panic(http.ErrAbortHandler)
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -112,3 +112,28 @@
 	fmt.Fprintln(os.Stderr, err)
 	return code
 }
+
+// HostedOptions are the flags of a command whose settings file is named by its
+// environment.
+type HostedOptions struct {
+	Version bool `long:"version" description:"print the version and exit"`
+}
+
+// Hosted runs a command that finds its settings by itself until its work ends
+// or SIGTERM or SIGINT cancels the context of run, and returns its exit code.
+func Hosted(name string, args []string, run func(context.Context) error) ExitCode {
+	options := HostedOptions{}
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &options); err != nil {
+		return fail(ExitUsage, err)
+	}
+	rest, err := parser.ParseArgs(args)
+	if code, done := parsed(rest, err); done {
+		return code
+	}
+	if options.Version {
+		fmt.Println(name, Version())
+		return ExitOK
+	}
+	return Run(run)
+}
