--- a/internal/core/mapchange/next.go
+++ b/internal/core/mapchange/next.go
@@ -8,7 +8,7 @@
 // leader has planned, or 0 for none; it must be higher than every version that
 // the ranks have had. ranks must hold all ranks of the group.
 func Next(ranks []Rank, want int64) []Order {
-	if !whole(ranks) {
+	if !Whole(ranks) {
 		return nil
 	}
 	if step := heldStep(ranks); step > 0 {
@@ -29,8 +29,8 @@
 // Changing reports whether a change is under way that must be ended first.
 func Changing(ranks []Rank) bool { return heldStep(ranks) > 0 || anyArmed(ranks) }
 
-// whole reports whether ranks are all ranks of one open group.
-func whole(ranks []Rank) bool {
+// Whole reports whether ranks are all ranks of one open group, in order.
+func Whole(ranks []Rank) bool {
 	if len(ranks) == 0 || ranks[0].Size != len(ranks) {
 		return false
 	}
--- a/internal/core/mapchange/types.go
+++ b/internal/core/mapchange/types.go
@@ -2,7 +2,7 @@
 
 // Rank is what one rank of a group reports.
 type Rank struct {
-	Target    string // id of the rank's target
+	Target    string // address of the rank's target
 	Group     string
 	Epoch     int64
 	Index     int // of the rank in its group
--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -58,6 +58,9 @@
 		ranks[i] = members[i].rank
 		ranks[i].Touched = g.accepted[ranks[i].Target] == acceptance{ranks[i].Epoch, ranks[i].Born, token}
 	}
+	if !mapchange.Whole(ranks) {
+		return false
+	}
 	now := time.Now()
 	g.observe(ranks, now)
 	g.follow(service, members, ranks, token, now)
@@ -140,7 +143,7 @@
 func (g *group) plan(service *fleet.Service, ranks []mapchange.Rank, token int64, now time.Time) {
 	engine := service.Engine
 	loads := g.window.Loads(engine.Sets)
-	if g.present == nil || loads == nil || len(ranks) != ranks[0].Size || len(loads[0]) != engine.Experts {
+	if g.present == nil || loads == nil || len(loads[0]) != engine.Experts {
 		return
 	}
 	speeds := make([]float64, len(ranks))
--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,6 +176,7 @@
 		ask.Placed = ask.Placed || g.asksPlaced()
 		ask.Counts = ask.Counts && !g.active
 	}
+	targets = onePerAddress(targets)
 	members := make([]*member, len(targets))
 	reads := &errgroup.Group{}
 	for i, target := range targets {
@@ -183,7 +186,7 @@
 				l.Log.Decision("rank not read", eventlog.Fields{"target": target.ID, "error": err.Error()})
 				return nil
 			}
-			rank.Target = target.ID
+			rank.Target = target.Address
 			members[i] = &member{target, rank, placed}
 			return nil
 		})
@@ -199,3 +202,16 @@
 	}
 	return groups
 }
+
+// onePerAddress drops all but the youngest of the targets that were registered
+// at one address: a target that starts again may get a new id before the record
+// of its former life is gone.
+func onePerAddress(targets []fleet.Target) []fleet.Target {
+	youngest := make(map[string]fleet.Target, len(targets))
+	for _, target := range targets {
+		if known, ok := youngest[target.Address]; !ok || target.Born > known.Born {
+			youngest[target.Address] = target
+		}
+	}
+	return slices.Collect(maps.Values(youngest))
+}
