Test the gateway against a stand-in of the users' platform

The stand-in plays the store and targets that shed, fail, hang, cut, mix up or leave answers unsigned. The tests hold, rule by rule, what callers and targets see. TestSilentTargetIsLeft… failed once to get its gateway ready: free ports were taken one after the other and one may have been given out twice; now they are taken together and the gateway's error is printed. The error itself was not seen.

--- /dev/null
+++ b/internal/app/gateway/fleet_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/app/standin/userplatform"
+)
+
+func TestNotReadyWithoutSettings(t *testing.T) {
+	store := userplatform.NewStore(t)
+	g, _, _ := startGateway(t, "gateway-1", store.Address(), nil)
+	b := &bench{t: t, store: store, gateway: g}
+	b.wait("health is answered", func() bool { return b.health() != 0 })
+	assert.Equal(t, b.health(), http.StatusServiceUnavailable)
+	assert.Equal(t, b.get("/read/").status, http.StatusServiceUnavailable)
+	target := userplatform.NewTarget(t, "i-1")
+	store.PutJSON(t, "keyed.servers", "i-1", targetRecord(target, nil))
+	store.PutJSON(t, "keyed.op", "config", testSettings(1))
+	b.waitReady()
+	b.wait("the target is used", func() bool { return b.get("/read/").status == http.StatusOK })
+}
+
+func TestNewSettingsAreInForceSoonAndNeverGoBack(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, one)
+	added := testRoute("/new/", "idempotent", "app", nil)
+	b.store.PutJSON(t, "keyed.op", "config", testSettings(7, added))
+	written := time.Now()
+	b.wait("the route is there", func() bool { return b.get("/new/").status == http.StatusOK })
+	assert.Assert(t, time.Since(written) < 2*time.Second)
+
+	b.store.PutJSON(t, "keyed.op", "config", testSettings(3))
+	b.store.PutJSON(t, "keyed.op", "config", testSettings(9, added, testRoute("/newer/", "idempotent", "app", nil)))
+	b.wait("the newest version is in force", func() bool { return b.get("/newer/").status == http.StatusOK })
+	assert.Equal(t, b.get("/new/").status, http.StatusOK)
+}
+
+func TestSettingsSurviveAStoreThatForgets(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, one)
+	b.store.PutJSON(t, "keyed.op", "config", testSettings(5, testRoute("/new/", "idempotent", "app", nil)))
+	b.store.Forget("keyed.op")
+	b.store.Forget("keyed.servers")
+	b.wait("the newest settings are in force", func() bool { return b.get("/new/").status == http.StatusOK })
+}
+
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	one, two := userplatform.NewTarget(t, "i-1"), userplatform.NewTarget(t, "i-2")
+	b := newBench(t, one, two)
+	b.store.PutJSON(t, "keyed.servers", "i-1", targetRecord(one, object{"state": "draining"}))
+	written := time.Now()
+	b.wait("one target is left", func() bool { return len(b.gateway.state.View().Targets["app"]) == 1 })
+	assert.Assert(t, time.Since(written) < 2*time.Second)
+	before := arrived(one)
+	for range 5 {
+		assert.Equal(t, b.get("/read/").status, http.StatusOK)
+	}
+	assert.Equal(t, arrived(one), before)
+}
+
+func TestDomainTakenOutGetsNothing(t *testing.T) {
+	one, two := userplatform.NewTarget(t, "i-1"), userplatform.NewTarget(t, "i-2")
+	b := newBench(t, one, two)
+	b.store.PutJSON(t, "keyed.servers", "i-1", targetRecord(one, object{"zone": "d2"}))
+	b.store.Put("keyed.op", "evacuate/d2", []byte("{}"))
+	b.wait("the domain is out", func() bool { return len(b.gateway.state.View().Targets["app"]) == 1 })
+	b.store.Put("keyed.op", "evacuate/d2", nil)
+	b.wait("the domain is back", func() bool { return len(b.gateway.state.View().Targets["app"]) == 2 })
+}
+
+func TestRecordsOfOtherWritersNameNoTarget(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, one)
+	stranger := userplatform.NewTarget(t, "i-x")
+	b.store.Put("keyed.servers", "i-x1", []byte("\xff\x00 no JSON"))
+	b.store.PutJSON(t, "keyed.servers", "i-x2", targetRecord(stranger, object{"slots": "six"}))
+	b.store.PutJSON(t, "keyed.servers", "i-x3", object{"service": "app", "address": stranger.Address()})
+	b.store.PutJSON(t, "keyed.servers", "i-x4", targetRecord(stranger, object{"state": "excellent"}))
+	b.store.PutJSON(t, "keyed.servers", "i-2", targetRecord(userplatform.NewTarget(t, "i-2"), nil))
+	b.wait("the last record is read", func() bool { return len(b.gateway.state.View().Targets["app"]) >= 2 })
+	assert.Equal(t, len(b.gateway.state.View().Targets["app"]), 2)
+}
+
+// A gateway that the store turns away learns new settings from its peers, and a
+// new one that knows only their addresses becomes ready.
+func TestPeersHelpWhileTheStoreTurnsAGatewayAway(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, one)
+	away := userplatform.NewStore(t)
+	away.SetDown(true)
+	g, _, _ := startGateway(t, "gateway-2", away.Address(), []string{b.gateway.node.ControlAddress})
+	other := &bench{t: t, store: away, gateway: g}
+	other.waitReady()
+	assert.Equal(t, other.get("/read/").status, http.StatusOK)
+
+	b.store.PutJSON(t, "keyed.op", "config", testSettings(5, testRoute("/new/", "idempotent", "app", nil)))
+	written := time.Now()
+	other.wait("the route is there", func() bool { return other.get("/new/").status == http.StatusOK })
+	assert.Assert(t, time.Since(written) < 2*time.Second)
+}
+
+func TestStopIsGraceful(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	one.Events = 40
+	one.EventGap = 50 * time.Millisecond
+	b := newBench(t, one)
+	answers := make(chan reply, 1)
+	request := b.request(t.Context(), http.MethodPost, "/stream/", "prompt")
+	go func() { answers <- b.do(request) }()
+	b.wait("the stream runs", func() bool { return arrived(one) == 1 })
+	b.stop()
+	b.wait("health fails", func() bool { return b.health() != http.StatusOK })
+	assert.Equal(t, b.get("/read/").status, http.StatusOK) // sent before the balancer has noticed
+	got := <-answers
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, wholeStream(1, one.Events))
+	assert.NilError(t, <-b.ended)
+}
+
+// The targets' admission limits hold over all gateways together.
+func TestColdTargetIsNotOverrun(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, one)
+	settings := testSettings(2)
+	settings["services"] = []object{{"name": "app", "maxConnections": 100, "coldStartS": 3, "coldPerS": 26}}
+	b.store.PutJSON(t, "keyed.op", "config", settings)
+	b.wait("the limit is known", func() bool { return b.gateway.state.View().Settings.Version == 2 })
+	refused := 0
+	for range 40 {
+		if b.get("/read/").status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	arrivals := one.Arrivals()
+	most := 0
+	for i := range arrivals {
+		inSecond := 0
+		for _, other := range arrivals[i:] {
+			if other.At.Sub(arrivals[i].At) < time.Second {
+				inSecond++
+			}
+		}
+		most = max(most, inSecond)
+	}
+	assert.Assert(t, most*4 <= 44, "%d in a second from one gateway of four", most)
+	assert.Assert(t, refused > 0)
+}
--- /dev/null
+++ b/internal/app/gateway/harness_test.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"quetzalbend/internal/app/standin/userplatform"
+	"quetzalbend/internal/core/fleet"
+	"quetzalbend/internal/eventlog"
+)
+
+const (
+	testHost    = "app.example"
+	testKey     = "key-1"
+	testAccount = "account-1"
+)
+
+// object is a JSON object of the platform.
+type object map[string]any
+
+func testRoute(prefix, kind, service string, more object) object {
+	route := object{
+		"name": "r" + strings.ReplaceAll(prefix, "/", "-"), "host": testHost, "pathPrefix": prefix, "kind": kind,
+		"timeoutMs": 5000, "targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2,
+	}
+	for name, value := range more {
+		route[name] = value
+	}
+	return route
+}
+
+func testSettings(version int, more ...object) object {
+	routes := []object{
+		testRoute("/once/", "non_idempotent", "app", object{"maxAttempts": 1}),
+		testRoute("/once-twice/", "non_idempotent", "app", nil),
+		testRoute("/read/", "idempotent", "app", nil),
+		testRoute("/short/", "idempotent", "app", object{"timeoutMs": 300}),
+		testRoute("/stream/", "streaming", "app", object{"streamResume": true, "gapAimMs": 120}),
+		testRoute("/final/stream/", "streaming", "app", object{"gapAimMs": 120}),
+	}
+	return object{
+		"version":  version,
+		"routes":   append(routes, more...),
+		"services": []object{{"name": "app", "maxConnections": 100}},
+		"limits":   object{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []object{{"name": testAccount, "apiKeys": []string{testKey}, "priority": 1}},
+	}
+}
+
+func targetRecord(target *userplatform.Target, more object) object {
+	record := object{
+		"service": "app", "address": target.Address(), "zone": "d1", "version": "v1", "slots": 6,
+		"state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1,
+	}
+	for name, value := range more {
+		record[name] = value
+	}
+	return record
+}
+
+// bench is a store, targets and one gateway.
+type bench struct {
+	t       *testing.T
+	store   *userplatform.Store
+	gateway *Gateway
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func newBench(t *testing.T, targets ...*userplatform.Target) *bench {
+	b := &bench{t: t, store: userplatform.NewStore(t)}
+	b.store.PutJSON(t, "keyed.op", "config", testSettings(1))
+	for _, target := range targets {
+		b.store.PutJSON(t, "keyed.servers", target.ID, targetRecord(target, nil))
+	}
+	b.gateway, b.stop, b.ended = startGateway(t, "gateway-1", b.store.Address(), nil)
+	b.waitReady()
+	return b
+}
+
+func startGateway(t *testing.T, name, store string, seeds []string) (*Gateway, context.CancelFunc, chan error) {
+	t.Helper()
+	ports := freePorts(t, 4)
+	node := fleet.Node{
+		Name: name, IP: "127.0.0.1", Domain: "d1",
+		CallerAddress: localAddress(ports[0]), HealthAddress: localAddress(ports[1]), ControlAddress: localAddress(ports[2]),
+		Ports:        [2]int{ports[3], 0},
+		Seeds:        seeds,
+		StoreAddress: store,
+		GracePeriod:  8 * time.Second,
+		Bounds:       fleet.Bounds{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5},
+	}
+	log := eventlog.New(io.Discard)
+	g := New(node, log)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		err := g.run(ctx)
+		if err != nil && ctx.Err() == nil {
+			t.Logf("gateway %s ended: %v", name, err)
+		}
+		ended <- err
+	}()
+	return g, cancel, ended
+}
+
+// freePorts returns ports that nobody listens on. They are taken together, since
+// a port that is free again may be given out a second time.
+func freePorts(t *testing.T, count int) []int {
+	t.Helper()
+	ports := make([]int, count)
+	for i := range ports {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer listener.Close() //nolint:errcheck // the port is free afterwards either way
+		ports[i] = listener.Addr().(*net.TCPAddr).Port
+	}
+	return ports
+}
+
+func localAddress(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func (b *bench) waitReady() {
+	b.t.Helper()
+	b.wait("the gateway is ready", func() bool { return b.health() == http.StatusOK })
+}
+
+func (b *bench) wait(what string, condition func() bool) {
+	b.t.Helper()
+	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func (b *bench) health() int {
+	answer, err := http.Get("http://" + b.gateway.node.HealthAddress + "/v1/readiness")
+	if err != nil {
+		return 0
+	}
+	answer.Body.Close() //nolint:errcheck // nothing is read
+	return answer.StatusCode
+}
+
+var requestNumber = make(chan int, 1)
+
+func init() { requestNumber <- 0 }
+
+func nextID() string {
+	number := <-requestNumber
+	requestNumber <- number + 1
+	return fmt.Sprintf("request-%d", number)
+}
+
+func (b *bench) request(ctx context.Context, method, path, body string) *http.Request {
+	b.t.Helper()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+b.gateway.node.CallerAddress+path, strings.NewReader(body))
+	assert.NilError(b.t, err)
+	request.Host = testHost
+	request.Header.Set("Attempt-Id", nextID())
+	request.Header.Set("Credential", testKey)
+	request.Header.Set("Deadline-Ms", "4000")
+	return request
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the answer is not whole
+}
+
+func (b *bench) do(request *http.Request) reply {
+	b.t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	answer, err := client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer answer.Body.Close() //nolint:errcheck // read to its end below
+	body, err := io.ReadAll(bufio.NewReader(answer.Body))
+	return reply{answer.StatusCode, answer.Header, string(body), err}
+}
+
+func (b *bench) get(path string) reply {
+	b.t.Helper()
+	return b.do(b.request(b.t.Context(), http.MethodGet, path, ""))
+}
+
+func (b *bench) post(path, body string) reply {
+	b.t.Helper()
+	return b.do(b.request(b.t.Context(), http.MethodPost, path, body))
+}
+
+// ran returns how many requests ran at the targets.
+func ran(targets ...*userplatform.Target) int {
+	count := 0
+	for _, target := range targets {
+		for _, arrival := range target.Arrivals() {
+			if arrival.Ran {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func arrived(targets ...*userplatform.Target) int {
+	count := 0
+	for _, target := range targets {
+		count += len(target.Arrivals())
+	}
+	return count
+}
+
+func wholeStream(from, to int) string {
+	var events strings.Builder
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(&events, "id: %d\ndata: event %d\n\n", id, id)
+	}
+	return events.String()
+}
--- /dev/null
+++ b/internal/app/gateway/requests_test.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/app/standin/userplatform"
+)
+
+func TestRequestIsForwardedUnchanged(t *testing.T) {
+	target := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, target)
+	request := b.request(t.Context(), http.MethodPost, "/once/a%2Fb/?x=1&y=%20z", "the body")
+	request.Header.Set("Tenant", "somebody-else")
+	request.Header.Set("X-Custom", "kept")
+	request.Header.Set("Connection", "X-Hop")
+	request.Header.Set("X-Hop", "dropped")
+	got := b.do(request)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "answer of i-1")
+	assert.Equal(t, got.header.Get("Server-Stamp"), "stamp-i-1")
+
+	arrival := target.Arrivals()[0]
+	assert.Equal(t, arrival.URI, "/once/a%2Fb/?x=1&y=%20z")
+	assert.Equal(t, arrival.Body, "the body")
+	h := arrival.Header
+	assert.Equal(t, h.Get("Attempt-Id"), request.Header.Get("Attempt-Id"))
+	assert.Equal(t, h.Get("Tenant"), testAccount)
+	assert.Equal(t, h.Get("Expect-Instance"), "i-1")
+	assert.Equal(t, h.Get("Credential"), "")
+	assert.Equal(t, h.Get("X-Custom"), "kept")
+	assert.Equal(t, h.Get("X-Hop"), "")
+	left, err := strconv.Atoi(h.Get("Deadline-Ms"))
+	assert.NilError(t, err)
+	assert.Assert(t, left <= 4000 && left > 3000, "deadline %d", left)
+}
+
+func TestRequestsThatAreNotAllowed(t *testing.T) {
+	target := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, target)
+	unknownKey := b.request(t.Context(), http.MethodGet, "/read/", "")
+	unknownKey.Header.Set("Credential", "stranger")
+	assert.Equal(t, b.do(unknownKey).status, http.StatusUnauthorized)
+	assert.Equal(t, b.get("/nowhere/").status, http.StatusNotFound)
+	assert.Equal(t, b.post("/once/", strings.Repeat("x", 5000)).status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, arrived(target), 0)
+}
+
+// A call that may not be repeated runs once whatever becomes of its answer, and
+// its caller is never told that it has not run.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	for name, behavior := range map[string]userplatform.Behavior{
+		"reset": userplatform.Reset, "cut": userplatform.Cut, "wrong request": userplatform.WrongRequest,
+		"unsigned": userplatform.Unsigned,
+	} {
+		t.Run(name, func(t *testing.T) {
+			one, two := userplatform.NewTarget(t, "i-1", behavior), userplatform.NewTarget(t, "i-2", behavior)
+			b := newBench(t, one, two)
+			got := b.post("/once-twice/", "pay")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			assert.Equal(t, ran(one, two), 1)
+		})
+	}
+}
+
+func TestNonIdempotentFailureOfTargetIsPassedOn(t *testing.T) {
+	one, two := userplatform.NewTarget(t, "i-1", userplatform.Fail), userplatform.NewTarget(t, "i-2", userplatform.Fail)
+	b := newBench(t, one, two)
+	got := b.post("/once-twice/", "pay")
+	assert.Equal(t, got.status, http.StatusInternalServerError)
+	assert.Equal(t, got.body, "failed")
+	assert.Equal(t, ran(one, two), 1)
+}
+
+func TestRefusalThatHasNotRunIsTriedElsewhere(t *testing.T) {
+	one, two := userplatform.NewTarget(t, "i-1", userplatform.Shed), userplatform.NewTarget(t, "i-2", userplatform.Shed)
+	b := newBench(t, one, two)
+	got := b.post("/once-twice/", "pay")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, arrived(one), 1)
+	assert.Equal(t, arrived(two), 1)
+	assert.Equal(t, ran(one, two), 0)
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	one, two := userplatform.NewTarget(t, "i-1", userplatform.Shed), userplatform.NewTarget(t, "i-2", userplatform.Shed)
+	b := newBench(t, one, two)
+	assert.Equal(t, b.post("/once/", "pay").status, http.StatusServiceUnavailable)
+	assert.Equal(t, arrived(one, two), 1)
+}
+
+func TestIdempotentIsRepeated(t *testing.T) {
+	for name, behavior := range map[string]userplatform.Behavior{
+		"failed": userplatform.Fail, "reset": userplatform.Reset, "cut": userplatform.Cut,
+		"wrong request": userplatform.WrongRequest, "unsigned": userplatform.Unsigned, "hangs": userplatform.Hang,
+	} {
+		t.Run(name, func(t *testing.T) {
+			one, two := userplatform.NewTarget(t, "i-1", behavior), userplatform.NewTarget(t, "i-2")
+			b := newBench(t, one, two)
+			for range 4 { // the first target gets one of them at least
+				got := b.get("/read/")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+			}
+			assert.Assert(t, arrived(one) > 0)
+		})
+	}
+}
+
+func TestTargetThatIsGoneIsNotWaitedFor(t *testing.T) {
+	one, two := userplatform.NewTarget(t, "i-1"), userplatform.NewTarget(t, "i-2")
+	b := newBench(t, two)
+	gone := targetRecord(one, object{"address": localAddress(freePorts(t, 1)[0])})
+	b.store.PutJSON(t, "keyed.servers", "i-1", gone)
+	b.wait("the target is known", func() bool { return len(b.gateway.state.View().Targets["app"]) == 2 })
+	for range 4 {
+		assert.Equal(t, b.post("/once/", "pay").status, http.StatusOK)
+	}
+}
+
+// An address may belong to another target than the registry says.
+func TestAddressOfAnotherTarget(t *testing.T) {
+	one, two := userplatform.NewTarget(t, "i-1"), userplatform.NewTarget(t, "i-2")
+	b := newBench(t, two)
+	b.store.PutJSON(t, "keyed.servers", "i-old", targetRecord(one, nil))
+	b.wait("the target is known", func() bool { return len(b.gateway.state.View().Targets["app"]) == 2 })
+	for range 4 {
+		assert.Equal(t, b.post("/once-twice/", "pay").status, http.StatusOK)
+	}
+	assert.Equal(t, ran(one), 0)
+}
+
+func TestAnswerAtTheRoutesTimeout(t *testing.T) {
+	one, two := userplatform.NewTarget(t, "i-1", userplatform.Hang), userplatform.NewTarget(t, "i-2", userplatform.Hang)
+	b := newBench(t, one, two)
+	started := time.Now()
+	got := b.get("/short/")
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	took := time.Since(started)
+	assert.Assert(t, took < 800*time.Millisecond, "took %s for a timeout of 300 ms", took)
+}
+
+func TestCallerThatLeavesStopsIdempotentWork(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1", userplatform.Hang)
+	b := newBench(t, one)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	request := b.request(ctx, http.MethodGet, "/read/", "")
+	go func() {
+		b.do(request)
+		close(done)
+	}()
+	b.wait("the request runs", func() bool { return arrived(one) == 1 })
+	cancel()
+	<-done
+	left := time.Now()
+	b.wait("the target is left", func() bool { return one.Left() == 1 })
+	assert.Assert(t, time.Since(left) < 500*time.Millisecond)
+}
+
+// A request that breaks every target that runs it is not run for ever.
+func TestRequestThatBreaksTargetsIsRefusedInTheEnd(t *testing.T) {
+	var breaks []userplatform.Behavior
+	for range 50 {
+		breaks = append(breaks, userplatform.Reset)
+	}
+	one, two := userplatform.NewTarget(t, "i-1", breaks...), userplatform.NewTarget(t, "i-2", breaks...)
+	b := newBench(t, one, two)
+	for range 10 {
+		b.post("/stream/x", "deadly")
+	}
+	assert.Assert(t, ran(one, two) <= 6, "ran %d times", ran(one, two))
+	assert.Equal(t, b.post("/stream/x", "deadly").status, http.StatusServiceUnavailable)
+}
+
+// Retries of all requests together stay within the share of the gateway.
+func TestRetriesAreBounded(t *testing.T) {
+	var sheds []userplatform.Behavior
+	for range 400 {
+		sheds = append(sheds, userplatform.Shed)
+	}
+	one, two := userplatform.NewTarget(t, "i-1", sheds...), userplatform.NewTarget(t, "i-2", sheds...)
+	b := newBench(t, one, two)
+	const requests = 150
+	for range requests {
+		b.get("/read/")
+	}
+	again := arrived(one, two) - requests
+	bound := 0.2*requests + 200
+	assert.Assert(t, float64(again) <= bound, "%d arrivals beyond the first of %d requests", again, requests)
+	assert.Assert(t, again > 10, "only %d retries", again)
+}
--- /dev/null
+++ b/internal/app/gateway/streams_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/app/standin/userplatform"
+)
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, one)
+	got := b.post("/stream/", "prompt")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, wholeStream(1, one.Events))
+	assert.Equal(t, got.header.Get("Content-Type"), "text/event-stream")
+}
+
+func TestEventsArePassedOnAsTheyArrive(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	one.EventGap = time.Minute
+	b := newBench(t, one)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	answer, err := http.DefaultClient.Do(b.request(ctx, http.MethodPost, "/stream/", "prompt"))
+	assert.NilError(t, err)
+	defer answer.Body.Close() //nolint:errcheck // the test leaves the stream
+	line, err := bufio.NewReader(answer.Body).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, line, "id: 1\n")
+	cancel()
+	left := time.Now()
+	b.wait("the target is left", func() bool { return one.Left() == 1 })
+	assert.Assert(t, time.Since(left) < 500*time.Millisecond)
+}
+
+func TestBrokenStreamGoesOnAtAnotherTarget(t *testing.T) {
+	for name, behavior := range map[string]userplatform.Behavior{
+		"cut": userplatform.Cut, "ended within an event": userplatform.CutCleanly,
+	} {
+		t.Run(name, func(t *testing.T) {
+			one, two := userplatform.NewTarget(t, "i-1", behavior), userplatform.NewTarget(t, "i-2")
+			b := newBench(t, one, two)
+			for range 6 { // the first target gets one of them at least
+				got := b.post("/stream/", "prompt")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, wholeStream(1, one.Events))
+			}
+			assert.Assert(t, arrived(one) > 0)
+		})
+	}
+}
+
+func TestStreamThatMayNotBeResumedIsCutForItsCaller(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1", userplatform.Cut)
+	two := userplatform.NewTarget(t, "i-2", userplatform.Cut)
+	b := newBench(t, one, two)
+	got := b.post("/final/stream/", "prompt")
+	assert.Assert(t, got.err != nil, "a broken stream looks whole: %q", got.body)
+	assert.Equal(t, ran(one, two), 1)
+}
+
+func TestCallerResumesAStream(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, one)
+	request := b.request(t.Context(), http.MethodPost, "/stream/", "prompt")
+	request.Header.Set("Last-Event-Id", "3")
+	got := b.do(request)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, wholeStream(4, one.Events))
+}
+
+func TestStreamOfABrokenGroupIsRefusedAtOnce(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1", userplatform.Blame)
+	two := userplatform.NewTarget(t, "i-2", userplatform.Blame)
+	b := newBench(t, one, two)
+	got := b.post("/stream/", "prompt")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, arrived(one, two), 1)
+}
+
+func TestSilentTargetIsLeftWhileOthersGoOn(t *testing.T) {
+	silent := userplatform.NewTarget(t, "i-1", userplatform.Hang, userplatform.Hang)
+	two, three := userplatform.NewTarget(t, "i-2"), userplatform.NewTarget(t, "i-3")
+	for _, target := range []*userplatform.Target{two, three} {
+		target.Events = 60
+		target.EventGap = 50 * time.Millisecond
+	}
+	b := newBench(t, silent, two, three)
+	answers := make(chan reply, 6)
+	for range cap(answers) {
+		request := b.request(t.Context(), http.MethodPost, "/stream/", "prompt")
+		go func() { answers <- b.do(request) }()
+	}
+	for range cap(answers) {
+		got := <-answers
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK)
+	}
+}
--- /dev/null
+++ b/internal/app/standin/userplatform/store.go
@@ -0,0 +1,252 @@
+package userplatform
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+type storedRecord struct {
+	key   string
+	value []byte
+}
+
+type topic struct {
+	first   int64 // offset of the oldest record kept
+	records []storedRecord
+	newest  map[string]int64 // offset by key
+}
+
+func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+
+// Store is a stand-in of the platform's metadata store.
+type Store struct {
+	server *httptest.Server
+
+	mu      sync.Mutex
+	topics  map[string]*topic
+	kept    map[string]map[string]storedRecord // newest record of each key, by topic
+	changed chan struct{}
+	down    bool
+	calls   int
+	members []string
+	epoch   int64
+}
+
+// NewStore starts a store that ends with the test.
+func NewStore(t *testing.T) *Store {
+	s := &Store{
+		topics:  make(map[string]*topic),
+		kept:    make(map[string]map[string]storedRecord),
+		changed: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/log-read", s.read)
+	mux.HandleFunc("GET /v1/log-newest", s.newestOf)
+	mux.HandleFunc("POST /v1/log-append", s.append)
+	mux.HandleFunc("POST /v1/log-join", s.join)
+	mux.HandleFunc("POST /v1/log-leave", s.leave)
+	s.server = httptest.NewServer(s.guarded(mux))
+	t.Cleanup(func() {
+		s.server.CloseClientConnections()
+		s.server.Close()
+	})
+	return s
+}
+
+// Address returns the store's IP and port.
+func (s *Store) Address() string { return strings.TrimPrefix(s.server.URL, "http://") }
+
+// SetDown makes the store reject all calls, or serve them again.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes the newest record of a key.
+func (s *Store) Put(topicName, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topicName)
+	t.records = append(t.records, storedRecord{key, value})
+	if len(value) == 0 {
+		delete(s.kept[topicName], key)
+	} else {
+		s.kept[topicName][key] = storedRecord{key, value}
+		t.newest[key] = t.end() - 1
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// PutJSON writes the newest record of a key as JSON.
+func (s *Store) PutJSON(t *testing.T, topicName, key string, value any) {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Put(topicName, key, data)
+}
+
+// Forget deletes all records but the newest of each key.
+func (s *Store) Forget(topicName string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topicName)
+	t.first = t.end()
+	t.records = nil
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: make(map[string]int64)}
+		s.topics[name] = t
+		s.kept[name] = make(map[string]storedRecord)
+	}
+	return t
+}
+
+func (s *Store) guarded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	waitMs, _ := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
+	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t := s.topic(r.URL.Query().Get("topic"))
+		changed := s.changed
+		if from < t.first {
+			first := t.first
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			writeJSON(w, map[string]int64{"first": first})
+			return
+		}
+		records := slices.Clone(t.records[min(from-t.first, int64(len(t.records))):])
+		end, first := t.end(), t.first
+		s.mu.Unlock()
+		if len(records) > 0 || waitMs == 0 {
+			writeRecords(w, end, first, records)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			waitMs = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeRecords(w http.ResponseWriter, end, first int64, records []storedRecord) {
+	data := binary.BigEndian.AppendUint64(nil, uint64(end))
+	data = binary.BigEndian.AppendUint64(data, uint64(first))
+	for _, record := range records {
+		data = binary.BigEndian.AppendUint32(data, uint32(1+len(record.key)+len(record.value)))
+		data = append(data, byte(len(record.key)))
+		data = append(data, record.key...)
+		data = append(data, record.value...)
+	}
+	w.Write(data) //nolint:errcheck // a test's client that has left
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	json.NewEncoder(w).Encode(value) //nolint:errcheck // a test's client that has left
+}
+
+func (s *Store) newestOf(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := r.URL.Query().Get("topic")
+	t := s.topic(name)
+	items := []map[string]any{}
+	for key, record := range s.kept[name] {
+		items = append(items, map[string]any{
+			"key": key, "value": base64.StdEncoding.EncodeToString(record.value), "offset": t.newest[key],
+		})
+	}
+	writeJSON(w, map[string]any{"items": items, "truncated": false, "end": t.end()})
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || len(body) < 5 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	record := body[4:]
+	keyEnd := 1 + int(record[0])
+	s.Put(r.URL.Query().Get("topic"), string(record[1:keyEnd]), record[keyEnd:])
+	writeJSON(w, map[string]int64{"offset": 0, "end": 0})
+}
+
+type joinCall struct {
+	Member string   `json:"member"`
+	Topics []string `json:"topics"`
+}
+
+// join gives the first partition to the member that joined first.
+func (s *Store) join(w http.ResponseWriter, r *http.Request) {
+	var call joinCall
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Contains(s.members, call.Member) {
+		s.members = append(s.members, call.Member)
+		s.epoch++
+	}
+	parts := [][]any{}
+	if s.members[0] == call.Member {
+		parts = append(parts, []any{call.Topics[0], 0, 0})
+	}
+	writeJSON(w, map[string]any{"generation": s.epoch, "ttlMs": 1000, "parts": parts})
+}
+
+func (s *Store) leave(w http.ResponseWriter, r *http.Request) {
+	var call joinCall
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = slices.DeleteFunc(s.members, func(m string) bool { return m == call.Member })
+	s.epoch++
+	writeJSON(w, map[string]any{})
+}
--- a/internal/core/mapchange/next.go
+++ b/internal/core/mapchange/next.go
@@ -12,7 +12,7 @@
 		return nil
 	}
 	if step := heldStep(ranks); step > 0 {
-		return finish(ranks, step)
+		return finish(ranks, step, want)
 	}
 	if anyArmed(ranks) {
 		return nil // released; the ranks switch when they reach the pass
@@ -29,6 +29,13 @@
 // Changing reports whether a change is under way that must be ended first.
 func Changing(ranks []Rank) bool { return heldStep(ranks) > 0 || anyArmed(ranks) }
 
+// Stuck reports whether a pass is held and the ranks cannot all switch to one
+// map at it. The leader must then want a map; the one in force costs no copies.
+func Stuck(ranks []Rank) bool {
+	step := heldStep(ranks)
+	return step > 0 && armable(ranks, step) == 0
+}
+
 // Whole reports whether ranks are all ranks of one open group, in order.
 func Whole(ranks []Rank) bool {
 	if len(ranks) == 0 || ranks[0].Size != len(ranks) {
@@ -84,19 +91,47 @@
 	return orders, done
 }
 
-// finish ends a change whose pass is held: forward where every rank can still
-// switch at it, else back.
-func finish(ranks []Rank, step int64) []Order {
+// finish ends a change whose pass is held. If every rank can still switch to
+// one map at the pass, they do. Else no rank may keep what an earlier order, or
+// one that is still on its way, could arm: all of them prepare the wanted map,
+// and switch to that one.
+//
+// The holder comes before all others: once it has accepted an order of this
+// leader, no earlier leader can release it while ranks are armed or disarmed.
+func finish(ranks []Rank, step, want int64) []Order {
+	var orders []Order
 	if version := armable(ranks, step); version > 0 {
-		if orders := arm(ranks, version, step); len(orders) > 0 {
-			return orders
+		orders = arm(ranks, version, step)
+		if len(orders) == 0 {
+			return release(ranks)
 		}
-		return release(ranks)
+	} else {
+		orders = replace(ranks, want)
 	}
-	if orders := disarm(ranks); len(orders) > 0 {
-		return orders
+	if holder := newHolder(ranks); holder >= 0 {
+		return ordersFor(orders, holder)
+	}
+	return orders
+}
+
+// newHolder returns the rank that holds a pass and has not accepted an order of
+// this leader, or -1.
+func newHolder(ranks []Rank) int {
+	for i := range ranks {
+		if ranks[i].Held > 0 && !ranks[i].Touched {
+			return i
+		}
+	}
+	return -1
+}
+
+func ordersFor(orders []Order, rank int) []Order {
+	for i := range orders {
+		if orders[i].Rank == rank {
+			return orders[i : i+1]
+		}
 	}
-	return release(ranks)
+	return nil
 }
 
 // armable returns the version that every rank is either armed with for the pass
@@ -133,17 +168,18 @@
 	return orders
 }
 
-// disarm returns the orders that are missing until no rank is armed and none
-// can be armed by an earlier leader. A rank that is not armed is made to accept
-// an order by one that asks for nothing new.
-func disarm(ranks []Rank) []Order {
+// replace returns the orders that make all ranks prepare the wanted map.
+func replace(ranks []Rank, want int64) []Order {
 	var orders []Order
 	for i := range ranks {
 		r := &ranks[i]
-		if r.Armed > 0 {
+		switch {
+		case want == 0:
+			return nil
+		case r.Armed > 0:
 			orders = append(orders, Order{Operation: Disarm, Rank: i, Version: r.Armed})
-		} else if !r.Touched {
-			orders = append(orders, Order{Operation: Disarm, Rank: i, Version: r.Prepared})
+		case r.Prepared != want && !r.Busy:
+			orders = append(orders, Order{Operation: Prepare, Rank: i, Version: want})
 		}
 	}
 	return orders
--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -64,7 +64,11 @@
 	now := time.Now()
 	g.observe(ranks, now)
 	g.follow(service, members, ranks, token, now)
-	if g.want == 0 && !mapchange.Changing(ranks) {
+	switch {
+	case g.want != 0:
+	case mapchange.Stuck(ranks):
+		g.keep(token, now)
+	case !mapchange.Changing(ranks):
 		g.plan(service, ranks, token, now)
 	}
 	orders := mapchange.Next(ranks, g.want)
@@ -158,13 +162,27 @@
 	if before-after < minSkewGain {
 		return
 	}
-	g.used++
-	g.want, g.planned, g.since = token*versionsOfTerm+g.used, next, now
+	g.setWant(next, token, now)
 	g.leader.Log.State("map planned", eventlog.Fields{
 		"group": g.name, "version": g.want, "skew_before": before, "skew_after": after, "experts_loaded": loaded,
 	})
 }
 
+// keep wants the map in force under a new version, which ends a change that was
+// left half done.
+func (g *group) keep(token int64, now time.Time) {
+	if g.present == nil {
+		return
+	}
+	g.setWant(g.present, token, now)
+	g.leader.Log.State("change left half done", eventlog.Fields{"group": g.name, "version": g.want})
+}
+
+func (g *group) setWant(next expertplan.Map, token int64, now time.Time) {
+	g.used++
+	g.want, g.planned, g.since = token*versionsOfTerm+g.used, next, now
+}
+
 // give gives all orders at once and notes which ranks have accepted theirs.
 func (g *group) give(ctx context.Context, members []member, orders []mapchange.Order, token int64) {
 	if len(orders) == 0 {
