--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -40,12 +40,19 @@
 	version  int64 // of present; -1: unknown
 	want     int64 // version being brought into force; 0: none
 	planned  expertplan.Map
-	since    time.Time // when want was planned
-	accepted map[string]acceptance
+	since    time.Time             // when want was planned
+	accepted map[string]acceptance // by rank
+	copying  map[string]copying    // by rank
+}
+
+// copying names a map that a rank has accepted to prepare.
+type copying struct {
+	life    acceptance
+	version int64
 }
 
 func newGroup(leader *Leader, name string) *group {
-	return &group{leader: leader, name: name, window: demand.NewWindow(), version: -1, accepted: make(map[string]acceptance)}
+	return &group{leader: leader, name: name, window: demand.NewWindow(), version: -1, accepted: make(map[string]acceptance), copying: make(map[string]copying)}
 }
 
 func (g *group) asksPlaced() bool { return g.present == nil }
@@ -56,7 +63,9 @@
 	ranks := make([]mapchange.Rank, len(members))
 	for i := range members {
 		ranks[i] = members[i].rank
-		ranks[i].Touched = g.accepted[ranks[i].Target] == acceptance{ranks[i].Epoch, ranks[i].Born, token}
+		life := acceptance{ranks[i].Epoch, ranks[i].Born, token}
+		ranks[i].Touched = g.accepted[ranks[i].Target] == life
+		ranks[i].Busy = ranks[i].Busy || g.want != 0 && g.copying[ranks[i].Target] == copying{life, g.want}
 	}
 	if !mapchange.Whole(ranks) {
 		return false
@@ -225,7 +234,11 @@
 		switch answers[i] {
 		case platform.OrderAccepted:
 			mapchange.Apply(rank, order)
-			g.accepted[rank.Target] = acceptance{rank.Epoch, rank.Born, token}
+			life := acceptance{rank.Epoch, rank.Born, token}
+			g.accepted[rank.Target] = life
+			if order.Operation == mapchange.Prepare {
+				g.copying[rank.Target] = copying{life, order.Version}
+			}
 			continue
 		case platform.OrderFenced:
 			g.leader.setFenced(token)
--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -20,9 +20,9 @@
 
 const (
 	electionGroup  = "maps"
-	joinInterval   = 700 * time.Millisecond
-	joinTimeout    = 600 * time.Millisecond
-	memberLifetime = 2 * time.Second // without a join, until another member leads
+	joinInterval   = 350 * time.Millisecond
+	joinTimeout    = 500 * time.Millisecond
+	memberLifetime = time.Second // without a join, until another member leads
 	idleInterval   = 150 * time.Millisecond
 	changeInterval = 25 * time.Millisecond // while orders are under way
 	standbyPause   = 100 * time.Millisecond
