--- a/internal/core/demand/window.go
+++ b/internal/core/demand/window.go
@@ -38,6 +38,7 @@
 	round     time.Time             // end of the last round
 	intervals []interval
 	steady    bool // the newest interval is like those before it
+	steps     int  // how often demand has moved
 }
 
 // NewWindow returns a window without any counts.
@@ -76,6 +77,7 @@
 	}
 	if len(w.intervals) > 0 && w.moved(next) > shift {
 		w.intervals = nil
+		w.steps++
 	}
 	w.steady = len(w.intervals) > 0
 	w.intervals = append(w.intervals, next)
@@ -84,6 +86,12 @@
 	}
 }
 
+// Settled reports whether Loads tells of demand as it is now.
+func (w *Window) Settled() bool { return w.steady }
+
+// Steps returns how often demand has moved so far.
+func (w *Window) Steps() int { return w.steps }
+
 // moved returns the part of the choices in next that went to other experts than
 // those in the window.
 func (w *Window) moved(next interval) float64 {
--- a/internal/core/mapchange/next.go
+++ b/internal/core/mapchange/next.go
@@ -2,7 +2,7 @@
 
 // holdAhead is how many passes ahead of the group a hold is placed: enough for
 // the orders to arrive before the pass would begin.
-const holdAhead = 3
+const holdAhead = 2
 
 // Next returns the orders to give now. want is the version of the map that the
 // leader has planned, or 0 for none; it must be higher than every version that
--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -40,6 +40,7 @@
 	want     int64 // version being brought into force; 0: none
 	planned  expertplan.Map
 	since    time.Time             // when want was planned
+	steps    int                   // how often demand had moved by then
 	accepted map[string]acceptance // by rank
 	copying  map[string]copying    // by rank
 }
@@ -72,6 +73,9 @@
 	now := time.Now()
 	g.observe(ranks, now)
 	g.follow(service, members, ranks, token, now)
+	if g.overtaken(ranks) {
+		g.want = 0
+	}
 	switch {
 	case g.want != 0:
 	case mapchange.Stuck(ranks):
@@ -164,6 +168,12 @@
 	return m
 }
 
+// overtaken reports whether demand has moved since the wanted map was planned,
+// and the change can still be given up for a better one.
+func (g *group) overtaken(ranks []mapchange.Rank) bool {
+	return g.want != 0 && !mapchange.Changing(ranks) && g.window.Settled() && g.window.Steps() != g.steps
+}
+
 // plan plans a new map if it is worth its cost.
 func (g *group) plan(service *fleet.Service, ranks []mapchange.Rank, token int64, now time.Time) {
 	engine := service.Engine
@@ -201,7 +211,7 @@
 
 func (g *group) setWant(next expertplan.Map, token int64, now time.Time) {
 	g.used++
-	g.want, g.planned, g.since = token*versionsOfTerm+g.used, next, now
+	g.want, g.planned, g.since, g.steps = token*versionsOfTerm+g.used, next, now, g.window.Steps()
 }
 
 // give gives all orders at once, notes which ranks have accepted theirs, and
--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -23,9 +23,9 @@
 	joinInterval   = 350 * time.Millisecond
 	joinTimeout    = 500 * time.Millisecond
 	memberLifetime = time.Second // without a join, until another member leads
-	idleInterval   = 120 * time.Millisecond
-	countInterval  = 120 * time.Millisecond // between reads of counts
-	changeInterval = 25 * time.Millisecond  // while orders are under way
+	idleInterval   = 80 * time.Millisecond
+	countInterval  = 80 * time.Millisecond // between reads of counts
+	changeInterval = 25 * time.Millisecond // while orders are under way
 	standbyPause   = 100 * time.Millisecond
 	readTimeout    = 250 * time.Millisecond
 	orderTimeout   = 80 * time.Millisecond
