Keep one token while leading, load experts for what they are worth

An expert is now loaded for 0.01 of the mean load (before 0.004), orders are given up after 40 ms, and a token lasts as long as the leadership.

--- a/internal/core/expertplan/plan.go
+++ b/internal/core/expertplan/plan.go
@@ -39,8 +39,8 @@
 }
 
 const (
-	minGain  = 0.004 // of a set's mean rank load that one load of an expert must save
-	maxMoves = 200   // of one set in one plan
+	minGain  = 0.01 // of a set's mean rank load that one load of an expert must save
+	maxMoves = 200  // of one set in one plan
 )
 
 // Skew returns the load of the most loaded rank over the mean, averaged over the
--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -28,7 +28,7 @@
 	changeInterval = 25 * time.Millisecond // while orders are under way
 	standbyPause   = 100 * time.Millisecond
 	readTimeout    = 250 * time.Millisecond
-	orderTimeout   = 80 * time.Millisecond
+	orderTimeout   = 40 * time.Millisecond
 )
 
 // Election names the member that leads. platform.Store is one.
@@ -99,14 +99,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.generation = membership.Generation
-	token := int64(0)
-	if membership.Leads && membership.Generation > l.fenced {
-		token = membership.Generation
+	was := l.token
+	switch {
+	case !membership.Leads:
+		l.token = 0
+	case l.token == 0 && membership.Generation > l.fenced:
+		l.token = membership.Generation // kept while this member leads
 	}
-	if (token == 0) != (l.token == 0) {
-		l.Log.State("leadership of maps", eventlog.Fields{"leads": token != 0, "token": token})
+	if (l.token == 0) != (was == 0) {
+		l.Log.State("leadership of maps", eventlog.Fields{"leads": l.token != 0, "token": l.token})
 	}
-	l.token = token
 }
 
 func (l *Leader) leads() int64 {
