Read ranks by their agents only, and never arm a given-up version again

An order without an answer made the leader read that rank past its agent, and engines tell other VMs how they were 200 ms ago. The old state made it disarm all ranks; one disarm got no answer; another old state then showed a rank as armed that had been disarmed, and the group was released. Ruled out: a second leader, fencing, epochs. Now a rank whose agent does not answer is not known, so nothing is ordered, and a version that ranks were told to disarm is not armed again by that leader, since such an order may come late.

--- a/internal/app/gateway/maps.go
+++ b/internal/app/gateway/maps.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"time"
 
 	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/core/mapchange"
@@ -41,55 +40,26 @@
 	return ranks
 }
 
-const (
-	agentTimeout = 100 * time.Millisecond // of a read by way of an agent
-	agentPause   = time.Second            // for which an agent that did not answer is passed by
-)
-
-// rankAccess reaches ranks by way of their agents, which costs least, and
-// directly while an agent does not answer.
+// rankAccess reaches ranks. They are read by way of their agents only: an engine
+// tells other VMs how it was some hundred ms ago, before orders that it has
+// accepted since.
 type rankAccess struct {
 	agents *ranklink.Client
 
 	mu      sync.Mutex
 	engines map[string]*platform.Engine // by address
-	silent  map[string]time.Time        // until when an agent is passed by, by address
 }
 
 func newRankAccess(port int) *rankAccess {
-	return &rankAccess{
-		agents:  ranklink.NewClient(port),
-		engines: make(map[string]*platform.Engine),
-		silent:  make(map[string]time.Time),
-	}
+	return &rankAccess{agents: ranklink.NewClient(port), engines: make(map[string]*platform.Engine)}
 }
 
-// State reads a rank. Read directly, it comes without counts, since these would
-// make the whole group pause.
 func (a *rankAccess) State(ctx context.Context, target fleet.Target, ask ranklink.Ask) (mapchange.Rank, [][]int32, error) {
 	host, _, err := net.SplitHostPort(target.Address)
 	if err != nil {
 		return mapchange.Rank{}, nil, err
 	}
-	if !a.isSilent(target.Address) {
-		agentCtx, cancel := context.WithTimeout(ctx, agentTimeout)
-		defer cancel()
-		rank, placed, err := a.agents.State(agentCtx, host, ask)
-		if err == nil {
-			return rank, placed, nil
-		}
-		a.setSilent(target.Address)
-	}
-	engine := a.engine(target.Address)
-	rank, err := engine.Report(ctx)
-	if err != nil || !ask.Placed {
-		return rank, nil, err
-	}
-	placed, err := engine.Placed(ctx)
-	if err != nil || placed.Version != rank.Version {
-		return rank, nil, err
-	}
-	return rank, placed.Experts, nil
+	return a.agents.State(ctx, host, ask)
 }
 
 // Give gives a rank an order. Holds and their releases go to the rank directly:
@@ -100,15 +70,10 @@
 	if err != nil {
 		return platform.OrderRefused, err
 	}
-	direct := order.Operation == mapchange.Hold || order.Operation == mapchange.Go
-	if direct || a.isSilent(target.Address) {
+	if order.Operation == mapchange.Hold || order.Operation == mapchange.Go {
 		return a.engine(target.Address).Give(ctx, order)
 	}
-	answer, err := a.agents.Give(ctx, host, order)
-	if err != nil && answer == platform.OrderUnknown {
-		a.setSilent(target.Address)
-	}
-	return answer, err
+	return a.agents.Give(ctx, host, order)
 }
 
 func (a *rankAccess) engine(address string) *platform.Engine {
@@ -121,15 +86,3 @@
 	}
 	return engine
 }
-
-func (a *rankAccess) isSilent(address string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return time.Now().Before(a.silent[address])
-}
-
-func (a *rankAccess) setSilent(address string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.silent[address] = time.Now().Add(agentPause)
-}
--- a/internal/core/mapchange/machine_test.go
+++ b/internal/core/mapchange/machine_test.go
@@ -70,7 +70,7 @@
 type simLeader struct {
 	token    int64
 	used     int64
-	want     int64
+	plan     Plan
 	read     []Rank
 	accepted map[int][2]int64 // by rank: epoch and start
 }
@@ -101,7 +101,7 @@
 
 func (g *simGroup) elect() {
 	g.tokens++
-	g.leaders = append(g.leaders, &simLeader{token: g.tokens, accepted: make(map[int][2]int64)})
+	g.leaders = append(g.leaders, &simLeader{token: g.tokens, accepted: make(map[int][2]int64), plan: Plan{GivenUp: make(map[int64]bool)}})
 	if len(g.leaders) > 3 {
 		g.leaders = g.leaders[1:]
 	}
@@ -122,12 +122,12 @@
 		return
 	}
 	if Whole(l.read) {
-		if l.want != 0 && l.read[0].Version == l.want {
-			l.want = 0
+		if l.read[0].Version == l.plan.Want || l.plan.GivenUp[l.plan.Want] {
+			l.plan.Want = 0
 		}
-		if l.want == 0 && (!Changing(l.read) || Stuck(l.read)) {
+		if l.plan.Want == 0 && (!Changing(l.read) || Stuck(l.read, l.plan)) {
 			l.used++
-			l.want = l.token*1000 + l.used
+			l.plan.Want = l.token*1000 + l.used
 		}
 		g.giveAll(l)
 	}
@@ -137,7 +137,10 @@
 }
 
 func (g *simGroup) giveAll(l *simLeader) {
-	for _, order := range Next(l.read, l.want) {
+	for _, order := range Next(l.read, l.plan) {
+		if order.Operation == Disarm {
+			l.plan.GivenUp[order.Version] = true
+		}
 		at := &l.read[order.Rank]
 		o := sent{order, at.Epoch, at.Sequence, l.token}
 		if g.faults && g.random.IntN(3) == 0 {
--- a/internal/core/mapchange/next.go
+++ b/internal/core/mapchange/next.go
@@ -4,23 +4,32 @@
 // the orders to arrive before the pass would begin.
 const holdAhead = 2
 
-// Next returns the orders to give now. want is the version of the map that the
-// leader has planned, or 0 for none; it must be higher than every version that
-// the ranks have had. ranks must hold all ranks of the group.
-func Next(ranks []Rank, want int64) []Order {
+// Plan is what a leader wants of a group.
+type Plan struct {
+	// Want is the version of the map to bring into force, or 0 for none. It must
+	// be higher than every version that the ranks have had.
+	Want int64
+	// GivenUp holds the versions that the leader has disarmed ranks of. One of
+	// these orders may still be on its way, so the versions are not armed again.
+	GivenUp map[int64]bool
+}
+
+// Next returns the orders to give now. ranks must hold all ranks of the group,
+// each as it was after the last order of this leader.
+func Next(ranks []Rank, plan Plan) []Order {
 	if !Whole(ranks) {
 		return nil
 	}
 	if step := heldStep(ranks); step > 0 {
-		return finish(ranks, step, want)
+		return finish(ranks, step, plan)
 	}
 	if anyArmed(ranks) {
 		return nil // released; the ranks switch when they reach the pass
 	}
-	if want == 0 {
+	if plan.Want == 0 {
 		return nil
 	}
-	if orders, prepared := prepare(ranks, want); !prepared {
+	if orders, prepared := prepare(ranks, plan.Want); !prepared {
 		return orders
 	}
 	return []Order{{Operation: Hold, Rank: 0, Step: newestStep(ranks) + holdAhead}}
@@ -31,9 +40,9 @@
 
 // Stuck reports whether a pass is held and the ranks cannot all switch to one
 // map at it. The leader must then want a map; the one in force costs no copies.
-func Stuck(ranks []Rank) bool {
+func Stuck(ranks []Rank, plan Plan) bool {
 	step := heldStep(ranks)
-	return step > 0 && armable(ranks, step) == 0
+	return step > 0 && armable(ranks, step, plan) == 0
 }
 
 // Whole reports whether ranks are all ranks of one open group, in order.
@@ -100,19 +109,19 @@
 // leader, no earlier leader can release it while ranks are armed or disarmed.
 // That order asks for the hold once more, which changes nothing, or takes back a
 // release that no rank has acted on yet.
-func finish(ranks []Rank, step, want int64) []Order {
+func finish(ranks []Rank, step int64, plan Plan) []Order {
 	if holder := newHolder(ranks); holder >= 0 {
 		return []Order{{Operation: Hold, Rank: holder, Step: ranks[holder].Held}}
 	}
 	switch armed := armedStep(ranks); {
 	case armed > 0 && armed < step:
 		return nil // an earlier change, released; the ranks switch before they reach the hold
-	case armed > step && armable(ranks, armed) > 0:
+	case armed > step && armable(ranks, armed, Plan{}) > 0:
 		return release(ranks) // the hold came late, and guards nothing
 	}
-	version := armable(ranks, step)
+	version := armable(ranks, step, plan)
 	if version == 0 {
-		return replace(ranks, want)
+		return replace(ranks, plan.Want)
 	}
 	if orders := arm(ranks, version, step); len(orders) > 0 {
 		return orders
@@ -143,8 +152,8 @@
 }
 
 // armable returns the version that every rank is either armed with for the pass
-// or has prepared, or 0 if there is none.
-func armable(ranks []Rank, step int64) int64 {
+// or has prepared and the leader has not given up, or 0 if there is none.
+func armable(ranks []Rank, step int64, plan Plan) int64 {
 	version := int64(0)
 	for i := range ranks {
 		r := &ranks[i]
@@ -160,6 +169,9 @@
 		}
 		version = own
 	}
+	if plan.GivenUp[version] {
+		return 0
+	}
 	return version
 }
 
--- /dev/null
+++ b/internal/core/mapchange/next_test.go
@@ -0,0 +1,60 @@
+package mapchange
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// heldGroup returns a group of three whose next pass but one is held by this
+// leader, with version 5 prepared.
+func heldGroup() []Rank {
+	ranks := make([]Rank, 3)
+	for i := range ranks {
+		ranks[i] = Rank{Group: "g", Epoch: 1, Index: i, Size: 3, Open: true, Step: 8, Version: 4, Prepared: 5, Touched: true}
+	}
+	ranks[0].Held = 10
+	return ranks
+}
+
+func TestArmsAllRanksAndThenReleases(t *testing.T) {
+	ranks := heldGroup()
+	orders := Next(ranks, Plan{Want: 5})
+	assert.Equal(t, len(orders), 3)
+	for _, order := range orders {
+		assert.Equal(t, order, Order{Operation: Arm, Rank: order.Rank, Version: 5, Step: 10})
+		Apply(&ranks[order.Rank], order)
+	}
+	assert.DeepEqual(t, Next(ranks, Plan{Want: 5}), []Order{{Operation: Go, Rank: 0, Step: 10}})
+}
+
+// A disarm that got no answer may be carried out after the ranks were armed
+// again and released: mffa-entries scale-1 without processor time, pass 267.
+func TestVersionThatWasGivenUpIsNotArmedAgain(t *testing.T) {
+	ranks := heldGroup()
+	ranks[1].Armed, ranks[1].ArmedStep = 5, 10
+	plan := Plan{Want: 6, GivenUp: map[int64]bool{5: true}}
+	for _, order := range Next(ranks, plan) {
+		assert.Assert(t, order.Operation == Disarm || order.Operation == Prepare, "%+v", order)
+		assert.Assert(t, order.Operation != Prepare || order.Version == 6, "%+v", order)
+	}
+	assert.Assert(t, Stuck(ranks, plan))
+}
+
+func TestNewLeaderRenewsTheHoldFirst(t *testing.T) {
+	ranks := heldGroup()
+	for i := range ranks {
+		ranks[i].Touched = false
+	}
+	assert.DeepEqual(t, Next(ranks, Plan{Want: 7}), []Order{{Operation: Hold, Rank: 0, Step: 10}})
+}
+
+func TestNothingIsOrderedOfAPartOfAGroup(t *testing.T) {
+	assert.Equal(t, len(Next(heldGroup()[:2], Plan{Want: 5})), 0)
+	closed := heldGroup()
+	closed[2].Open = false
+	assert.Equal(t, len(Next(closed, Plan{Want: 5})), 0)
+	mixed := heldGroup()
+	mixed[1].Epoch = 2
+	assert.Equal(t, len(Next(mixed, Plan{Want: 5})), 0)
+}
--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -43,6 +43,7 @@
 	steps    int                   // how often demand had moved by then
 	accepted map[string]acceptance // by rank
 	copying  map[string]copying    // by rank
+	givenUp  map[int64]bool        // versions that ranks were told to disarm
 }
 
 // copying names a map that a rank has accepted to prepare.
@@ -52,9 +53,11 @@
 }
 
 func newGroup(leader *Leader, name string) *group {
-	return &group{leader: leader, name: name, window: demand.NewWindow(), version: -1, accepted: make(map[string]acceptance), copying: make(map[string]copying)}
+	return &group{leader: leader, name: name, window: demand.NewWindow(), version: -1, accepted: make(map[string]acceptance), copying: make(map[string]copying), givenUp: make(map[int64]bool)}
 }
 
+func (g *group) wanted() mapchange.Plan { return mapchange.Plan{Want: g.want, GivenUp: g.givenUp} }
+
 func (g *group) asksPlaced() bool { return g.present == nil }
 
 // step takes what the ranks report and gives the orders that are due.
@@ -73,12 +76,12 @@
 	now := time.Now()
 	g.observe(ranks, now)
 	g.follow(service, members, ranks, token, now)
-	if g.overtaken(ranks) {
+	if g.overtaken(ranks) || g.givenUp[g.want] {
 		g.want = 0
 	}
 	switch {
 	case g.want != 0:
-	case mapchange.Stuck(ranks):
+	case mapchange.Stuck(ranks, g.wanted()):
 		g.keep(token, now)
 	case !mapchange.Changing(ranks):
 		g.plan(service, ranks, token, now)
@@ -95,7 +98,7 @@
 // accepted: while a pass is held, the group may soon have to wait for it.
 func (g *group) advance(ctx context.Context, members []member, ranks []mapchange.Rank, token int64) {
 	for range rounds {
-		orders := mapchange.Next(ranks, g.want)
+		orders := mapchange.Next(ranks, g.wanted())
 		if len(orders) == 0 || !g.give(ctx, members, ranks, orders, token) {
 			return
 		}
@@ -122,6 +125,7 @@
 	}
 	if epoch := ranks[0].Epoch; epoch != g.epoch {
 		g.epoch, g.want, g.present, g.version = epoch, 0, nil, -1
+		clear(g.givenUp)
 	}
 	inForce, same := commonVersion(ranks)
 	if !same {
@@ -224,8 +228,11 @@
 	for i, order := range orders {
 		rank := &ranks[order.Rank]
 		full := platform.RankOrder{Order: order, Epoch: rank.Epoch, Expected: rank.Sequence, Token: token}
-		if order.Operation == mapchange.Prepare {
+		switch order.Operation {
+		case mapchange.Prepare:
 			full.Map = g.planned
+		case mapchange.Disarm:
+			g.givenUp[order.Version] = true
 		}
 		wait.Go(func() {
 			answer, err := g.leader.Ranks.Give(ctx, members[order.Rank].target, full)
