--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	loadsInChange  = 3               // experts of all sets that a rank may load in one change
+	loadsInChange  = 2               // experts of all sets that a rank may load in one change
 	minSkewGain    = 0.12            // that a change must bring
 	prepareTimeout = 4 * time.Second // after which a map that is not prepared is given up
 	versionsOfTerm = 1 << 20         // versions that one fencing token leaves room for
