Look at the caller before sending what waited out a suspension

Ruled out: the deadline (a request is read only after the VM wakes). The test fails without the look.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -38,6 +38,8 @@
 	requests  gometrics.Counter
 	stopping  atomic.Int64 // time of SIGTERM in Unix nanoseconds; 0: none
 
+	suspension suspension
+
 	retriesLock sync.Mutex
 	retries     map[string]*quota.Retries // by service
 }
@@ -99,6 +101,7 @@
 	group.Go(func() error { return g.peers.run(background) })
 	group.Go(func() error { return g.leader().Run(ctx) }) // a stopping gateway does not lead
 	group.Go(func() error { return g.watchReload(background) })
+	group.Go(func() error { return g.suspension.watch(background, g.log) })
 	group.Go(func() error {
 		defer stop()
 		return g.serve(ctx, background)
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -148,6 +148,7 @@
 		x.refuse("kills_targets", 0)
 		return
 	}
+	x.lookAtCaller()
 	for x.mayTry() {
 		if x.request.Context().Err() != nil {
 			x.logOutcome("caller_left", 0)
@@ -166,6 +167,18 @@
 	x.giveUp()
 }
 
+// lookAtCaller gives net/http the time to notice that the caller has left, where
+// the request may have waited while the process was suspended.
+func (x *exchange) lookAtCaller() {
+	if !x.gateway.suspension.lately(time.Now()) {
+		return
+	}
+	select {
+	case <-x.request.Context().Done():
+	case <-time.After(callerCheck):
+	}
+}
+
 const maxDials = 4 // targets tried in vain before the request is refused
 
 // mayTry reports whether a further attempt is allowed, and takes a retry out of
--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -199,3 +201,18 @@
 	assert.Assert(t, float64(again) <= bound, "%d arrivals beyond the first of %d requests", again, requests)
 	assert.Assert(t, again > 10, "only %d retries", again)
 }
+
+// A gateway that was suspended reads requests that their callers have given up
+// and sent again elsewhere.
+func TestRequestOfACallerThatLeftIsNotSentAfterASuspension(t *testing.T) {
+	one := userplatform.NewTarget(t, "i-1")
+	b := newBench(t, one)
+	b.gateway.suspension.ended.Store(time.Now().UnixNano())
+	conn, err := net.Dial("tcp", b.gateway.node.CallerAddress)
+	assert.NilError(t, err)
+	_, err = fmt.Fprintf(conn, "POST /once/ HTTP/1.1\r\nHost: %s\r\nCredential: %s\r\nAttempt-Id: left\r\nContent-Length: 3\r\n\r\npay", testHost, testKey)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Close())
+	assert.Equal(t, b.get("/read/").status, http.StatusOK) // comes after it
+	assert.Equal(t, arrived(one), 1)
+}
