--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -103,7 +103,7 @@
 		}
 		return unknown
 	}
-	defer answer.Body.Close()
+	defer answer.Body.Close() //nolint:errcheck // what was read of it counts
 	return x.receive(answer, target.ID, watch)
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -81,13 +81,10 @@
 		return err
 	}
 	log := eventlog.New(os.Stdout)
-	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
-	logged := make(chan error, 1)
-	go func() { logged <- log.Run(logCtx) }()
+	finishLog := log.Start()
 	err = New(node, log).run(ctx)
 	log.State("stopped", eventlog.Fields{"node": node.Name})
-	stopLog()
-	<-logged
+	finishLog()
 	return err
 }
 
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -101,6 +101,10 @@
 		x.reject(http.StatusUnauthorized, "unknown_key")
 		return false
 	}
+	if x.route.Kind == fleet.Stream && x.gateway.refusesStreams(x.arrived) {
+		x.refuse("stopping", 0)
+		return false
+	}
 	x.account = account
 	x.service = x.route.Service(rand.Float64())
 	x.struck = strike.Fingerprint(account.Name+x.request.URL.Path, x.body)
--- a/internal/app/gateway/maps.go
+++ b/internal/app/gateway/maps.go
@@ -54,6 +54,7 @@
 	return &rankAccess{agents: ranklink.NewClient(port), engines: make(map[string]*platform.Engine)}
 }
 
+// State reads a rank by way of its agent.
 func (a *rankAccess) State(ctx context.Context, target fleet.Target, ask ranklink.Ask) (mapchange.Rank, [][]int32, error) {
 	host, _, err := net.SplitHostPort(target.Address)
 	if err != nil {
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -199,7 +199,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "ask peer")
 	}
-	defer answer.Body.Close()
+	defer answer.Body.Close() //nolint:errcheck // what was read of it counts
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxStateBytes))
 	if err != nil {
 		return nil, errors.Wrapf(err, "ask peer %s", address)
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -48,7 +48,7 @@
 		line, err := r.from.ReadBytes('\n')
 		e.raw = append(e.raw, line...)
 		if err != nil {
-			if err == io.EOF && len(e.raw) > 0 {
+			if errors.Is(err, io.EOF) && len(e.raw) > 0 {
 				return event{}, errCutEvent
 			}
 			return event{}, err
@@ -74,7 +74,7 @@
 	begun := false
 	for {
 		next, err := reader.next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return x.finishStream(answer)
 		}
 		if err != nil {
--- a/internal/app/rankagent/agent.go
+++ b/internal/app/rankagent/agent.go
@@ -33,14 +33,11 @@
 		return err
 	}
 	log := eventlog.New(os.Stdout)
-	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
-	logged := make(chan error, 1)
-	go func() { logged <- log.Run(logCtx) }()
+	finishLog := log.Start()
 	signal.Ignore(syscall.SIGHUP) // the agent's settings do not change while it runs
 	err = serve(ctx, node, log)
 	log.State("stopped", eventlog.Fields{"node": node.Name})
-	stopLog()
-	<-logged
+	finishLog()
 	return err
 }
 
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -91,8 +91,22 @@
 	}
 }
 
-// Run writes lines until ctx ends, and then those that still wait.
-func (l *Log) Run(ctx context.Context) error {
+// Start writes lines in the background. The function that it returns ends that
+// once the lines that still wait are written.
+func (l *Log) Start() (finish func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		l.run(ctx)
+		close(ended)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+func (l *Log) run(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	reported := int64(0)
@@ -107,7 +121,7 @@
 			}
 		case <-ctx.Done():
 			l.drain()
-			return nil
+			return
 		}
 	}
 }
--- /dev/null
+++ b/internal/eventlog/log_test.go
@@ -0,0 +1,65 @@
+package eventlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestLinesCarryTheirFields(t *testing.T) {
+	var out bytes.Buffer
+	log := New(&out)
+	finish := log.Start()
+	log.State("map in force", Fields{"version": 7})
+	log.Decision("request ended", Fields{"request": "r1", "outcome": "answered"})
+	finish()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 2)
+	var line struct {
+		Message string         `json:"message"`
+		Fields  map[string]any `json:"fields"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(lines[1]), &line))
+	assert.Equal(t, line.Message, "request ended")
+	assert.Equal(t, line.Fields["outcome"], "answered")
+}
+
+// blockedWriter never returns.
+type blockedWriter struct{}
+
+func (blockedWriter) Write([]byte) (int, error) { select {} }
+
+func TestWriterThatBlocksHoldsNobodyUp(t *testing.T) {
+	log := New(blockedWriter{})
+	log.Start()
+	done := make(chan struct{})
+	go func() {
+		for range 3 * queueLines {
+			log.State("state", nil)
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("logging blocks")
+	}
+	assert.Assert(t, log.Dropped() > 0)
+}
+
+func TestDecisionsAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	log := New(&out)
+	now := time.Now()
+	admitted := 0
+	for range 10 * linesPerSecond {
+		if log.admit(now) {
+			admitted++
+		}
+	}
+	assert.Equal(t, admitted, linesPerSecond)
+}
--- a/internal/ranklink/client.go
+++ b/internal/ranklink/client.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	defer answer.Body.Close()
+	defer answer.Body.Close() //nolint:errcheck // what was read of it counts
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxReplyBytes))
 	if err != nil {
 		return err
