--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -45,7 +45,9 @@
 	if service == nil {
 		return registry.Usable{}, false
 	}
-	return x.gateway.loads.choose(service, view.Targets[x.service], x.tried, x.gateway.admissionLimits(), time.Now())
+	targets := view.Targets[x.service]
+	x.known = len(targets)
+	return x.gateway.loads.choose(service, targets, x.tried, x.gateway.admissionLimits(), time.Now())
 }
 
 // settle notes how an attempt ended and reports whether the request is done.
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -42,6 +42,7 @@
 	dials    int             // targets that could not be reached
 	mayRun   bool            // a target may have run the request
 	blamed   string          // target that an answer blamed
+	known    int             // usable targets of the service
 	fallback *bufferedAnswer // a failure that a target answered
 	stream   streamPosition
 }
@@ -224,6 +225,8 @@
 		return "targets_full"
 	case x.dials > 0:
 		return "targets_unreachable"
+	case x.known > 0:
+		return "admission_limit"
 	}
 	return "no_target"
 }
--- a/internal/core/quota/admissions.go
+++ b/internal/core/quota/admissions.go
@@ -34,6 +34,7 @@
 
 const (
 	admissionMargin = 0.85 // part of the limit that all gateways use together
+	coldShare       = 1.3  // of what a cold target tolerates; not all gateways that are reckoned with are there
 	noLimit         = 1 << 30
 )
 
@@ -44,9 +45,9 @@
 	if rate <= 0 {
 		return noLimit
 	}
-	limit := rate
-	if !cold {
-		limit = (rate*factor + slack) * admissionMargin
+	limit := (rate*factor + slack) * admissionMargin
+	if cold {
+		limit = min(limit, rate*coldShare)
 	}
 	return max(1, int(limit/float64(max(gateways, 1))))
 }
