--- a/internal/core/mapchange/next.go
+++ b/internal/core/mapchange/next.go
@@ -1,8 +1,11 @@
 package mapchange
 
-// holdAhead is how many passes ahead of the group a hold is placed: enough for
-// the orders to arrive before the pass would begin.
-const holdAhead = 2
+// How many passes ahead of the group a hold is placed: enough for all ranks to
+// be armed before the pass would begin.
+const (
+	holdAhead       = 2
+	holdAheadLosing = 6 // while orders are lost, and have to be given again
+)
 
 // Plan is what a leader wants of a group.
 type Plan struct {
@@ -12,6 +15,15 @@
 	// GivenUp holds the versions that the leader has disarmed ranks of. One of
 	// these orders may still be on its way, so the versions are not armed again.
 	GivenUp map[int64]bool
+	// Losing says that orders have lately got no answer.
+	Losing bool
+}
+
+func (p Plan) holdAhead() int64 {
+	if p.Losing {
+		return holdAheadLosing
+	}
+	return holdAhead
 }
 
 // Next returns the orders to give now. ranks must hold all ranks of the group,
@@ -32,7 +44,7 @@
 	if orders, prepared := prepare(ranks, plan.Want); !prepared {
 		return orders
 	}
-	return []Order{{Operation: Hold, Rank: 0, Step: newestStep(ranks) + holdAhead}}
+	return []Order{{Operation: Hold, Rank: 0, Step: newestStep(ranks) + plan.holdAhead()}}
 }
 
 // Changing reports whether a change is under way that must be ended first.
--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -44,8 +44,12 @@
 	accepted map[string]acceptance // by rank
 	copying  map[string]copying    // by rank
 	givenUp  map[int64]bool        // versions that ranks were told to disarm
+	lost     time.Time             // when an order got no answer last
 }
 
+// lossMemory is how long a lost order makes others likely to be lost.
+const lossMemory = 2 * time.Second
+
 // copying names a map that a rank has accepted to prepare.
 type copying struct {
 	life    acceptance
@@ -56,7 +60,9 @@
 	return &group{leader: leader, name: name, window: demand.NewWindow(), version: -1, accepted: make(map[string]acceptance), copying: make(map[string]copying), givenUp: make(map[int64]bool)}
 }
 
-func (g *group) wanted() mapchange.Plan { return mapchange.Plan{Want: g.want, GivenUp: g.givenUp} }
+func (g *group) wanted() mapchange.Plan {
+	return mapchange.Plan{Want: g.want, GivenUp: g.givenUp, Losing: time.Since(g.lost) < lossMemory}
+}
 
 func (g *group) asksPlaced() bool { return g.present == nil }
 
@@ -255,6 +261,8 @@
 				g.copying[rank.Target] = copying{life, order.Version}
 			}
 			continue
+		case platform.OrderUnknown:
+			g.lost = time.Now()
 		case platform.OrderFenced:
 			g.leader.setFenced(token)
 		}
--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -28,7 +28,7 @@
 	changeInterval = 25 * time.Millisecond // while orders are under way
 	standbyPause   = 100 * time.Millisecond
 	readTimeout    = 250 * time.Millisecond
-	orderTimeout   = 40 * time.Millisecond
+	orderTimeout   = 25 * time.Millisecond
 )
 
 // Election names the member that leads. platform.Store is one.
