Keep the stand-in that speaks the platform's wire beside platform/

Its files name headers and fields of the platform, which only that folder may. No behaviour changes.

--- a/internal/app/gateway/fleet_test.go
+++ b/internal/app/gateway/fleet_test.go
@@ -7,17 +7,17 @@
 
 	"gotest.tools/v3/assert"
 
-	"quetzalbend/internal/app/standin/userplatform"
+	"quetzalbend/platform/platformtest"
 )
 
 func TestNotReadyWithoutSettings(t *testing.T) {
-	store := userplatform.NewStore(t)
+	store := platformtest.NewStore(t)
 	g, _, _ := startGateway(t, "gateway-1", store.Address(), nil)
 	b := &bench{t: t, store: store, gateway: g}
 	b.wait("health is answered", func() bool { return b.health() != 0 })
 	assert.Equal(t, b.health(), http.StatusServiceUnavailable)
 	assert.Equal(t, b.get("/read/").status, http.StatusServiceUnavailable)
-	target := userplatform.NewTarget(t, "i-1")
+	target := platformtest.NewTarget(t, "i-1")
 	store.PutJSON(t, "keyed.servers", "i-1", targetRecord(target, nil))
 	store.PutJSON(t, "keyed.op", "config", testSettings(1))
 	b.waitReady()
@@ -25,7 +25,7 @@
 }
 
 func TestNewSettingsAreInForceSoonAndNeverGoBack(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, one)
 	added := testRoute("/new/", "idempotent", nil)
 	b.store.PutJSON(t, "keyed.op", "config", testSettings(7, added))
@@ -42,7 +42,7 @@
 // A read that waits may miss the record that comes just as it begins: tp-bumpline
 // trouble-3, seed 1066520308288, answered 2.3 s later.
 func TestReadThatMissesARecordDoesNotHoldSettingsUp(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, one)
 	b.store.SetDeaf(true)
 	b.store.PutJSON(t, "keyed.op", "config", testSettings(2)) // ends the read that waits now
@@ -55,7 +55,7 @@
 }
 
 func TestSettingsSurviveAStoreThatForgets(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, one)
 	b.store.PutJSON(t, "keyed.op", "config", testSettings(5, testRoute("/new/", "idempotent", nil)))
 	b.store.Forget("keyed.op")
@@ -64,7 +64,7 @@
 }
 
 func TestLeavingTargetGetsNothingNew(t *testing.T) {
-	one, two := userplatform.NewTarget(t, "i-1"), userplatform.NewTarget(t, "i-2")
+	one, two := platformtest.NewTarget(t, "i-1"), platformtest.NewTarget(t, "i-2")
 	b := newBench(t, one, two)
 	b.store.PutJSON(t, "keyed.servers", "i-1", targetRecord(one, object{"state": "draining"}))
 	written := time.Now()
@@ -78,7 +78,7 @@
 }
 
 func TestDomainTakenOutGetsNothing(t *testing.T) {
-	one, two := userplatform.NewTarget(t, "i-1"), userplatform.NewTarget(t, "i-2")
+	one, two := platformtest.NewTarget(t, "i-1"), platformtest.NewTarget(t, "i-2")
 	b := newBench(t, one, two)
 	b.store.PutJSON(t, "keyed.servers", "i-1", targetRecord(one, object{"zone": "d2"}))
 	b.store.Put("keyed.op", "evacuate/d2", []byte("{}"))
@@ -88,14 +88,14 @@
 }
 
 func TestRecordsOfOtherWritersNameNoTarget(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, one)
-	stranger := userplatform.NewTarget(t, "i-x")
+	stranger := platformtest.NewTarget(t, "i-x")
 	b.store.Put("keyed.servers", "i-x1", []byte("\xff\x00 no JSON"))
 	b.store.PutJSON(t, "keyed.servers", "i-x2", targetRecord(stranger, object{"slots": "six"}))
 	b.store.PutJSON(t, "keyed.servers", "i-x3", object{"service": "app", "address": stranger.Address()})
 	b.store.PutJSON(t, "keyed.servers", "i-x4", targetRecord(stranger, object{"state": "excellent"}))
-	b.store.PutJSON(t, "keyed.servers", "i-2", targetRecord(userplatform.NewTarget(t, "i-2"), nil))
+	b.store.PutJSON(t, "keyed.servers", "i-2", targetRecord(platformtest.NewTarget(t, "i-2"), nil))
 	b.wait("the last record is read", func() bool { return len(b.gateway.state.View().Targets["app"]) >= 2 })
 	assert.Equal(t, len(b.gateway.state.View().Targets["app"]), 2)
 }
@@ -103,9 +103,9 @@
 // A gateway that the store turns away learns new settings from its peers, and a
 // new one that knows only their addresses becomes ready.
 func TestPeersHelpWhileTheStoreTurnsAGatewayAway(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, one)
-	away := userplatform.NewStore(t)
+	away := platformtest.NewStore(t)
 	away.SetDown(true)
 	g, _, _ := startGateway(t, "gateway-2", away.Address(), []string{b.gateway.node.ControlAddress})
 	other := &bench{t: t, store: away, gateway: g}
@@ -119,7 +119,7 @@
 }
 
 func TestStopIsGraceful(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	one.Events = 40
 	one.EventGap = 50 * time.Millisecond
 	b := newBench(t, one)
@@ -143,7 +143,7 @@
 
 // The targets' admission limits hold over all gateways together.
 func TestColdTargetIsNotOverrun(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, one)
 	settings := testSettings(2)
 	settings["services"] = []object{{"name": "app", "maxConnections": 100, "coldStartS": 3, "coldPerS": 26}}
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -14,9 +14,9 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"quetzalbend/internal/app/standin/userplatform"
 	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/eventlog"
+	"quetzalbend/platform/platformtest"
 )
 
 const (
@@ -57,7 +57,7 @@
 	}
 }
 
-func targetRecord(target *userplatform.Target, more object) object {
+func targetRecord(target *platformtest.Target, more object) object {
 	record := object{
 		"service": "app", "address": target.Address(), "zone": "d1", "version": "v1", "slots": 6,
 		"state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1,
@@ -71,14 +71,14 @@
 // bench is a store, targets and one gateway.
 type bench struct {
 	t       *testing.T
-	store   *userplatform.Store
+	store   *platformtest.Store
 	gateway *Gateway
 	stop    context.CancelFunc
 	ended   chan error
 }
 
-func newBench(t *testing.T, targets ...*userplatform.Target) *bench {
-	b := &bench{t: t, store: userplatform.NewStore(t)}
+func newBench(t *testing.T, targets ...*platformtest.Target) *bench {
+	b := &bench{t: t, store: platformtest.NewStore(t)}
 	b.store.PutJSON(t, "keyed.op", "config", testSettings(1))
 	for _, target := range targets {
 		b.store.PutJSON(t, "keyed.servers", target.ID, targetRecord(target, nil))
@@ -206,7 +206,7 @@
 }
 
 // ran returns how many requests ran at the targets.
-func ran(targets ...*userplatform.Target) int {
+func ran(targets ...*platformtest.Target) int {
 	count := 0
 	for _, target := range targets {
 		for _, arrival := range target.Arrivals() {
@@ -218,7 +218,7 @@
 	return count
 }
 
-func arrived(targets ...*userplatform.Target) int {
+func arrived(targets ...*platformtest.Target) int {
 	count := 0
 	for _, target := range targets {
 		count += len(target.Arrivals())
--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -12,11 +12,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"quetzalbend/internal/app/standin/userplatform"
+	"quetzalbend/platform/platformtest"
 )
 
 func TestRequestIsForwardedUnchanged(t *testing.T) {
-	target := userplatform.NewTarget(t, "i-1")
+	target := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, target)
 	request := b.request(t.Context(), http.MethodPost, "/once/a%2Fb/?x=1&y=%20z", "the body")
 	request.Header.Set("Tenant", "somebody-else")
@@ -45,7 +45,7 @@
 }
 
 func TestRequestsThatAreNotAllowed(t *testing.T) {
-	target := userplatform.NewTarget(t, "i-1")
+	target := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, target)
 	unknownKey := b.request(t.Context(), http.MethodGet, "/read/", "")
 	unknownKey.Header.Set("Credential", "stranger")
@@ -58,12 +58,12 @@
 // A call that may not be repeated runs once whatever becomes of its answer, and
 // its caller is never told that it has not run.
 func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
-	for name, behavior := range map[string]userplatform.Behavior{
-		"reset": userplatform.Reset, "cut": userplatform.Cut, "wrong request": userplatform.WrongRequest,
-		"unsigned": userplatform.Unsigned,
+	for name, behavior := range map[string]platformtest.Behavior{
+		"reset": platformtest.Reset, "cut": platformtest.Cut, "wrong request": platformtest.WrongRequest,
+		"unsigned": platformtest.Unsigned,
 	} {
 		t.Run(name, func(t *testing.T) {
-			one, two := userplatform.NewTarget(t, "i-1", behavior), userplatform.NewTarget(t, "i-2", behavior)
+			one, two := platformtest.NewTarget(t, "i-1", behavior), platformtest.NewTarget(t, "i-2", behavior)
 			b := newBench(t, one, two)
 			got := b.post("/once-twice/", "pay")
 			assert.NilError(t, got.err)
@@ -74,7 +74,7 @@
 }
 
 func TestNonIdempotentFailureOfTargetIsPassedOn(t *testing.T) {
-	one, two := userplatform.NewTarget(t, "i-1", userplatform.Fail), userplatform.NewTarget(t, "i-2", userplatform.Fail)
+	one, two := platformtest.NewTarget(t, "i-1", platformtest.Fail), platformtest.NewTarget(t, "i-2", platformtest.Fail)
 	b := newBench(t, one, two)
 	got := b.post("/once-twice/", "pay")
 	assert.Equal(t, got.status, http.StatusInternalServerError)
@@ -83,7 +83,7 @@
 }
 
 func TestRefusalThatHasNotRunIsTriedElsewhere(t *testing.T) {
-	one, two := userplatform.NewTarget(t, "i-1", userplatform.Shed), userplatform.NewTarget(t, "i-2", userplatform.Shed)
+	one, two := platformtest.NewTarget(t, "i-1", platformtest.Shed), platformtest.NewTarget(t, "i-2", platformtest.Shed)
 	b := newBench(t, one, two)
 	got := b.post("/once-twice/", "pay")
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
@@ -94,19 +94,19 @@
 }
 
 func TestAttemptsAreBounded(t *testing.T) {
-	one, two := userplatform.NewTarget(t, "i-1", userplatform.Shed), userplatform.NewTarget(t, "i-2", userplatform.Shed)
+	one, two := platformtest.NewTarget(t, "i-1", platformtest.Shed), platformtest.NewTarget(t, "i-2", platformtest.Shed)
 	b := newBench(t, one, two)
 	assert.Equal(t, b.post("/once/", "pay").status, http.StatusServiceUnavailable)
 	assert.Equal(t, arrived(one, two), 1)
 }
 
 func TestIdempotentIsRepeated(t *testing.T) {
-	for name, behavior := range map[string]userplatform.Behavior{
-		"failed": userplatform.Fail, "reset": userplatform.Reset, "cut": userplatform.Cut,
-		"wrong request": userplatform.WrongRequest, "unsigned": userplatform.Unsigned, "hangs": userplatform.Hang,
+	for name, behavior := range map[string]platformtest.Behavior{
+		"failed": platformtest.Fail, "reset": platformtest.Reset, "cut": platformtest.Cut,
+		"wrong request": platformtest.WrongRequest, "unsigned": platformtest.Unsigned, "hangs": platformtest.Hang,
 	} {
 		t.Run(name, func(t *testing.T) {
-			one, two := userplatform.NewTarget(t, "i-1", behavior), userplatform.NewTarget(t, "i-2")
+			one, two := platformtest.NewTarget(t, "i-1", behavior), platformtest.NewTarget(t, "i-2")
 			b := newBench(t, one, two)
 			for arrived(one) == 0 { // the choice between equals is random
 				got := b.get("/read/")
@@ -118,7 +118,7 @@
 }
 
 func TestTargetThatIsGoneIsNotWaitedFor(t *testing.T) {
-	one, two := userplatform.NewTarget(t, "i-1"), userplatform.NewTarget(t, "i-2")
+	one, two := platformtest.NewTarget(t, "i-1"), platformtest.NewTarget(t, "i-2")
 	b := newBench(t, two)
 	gone := targetRecord(one, object{"address": localAddress(freePorts(t, 1)[0])})
 	b.store.PutJSON(t, "keyed.servers", "i-1", gone)
@@ -130,7 +130,7 @@
 
 // An address may belong to another target than the registry says.
 func TestAddressOfAnotherTarget(t *testing.T) {
-	one, two := userplatform.NewTarget(t, "i-1"), userplatform.NewTarget(t, "i-2")
+	one, two := platformtest.NewTarget(t, "i-1"), platformtest.NewTarget(t, "i-2")
 	b := newBench(t, two)
 	b.store.PutJSON(t, "keyed.servers", "i-old", targetRecord(one, nil))
 	b.wait("the target is known", func() bool { return len(b.gateway.state.View().Targets["app"]) == 2 })
@@ -141,7 +141,7 @@
 }
 
 func TestAnswerAtTheRoutesTimeout(t *testing.T) {
-	one, two := userplatform.NewTarget(t, "i-1", userplatform.Hang), userplatform.NewTarget(t, "i-2", userplatform.Hang)
+	one, two := platformtest.NewTarget(t, "i-1", platformtest.Hang), platformtest.NewTarget(t, "i-2", platformtest.Hang)
 	b := newBench(t, one, two)
 	started := time.Now()
 	got := b.get("/short/")
@@ -151,7 +151,7 @@
 }
 
 func TestCallerThatLeavesStopsIdempotentWork(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1", userplatform.Hang)
+	one := platformtest.NewTarget(t, "i-1", platformtest.Hang)
 	b := newBench(t, one)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -170,11 +170,11 @@
 
 // A request that breaks every target that runs it is not run for ever.
 func TestRequestThatBreaksTargetsIsRefusedInTheEnd(t *testing.T) {
-	var breaks []userplatform.Behavior
+	var breaks []platformtest.Behavior
 	for range 50 {
-		breaks = append(breaks, userplatform.Reset)
+		breaks = append(breaks, platformtest.Reset)
 	}
-	one, two := userplatform.NewTarget(t, "i-1", breaks...), userplatform.NewTarget(t, "i-2", breaks...)
+	one, two := platformtest.NewTarget(t, "i-1", breaks...), platformtest.NewTarget(t, "i-2", breaks...)
 	b := newBench(t, one, two)
 	for range 10 {
 		b.post("/stream/x", "deadly")
@@ -185,11 +185,11 @@
 
 // Retries of all requests together stay within the share of the gateway.
 func TestRetriesAreBounded(t *testing.T) {
-	var sheds []userplatform.Behavior
+	var sheds []platformtest.Behavior
 	for range 400 {
-		sheds = append(sheds, userplatform.Shed)
+		sheds = append(sheds, platformtest.Shed)
 	}
-	one, two := userplatform.NewTarget(t, "i-1", sheds...), userplatform.NewTarget(t, "i-2", sheds...)
+	one, two := platformtest.NewTarget(t, "i-1", sheds...), platformtest.NewTarget(t, "i-2", sheds...)
 	b := newBench(t, one, two)
 	const requests = 150
 	for range requests {
@@ -204,7 +204,7 @@
 // A gateway that was suspended reads requests that their callers have given up
 // and sent again elsewhere.
 func TestRequestOfACallerThatLeftIsNotSentAfterASuspension(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, one)
 	b.gateway.suspension.ended.Store(time.Now().UnixNano())
 	conn, err := net.Dial("tcp", b.gateway.node.CallerAddress)
--- a/internal/app/gateway/streams_test.go
+++ b/internal/app/gateway/streams_test.go
@@ -9,11 +9,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"quetzalbend/internal/app/standin/userplatform"
+	"quetzalbend/platform/platformtest"
 )
 
 func TestStreamIsPassedOnWhole(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, one)
 	got := b.post("/stream/", "prompt")
 	assert.NilError(t, got.err)
@@ -23,7 +23,7 @@
 }
 
 func TestEventsArePassedOnAsTheyArrive(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	one.EventGap = time.Minute
 	b := newBench(t, one)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
@@ -41,11 +41,11 @@
 }
 
 func TestBrokenStreamGoesOnAtAnotherTarget(t *testing.T) {
-	for name, behavior := range map[string]userplatform.Behavior{
-		"cut": userplatform.Cut, "ended within an event": userplatform.CutCleanly,
+	for name, behavior := range map[string]platformtest.Behavior{
+		"cut": platformtest.Cut, "ended within an event": platformtest.CutCleanly,
 	} {
 		t.Run(name, func(t *testing.T) {
-			one, two := userplatform.NewTarget(t, "i-1", behavior), userplatform.NewTarget(t, "i-2")
+			one, two := platformtest.NewTarget(t, "i-1", behavior), platformtest.NewTarget(t, "i-2")
 			b := newBench(t, one, two)
 			for arrived(one) == 0 { // the choice between equals is random
 				got := b.post("/stream/", "prompt")
@@ -58,8 +58,8 @@
 }
 
 func TestStreamThatMayNotBeResumedIsCutForItsCaller(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1", userplatform.Cut)
-	two := userplatform.NewTarget(t, "i-2", userplatform.Cut)
+	one := platformtest.NewTarget(t, "i-1", platformtest.Cut)
+	two := platformtest.NewTarget(t, "i-2", platformtest.Cut)
 	b := newBench(t, one, two)
 	got := b.post("/final/stream/", "prompt")
 	assert.Assert(t, got.err != nil, "a broken stream looks whole: %q", got.body)
@@ -67,7 +67,7 @@
 }
 
 func TestCallerResumesAStream(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1")
+	one := platformtest.NewTarget(t, "i-1")
 	b := newBench(t, one)
 	request := b.request(t.Context(), http.MethodPost, "/stream/", "prompt")
 	request.Header.Set("Last-Event-Id", "3")
@@ -77,8 +77,8 @@
 }
 
 func TestStreamOfABrokenGroupIsRefusedAtOnce(t *testing.T) {
-	one := userplatform.NewTarget(t, "i-1", userplatform.Blame)
-	two := userplatform.NewTarget(t, "i-2", userplatform.Blame)
+	one := platformtest.NewTarget(t, "i-1", platformtest.Blame)
+	two := platformtest.NewTarget(t, "i-2", platformtest.Blame)
 	b := newBench(t, one, two)
 	got := b.post("/stream/", "prompt")
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
@@ -86,9 +86,9 @@
 }
 
 func TestSilentTargetIsLeftWhileOthersGoOn(t *testing.T) {
-	silent := userplatform.NewTarget(t, "i-1", userplatform.Hang, userplatform.Hang)
-	two, three := userplatform.NewTarget(t, "i-2"), userplatform.NewTarget(t, "i-3")
-	for _, target := range []*userplatform.Target{two, three} {
+	silent := platformtest.NewTarget(t, "i-1", platformtest.Hang, platformtest.Hang)
+	two, three := platformtest.NewTarget(t, "i-2"), platformtest.NewTarget(t, "i-3")
+	for _, target := range []*platformtest.Target{two, three} {
 		target.Events = 60
 		target.EventGap = 50 * time.Millisecond
 	}
--- a/internal/maplead/leader_test.go
+++ b/internal/maplead/leader_test.go
@@ -65,8 +65,10 @@
 
 // run makes passes until ctx ends.
 func (g *fakeGroup) run(ctx context.Context) {
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
 	for ctx.Err() == nil {
-		time.Sleep(5 * time.Millisecond)
+		<-ticker.C
 		g.pass()
 	}
 }
