Share what the hosted programs did twice, drop what nothing uses

Both hosted programs load their settings and keep their log by internal/app/hosted; both frames of package program read flags in one place. Gone: two wrappers around one call, Table.Len, and the engine's step times, which were decoded and never read.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -126,7 +126,7 @@
 			Account:   x.account.Name,
 			Remaining: time.Until(x.deadline),
 			Priority:  priority,
-			LastEvent: x.stream.resumeAt(),
+			LastEvent: x.stream.last,
 		}),
 	}
 	if len(x.body) > 0 {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -14,6 +14,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"quetzalbend/internal/app/hosted"
 	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/core/quota"
 	"quetzalbend/internal/core/schema"
@@ -76,16 +77,9 @@
 
 // Run runs the gateway of this node until SIGTERM.
 func Run(ctx context.Context) error {
-	node, err := platform.LoadNode()
-	if err != nil {
-		return err
-	}
-	log := eventlog.New(os.Stdout)
-	finishLog := log.Start()
-	err = New(node, log).run(ctx)
-	log.State("stopped", eventlog.Fields{"node": node.Name})
-	finishLog()
-	return err
+	return hosted.Run(ctx, func(ctx context.Context, node fleet.Node, log *eventlog.Log) error {
+		return New(node, log).run(ctx)
+	})
 }
 
 func (g *Gateway) run(ctx context.Context) error {
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -80,7 +80,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		x.reject(http.StatusRequestEntityTooLarge, "body_too_large")
+		x.answer(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	case err != nil:
 		x.gateway.log.Decision("request not read", eventlog.Fields{"request": x.caller.RequestID, "error": err.Error()})
@@ -94,12 +94,12 @@
 func (x *exchange) admit(view *fleetsync.View) bool {
 	x.route = view.Settings.Match(hostName(x.request.Host), x.request.URL.EscapedPath())
 	if x.route == nil {
-		x.reject(http.StatusNotFound, "no_route")
+		x.answer(http.StatusNotFound, "no_route")
 		return false
 	}
 	account, known := view.Settings.Authorize(x.route, x.caller.Key)
 	if !known {
-		x.reject(http.StatusUnauthorized, "unknown_key")
+		x.answer(http.StatusUnauthorized, "unknown_key")
 		return false
 	}
 	if x.route.Kind == fleet.Stream && x.gateway.refusesStreams(x.arrived) {
@@ -255,9 +255,7 @@
 	x.answer(http.StatusServiceUnavailable, reason)
 }
 
-// reject tells the caller that the request is not allowed.
-func (x *exchange) reject(status int, reason string) { x.answer(status, reason) }
-
+// answer tells the caller a status of the gateway's own and its reason.
 func (x *exchange) answer(status int, reason string) {
 	x.logOutcome(reason, status)
 	x.gateway.refused(reason)
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -20,9 +20,6 @@
 	last    int64 // id of the last event passed on; 0: none
 }
 
-// resumeAt returns the event that another target goes on after.
-func (p *streamPosition) resumeAt() int64 { return p.last }
-
 const eventBuffer = 4 << 10 // bytes
 
 // event is one whole event of a stream as it came.
--- a/internal/app/rankagent/agent.go
+++ b/internal/app/rankagent/agent.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"os/signal"
 	"strconv"
 	"syscall"
@@ -15,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/app/hosted"
 	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/ranklink"
@@ -28,17 +28,8 @@
 
 // Run runs the agent of this VM's rank until SIGTERM.
 func Run(ctx context.Context) error {
-	node, err := platform.LoadNode()
-	if err != nil {
-		return err
-	}
-	log := eventlog.New(os.Stdout)
-	finishLog := log.Start()
 	signal.Ignore(syscall.SIGHUP) // the agent's settings do not change while it runs
-	err = serve(ctx, node, log)
-	log.State("stopped", eventlog.Fields{"node": node.Name})
-	finishLog()
-	return err
+	return hosted.Run(ctx, serve)
 }
 
 func serve(ctx context.Context, node fleet.Node, log *eventlog.Log) error {
--- a/internal/core/fleet/settings.go
+++ b/internal/core/fleet/settings.go
@@ -70,14 +70,11 @@
 
 // Engine describes the model engine of a service's targets.
 type Engine struct {
-	Slots          int // requests that run at once
-	Sets           int // sets of layers with experts; 0: no expert map
-	Experts        int // experts in a set
-	Places         int // experts that a rank can hold in a set
-	Spare          int // experts of a set that a rank can load in one change
-	EventSteps     int // token steps in a pass
-	StepTime       time.Duration
-	StepPerRequest time.Duration
+	Slots   int // requests that run at once
+	Sets    int // sets of layers with experts; 0: no expert map
+	Experts int // experts in a set
+	Places  int // experts that a rank can hold in a set
+	Spare   int // experts of a set that a rank can load in one change
 }
 
 // Service is a group of like targets.
--- a/internal/core/registry/table.go
+++ b/internal/core/registry/table.go
@@ -115,6 +115,3 @@
 	}
 	return all
 }
-
-// Len returns the number of targets known.
-func (t *Table) Len() int { return len(t.entries) }
--- /dev/null
+++ b/internal/core/registry/table_test.go
@@ -0,0 +1,71 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/core/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func target(id string) fleet.Target {
+	return fleet.Target{ID: id, Service: "app", Address: "10.0.0.1:80", Domain: "d1"}
+}
+
+func usable(table *Table) int { return len(table.Usable(nil)["app"]) }
+
+func TestRemovedTargetGetsNothingAtOnce(t *testing.T) {
+	table := NewTable()
+	table.ReadSucceeded(start)
+	table.Put(target("a"), start)
+	table.Remove("a", start)
+	assert.Equal(t, usable(table), 0)
+}
+
+// Records that lapse in an outage of the store are back within two seconds of
+// its return, if their targets live.
+func TestTargetThatLapsedInAnOutageStaysForAWhile(t *testing.T) {
+	table := NewTable()
+	table.ReadSucceeded(start)
+	table.Put(target("alive"), start)
+	table.Put(target("gone"), start)
+	table.ReadFailed()
+	back := start.Add(5 * time.Second)
+	table.ReadSucceeded(back)
+	table.Remove("alive", back)
+	table.Remove("gone", back)
+	assert.Equal(t, usable(table), 2)
+	table.Put(target("alive"), back.Add(time.Second))
+	table.ReadSucceeded(back.Add(lapseGrace))
+	assert.Equal(t, usable(table), 1)
+}
+
+func TestDrainingTargetThatLapsedIsGone(t *testing.T) {
+	table := NewTable()
+	leaving := target("a")
+	leaving.Draining = true
+	table.ReadFailed()
+	table.Put(leaving, start)
+	table.ReadSucceeded(start)
+	assert.Equal(t, usable(table), 0)
+	table.Remove("a", start)
+	assert.Equal(t, len(table.All()), 0)
+}
+
+func TestReplaceRemovesWhatIsMissing(t *testing.T) {
+	table := NewTable()
+	table.ReadSucceeded(start)
+	table.Replace([]fleet.Target{target("a"), target("b")}, start)
+	table.Replace([]fleet.Target{target("b")}, start.Add(time.Second))
+	assert.Equal(t, usable(table), 1)
+}
+
+func TestDomainThatIsOutHasNoUsableTargets(t *testing.T) {
+	table := NewTable()
+	table.Put(target("a"), start)
+	assert.Equal(t, len(table.Usable(map[string]bool{"d1": true})["app"]), 0)
+	assert.Equal(t, len(table.All()), 1)
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -40,18 +40,9 @@
 // every well-formed start-up file.
 func Main[T any](name string, args []string, checkConfig func(*T) []check.Problem, run func(context.Context, T) error) ExitCode {
 	options := Options{}
-	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", &options); err != nil {
-		return fail(ExitUsage, err)
-	}
-	rest, err := parser.ParseArgs(args)
-	if code, done := parsed(rest, err); done {
+	if code, done := parse(name, args, &options, &options.Version); done {
 		return code
 	}
-	if options.Version {
-		fmt.Println(name, Version())
-		return ExitOK
-	}
 	if options.Config == "" {
 		return fail(ExitUsage, errors.New("--config FILE is required"))
 	}
@@ -92,6 +83,24 @@
 	return info.Main.Version
 }
 
+// parse reads a command's flags into options and prints the version if that is
+// asked for. It returns the exit code if that is all there is to do.
+func parse(name string, args []string, options any, version *bool) (ExitCode, bool) {
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", options); err != nil {
+		return fail(ExitUsage, err), true
+	}
+	rest, err := parser.ParseArgs(args)
+	if code, done := parsed(rest, err); done {
+		return code, true
+	}
+	if *version {
+		fmt.Println(name, Version())
+		return ExitOK, true
+	}
+	return ExitOK, false
+}
+
 // parsed turns the outcome of parsing flags into an exit code, if that is all
 // there is to do.
 func parsed(rest []string, err error) (ExitCode, bool) {
@@ -123,17 +132,8 @@
 // or SIGTERM or SIGINT cancels the context of run, and returns its exit code.
 func Hosted(name string, args []string, run func(context.Context) error) ExitCode {
 	options := HostedOptions{}
-	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", &options); err != nil {
-		return fail(ExitUsage, err)
-	}
-	rest, err := parser.ParseArgs(args)
-	if code, done := parsed(rest, err); done {
+	if code, done := parse(name, args, &options, &options.Version); done {
 		return code
 	}
-	if options.Version {
-		fmt.Println(name, Version())
-		return ExitOK
-	}
 	return Run(run)
 }
