Keep slots free for accounts that come and go beside one that floods

Cause: a request of an account with few waited for the first slot of eight to end, 12 ms and more of an answer of 100 ms, however the queue was ordered. An account with half of a target's slots now leaves those that others had at once in the last two seconds, a quarter of the limit at most; an account alone gets all slots. Requests whose account waits for that no longer hold up others.

--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -54,6 +54,7 @@
 
 // run is an admitted request that has not ended.
 type run struct {
+	owner     owner
 	started   time.Time
 	sent      time.Time // when it was written to the target; zero before
 	confirmed time.Time // when it was known to be in the current incarnation; zero if it is not
@@ -73,6 +74,7 @@
 	waiting *queue
 	suspect *Request // waits to run alone
 	running map[uint64]*run
+	reserve *reserve
 
 	limit       float64
 	cold        bool
@@ -98,6 +100,7 @@
 		config:      config,
 		waiting:     newQueue(),
 		running:     make(map[uint64]*run),
+		reserve:     newReserve(),
 		limit:       float64(config.ColdLimit),
 		cold:        true,
 		doubtSince:  now,
@@ -177,7 +180,8 @@
 		if !ok {
 			break
 		}
-		c.running[next.ID] = &run{started: now, suspect: next.Suspect}
+		c.running[next.ID] = &run{owner: ownerOf(next), started: now, suspect: next.Suspect}
+		c.reserve.start(now, ownerOf(next))
 		started = append(started, next.ID)
 	}
 	return started
@@ -194,11 +198,9 @@
 		c.suspect = nil
 		return next, true
 	}
-	next, ok := c.waiting.peek()
-	if ok {
-		c.waiting.pop()
-	}
-	return next, ok
+	return c.waiting.pop(func(r Request) bool {
+		return c.reserve.leaves(ownerOf(r), c.Limit()-c.occupied(), c.Limit())
+	})
 }
 
 func (c *Controller) mayStart() bool {
@@ -227,7 +229,7 @@
 
 // Blocked reports whether requests wait only for news of the target.
 func (c *Controller) Blocked() bool {
-	return c.inDoubt || c.waiting.size > 0 && c.occupied() < c.Limit()
+	return c.inDoubt || c.waiting.size > 0 && c.occupied() < c.Limit() && !c.mayStart()
 }
 
 // Remove takes out a waiting request and reports whether it was waiting.
--- a/internal/core/admission/controller_test.go
+++ b/internal/core/admission/controller_test.go
@@ -90,6 +90,41 @@
 	assert.Equal(t, c.Offer(Request{ID: 8, Account: "c"}).Verdict, Refused)
 }
 
+// TestFloodLeavesSlotsThatOthersUse gives an account with few requests its slots
+// at once beside one that would fill the target, for as long as it comes back.
+func TestFloodLeavesSlotsThatOthersUse(t *testing.T) {
+	c := warm(8, 20)
+	now := start
+	for id := uint64(1); id <= 2; id++ {
+		c.Offer(Request{ID: id, Account: "few"})
+	}
+	assert.Equal(t, len(c.Next(now)), 2)
+	for id := uint64(10); id < 20; id++ {
+		c.Offer(Request{ID: id, Account: "flood"})
+	}
+	assert.Equal(t, len(c.Next(now)), 6)
+	c.End(now, 1, Finished)
+	c.End(now, 2, Finished)
+	assert.Equal(t, len(c.Next(now)), 0)
+
+	c.Offer(Request{ID: 3, Account: "few"})
+	assert.DeepEqual(t, c.Next(now), []uint64{3})
+	c.End(now, 3, Finished)
+
+	now = now.Add(3 * reserveWindow)
+	c.End(now, 10, Finished)
+	assert.Equal(t, len(c.Next(now)), 3)
+}
+
+// TestOneAccountAloneUsesAllSlots keeps nothing free for accounts not seen.
+func TestOneAccountAloneUsesAllSlots(t *testing.T) {
+	c := warm(8, 20)
+	for id := uint64(1); id <= 10; id++ {
+		c.Offer(Request{ID: id, Account: "only"})
+	}
+	assert.Equal(t, len(c.Next(start)), 8)
+}
+
 func TestSuspectRunsAlone(t *testing.T) {
 	c := warm(4, 4)
 	c.Offer(Request{ID: 1})
--- a/internal/core/admission/evidence.go
+++ b/internal/core/admission/evidence.go
@@ -105,6 +105,7 @@
 		return
 	}
 	delete(c.running, id)
+	c.reserve.end(now, r.owner)
 	switch end {
 	case Finished:
 		smooth(&c.serviceTime, now.Sub(r.started))
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -65,43 +65,41 @@
 
 // nextClock is the least clock of the team's accounts: where a new one starts.
 func (t *team) nextClock() float64 {
-	if a := t.next(); a != nil {
+	if a := t.next(anyRequest); a != nil {
 		return a.clock
 	}
 	return 0
 }
 
-// peek returns the request that runs next.
-func (q *queue) peek() (Request, bool) {
-	l := q.mostUrgent()
+// filter tells which requests may start.
+type filter func(Request) bool
+
+func anyRequest(Request) bool { return true }
+
+// pop takes out the request that runs next of those that may start.
+func (q *queue) pop(may filter) (Request, bool) {
+	l := q.mostUrgent(may)
 	if l == nil {
 		return Request{}, false
 	}
-	t := l.next()
-	a := t.next()
-	return a.waiting[0], true
-}
-
-// pop takes out the request that peek shows.
-func (q *queue) pop() {
-	l := q.mostUrgent()
-	t := l.next()
-	a := t.next()
+	t := l.next(may)
+	a := t.next(may)
 	first := a.waiting[0]
 	l.clock = t.clock
 	t.clock += 1 / max(first.Share, minShare)
 	a.clock++
 	q.remove(first)
+	return first, true
 }
 
 // minShare keeps a team without a share from waiting for ever.
 const minShare = 1e-3
 
-func (q *queue) mostUrgent() *level {
+func (q *queue) mostUrgent(may filter) *level {
 	var found *level
 	best := 0
 	for urgency, l := range q.levels {
-		if found == nil || urgency > best {
+		if (found == nil || urgency > best) && l.next(may) != nil {
 			found, best = l, urgency
 		}
 	}
@@ -109,10 +107,13 @@
 }
 
 // next returns the team that has had least service for its share.
-func (l *level) next() *team {
+func (l *level) next(may filter) *team {
 	var name string
 	var found *team
 	for n, t := range l.teams {
+		if t.next(may) == nil {
+			continue
+		}
 		if found == nil || t.clock < found.clock || t.clock == found.clock && n < name {
 			name, found = n, t
 		}
@@ -121,10 +122,13 @@
 }
 
 // next returns the account that has had least service.
-func (t *team) next() *account {
+func (t *team) next(may filter) *account {
 	var name string
 	var found *account
 	for n, a := range t.accounts {
+		if !may(a.waiting[0]) {
+			continue
+		}
 		if found == nil || a.clock < found.clock || a.clock == found.clock && n < name {
 			name, found = n, a
 		}
