Let one gateway of a failure domain read the store for the others

The others ask it for what has changed, and read themselves as soon as nobody fresh is before them. A registry record that only repeats the last is no change. Peers are heard of by datagrams, so the list is read every 12 s. Readers wait 0.8 s for settings (1.3 s before) and read the registry every 0.5 s (0.7 s), as others hear later.

--- a/internal/app/gateway/fleet_test.go
+++ b/internal/app/gateway/fleet_test.go
@@ -118,6 +118,69 @@
 	assert.Assert(t, time.Since(written) < 2*time.Second)
 }
 
+func waitForReader(b *bench, g *Gateway, reader string) {
+	b.t.Helper()
+	b.wait("another gateway reads the store", func() bool {
+		found, ok := g.peers.Reader()
+		return ok && found.Address == reader
+	})
+}
+
+func copyRecord(t *testing.T, to *platformtest.Store, g *Gateway) {
+	t.Helper()
+	to.PutJSON(t, "keyed.nodes", g.node.Name, peerRecord{
+		Control: g.node.ControlAddress, Loads: localAddress(g.node.Ports[0]), Revision: time.Now().UnixNano(),
+	})
+}
+
+// One gateway of a failure domain reads the store. Others learn from it, and
+// read themselves when it cannot.
+func TestOneGatewayOfADomainReadsTheStore(t *testing.T) {
+	one, two := platformtest.NewTarget(t, "i-1"), platformtest.NewTarget(t, "i-2")
+	b := newBench(t, one, two)
+	store := platformtest.NewStore(t)
+	store.PutJSON(t, "keyed.op", "config", testSettings(1))
+	store.PutJSON(t, "keyed.servers", one.ID, targetRecord(one, nil))
+	store.PutJSON(t, "keyed.servers", two.ID, targetRecord(two, nil))
+	g, _, _ := startGateway(t, "gateway-2", store.Address(), nil)
+	copyRecord(t, store, b.gateway)
+	copyRecord(t, b.store, g)
+	other := &bench{t: t, store: store, gateway: g}
+	other.waitReady()
+	waitForReader(other, g, b.gateway.node.ControlAddress)
+
+	// The other gateway hears of changes that only the reader's store has.
+	b.store.PutJSON(t, "keyed.op", "config", testSettings(5))
+	b.store.PutJSON(t, "keyed.servers", "i-1", targetRecord(one, object{"state": "draining"}))
+	written := time.Now()
+	other.wait("the reader's version is in force", func() bool { return g.state.View().Settings.Version == 5 })
+	other.wait("one target is left", func() bool { return len(g.state.View().Targets["app"]) == 1 })
+	assert.Assert(t, time.Since(written) < 2*time.Second)
+
+	b.store.SetDown(true)
+	store.PutJSON(t, "keyed.op", "config", testSettings(9))
+	for range 10 {
+		store.Put("keyed.op", "unused", []byte("{}")) // its offsets must pass those of the other store
+	}
+	written = time.Now()
+	other.wait("its own store's version is in force", func() bool { return g.state.View().Settings.Version == 9 })
+	took := time.Since(written)
+	assert.Assert(t, took < 3*time.Second, "took %s", took)
+	// The reader that its store turns away learns from the other.
+	b.wait("the reader has that version", func() bool { return b.gateway.state.View().Settings.Version == 9 })
+}
+
+func TestGatewaysHearOfNewOnesBeforeTheyListThem(t *testing.T) {
+	one := platformtest.NewTarget(t, "i-1")
+	b := newBench(t, one)
+	b.wait("the first list is read", func() bool { return b.gateway.peers.assumed() == 1+spareGateways })
+	g, _, _ := startGateway(t, "gateway-2", b.store.Address(), nil)
+	started := time.Now()
+	b.wait("the new gateway is known", func() bool { return b.gateway.peers.assumed() == 2+spareGateways })
+	assert.Assert(t, time.Since(started) < listInterval/2)
+	b.wait("the new gateway knows the first", func() bool { return g.peers.assumed() == 2+spareGateways })
+}
+
 func TestStopIsGraceful(t *testing.T) {
 	one := platformtest.NewTarget(t, "i-1")
 	one.Events = 40
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -24,10 +25,13 @@
 
 const (
 	announceInterval = 15 * time.Second // between records of this node in the store
-	listInterval     = 4 * time.Second  // between reads of the other nodes' records
+	listInterval     = 12 * time.Second // between reads of the other nodes' records
+	announceRetry    = 4 * time.Second
+	listRetry        = 2 * time.Second  // after a read that failed, and after the first
 	nodeLifetime     = 50 * time.Second // of a node whose record does not change
 	storeTimeout     = time.Second
-	loadInterval     = 60 * time.Millisecond // between datagrams while requests run
+	loadInterval     = 60 * time.Millisecond  // between datagrams while requests run
+	idleInterval     = 300 * time.Millisecond // and while none run; gateways that read the store are relied on for a little longer
 	datagramBytes    = 8 << 10
 	maxStateBytes    = 32 << 20
 	spareGateways    = 3  // that may be added at any moment
@@ -42,8 +46,8 @@
 }
 
 type peerNode struct {
-	record  peerRecord
-	changed time.Time // when the record was last seen to change
+	record peerRecord
+	seen   time.Time // when the record was last seen to change, or a datagram came
 }
 
 // peers are the other gateways.
@@ -53,10 +57,11 @@
 	client  *http.Client
 	started time.Time
 
-	mu    sync.Mutex
-	nodes map[string]peerNode
-	most  int // gateways seen at once
-	turn  int
+	mu      sync.Mutex
+	nodes   map[string]peerNode
+	readers map[string]reader // gateways of this failure domain, by name
+	most    int               // gateways seen at once
+	turn    int
 }
 
 func newPeers(g *Gateway) *peers {
@@ -65,6 +70,7 @@
 		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		started: time.Now(),
 		nodes:   make(map[string]peerNode),
+		readers: make(map[string]reader),
 	}
 }
 
@@ -76,7 +82,8 @@
 	}
 	p.conn = conn
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.announce(ctx) })
+	p.announce(ctx) // before the first list: of two nodes that start together, one finds the other
+	group.Go(func() error { return p.announceRepeatedly(ctx) })
 	group.Go(func() error { return p.list(ctx) })
 	group.Go(func() error { return p.send(ctx) })
 	group.Go(func() error { return p.receive(ctx) })
@@ -98,46 +105,52 @@
 	return p.most + spareGateways
 }
 
-func (p *peers) announce(ctx context.Context) error {
-	node := p.gateway.node
-	for ctx.Err() == nil {
-		record := peerRecord{
-			Control:  node.ControlAddress,
-			Loads:    p.conn.LocalAddr().String(),
-			Revision: time.Now().UnixNano(),
-		}
-		value, err := json.Marshal(record)
-		if err != nil {
-			return err
-		}
-		putCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		err = p.gateway.store.Put(putCtx, platform.TopicNodes, node.Name, value)
-		cancel()
-		wait := announceInterval
-		if err != nil {
-			p.gateway.log.Problem("node not announced", err, nil)
-			wait = listInterval
+func (p *peers) announceRepeatedly(ctx context.Context) error {
+	wait := announceInterval
+	for pause.For(ctx, wait) {
+		wait = announceInterval
+		if !p.announce(ctx) {
+			wait = announceRetry
 		}
-		pause.For(ctx, wait)
 	}
 	return nil
 }
 
+// announce writes this node's record and reports whether that succeeded.
+func (p *peers) announce(ctx context.Context) bool {
+	record := peerRecord{
+		Control:  p.gateway.node.ControlAddress,
+		Loads:    p.conn.LocalAddr().String(),
+		Revision: time.Now().UnixNano(),
+	}
+	value, err := json.Marshal(record)
+	if err == nil {
+		putCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		err = p.gateway.store.Put(putCtx, platform.TopicNodes, p.gateway.node.Name, value)
+	}
+	if err != nil {
+		p.gateway.log.Problem("node not announced", err, nil)
+	}
+	return err == nil
+}
+
+// list reads the other nodes' records. Nodes that start later tell of
+// themselves by their datagrams.
 func (p *peers) list(ctx context.Context) error {
+	wait := listRetry
 	for ctx.Err() == nil {
 		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		batch, err := p.gateway.store.Newest(readCtx, platform.TopicNodes)
 		cancel()
-		if err == nil {
-			p.learn(batch.Records, time.Now())
-		} else {
+		if err != nil {
 			p.gateway.log.Decision("nodes not read", eventlog.Fields{"error": err.Error()})
+			pause.For(ctx, listRetry)
+			continue
 		}
-		wait := listInterval
-		if time.Since(p.started) < 2*listInterval {
-			wait = time.Second // others start at the same time
-		}
+		p.learn(batch.Records, time.Now())
 		pause.For(ctx, wait)
+		wait = listInterval
 	}
 	return nil
 }
@@ -155,15 +168,28 @@
 			p.nodes[r.Key] = peerNode{record, now}
 		}
 	}
-	live := 0
-	for name, node := range p.nodes {
-		if now.Sub(node.changed) > nodeLifetime {
-			delete(p.nodes, name)
-			continue
-		}
-		live++
+	p.countLive(now)
+}
+
+// learnNode notes that a node lives, and where, from its datagram.
+func (p *peers) learnNode(datagram *wire.NodeLoad, from *net.UDPAddr, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	node, known := p.nodes[datagram.Node]
+	node.record.Control = datagram.ControlAddress
+	node.record.Loads = from.String()
+	node.seen = now
+	p.nodes[datagram.Node] = node
+	if !known {
+		p.countLive(now)
 	}
-	p.most = max(p.most, live)
+}
+
+// countLive forgets nodes that were not seen for long. The caller holds the
+// lock.
+func (p *peers) countLive(now time.Time) {
+	maps.DeleteFunc(p.nodes, func(_ string, node peerNode) bool { return now.Sub(node.seen) > nodeLifetime })
+	p.most = max(p.most, len(p.nodes))
 }
 
 // others returns the records of the other gateways.
@@ -190,6 +216,10 @@
 	if address == "" {
 		return nil, nil
 	}
+	return p.ask(ctx, address, settingsNext, targetsNext)
+}
+
+func (p *peers) ask(ctx context.Context, address string, settingsNext, targetsNext int64) (*wire.FleetState, error) {
 	url := fmt.Sprintf("http://%s%s?settings=%d&targets=%d", address, peerStatePath, settingsNext, targetsNext)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -228,19 +258,24 @@
 	return ""
 }
 
-// send tells the other gateways what this one has running, as long as it has
-// something running, and once when that has ended.
+// send tells the other gateways what this one has running and how far it has
+// read the store: more often while something runs, and at once when it has read
+// on.
 func (p *peers) send(ctx context.Context) error {
 	sequence := int64(0)
 	idle := false
-	struck := time.Time{}
+	struck, sent := time.Time{}, time.Time{}
+	told := &wire.ReadState{}
 	for pause.For(ctx, loadInterval) {
 		now := time.Now()
 		loads := p.gateway.loads.own(now)
-		if len(loads) == 0 && idle {
+		read := p.gateway.state.ReadState()
+		news := read.SettingsNext != told.SettingsNext || read.TargetsChanged != told.TargetsChanged
+		if len(loads) == 0 && idle && !news && now.Sub(sent) < idleInterval {
 			continue
 		}
 		idle = len(loads) == 0
+		told, sent = read, now
 		sequence++
 		datagram := &wire.NodeLoad{
 			Node:           p.gateway.node.Name,
@@ -248,6 +283,8 @@
 			Incarnation:    p.started.UnixNano(),
 			Sequence:       sequence,
 			Loads:          loads,
+			Domain:         p.gateway.node.Domain,
+			Read:           read,
 		}
 		for _, count := range p.gateway.strikes.CountsSince(struck, now) {
 			if count.Node == p.gateway.node.Name {
@@ -284,7 +321,7 @@
 func (p *peers) receive(ctx context.Context) error {
 	buffer := make([]byte, datagramBytes)
 	for ctx.Err() == nil {
-		n, _, err := p.conn.ReadFromUDP(buffer)
+		n, from, err := p.conn.ReadFromUDP(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				p.gateway.log.Decision("datagram not received", eventlog.Fields{"error": err.Error()})
@@ -300,6 +337,8 @@
 		now := time.Now()
 		p.gateway.loads.heard(datagram, now)
 		p.learnStrikes(datagram, now)
+		p.learnReader(datagram, now)
+		p.learnNode(datagram, from, now)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/app/gateway/readers.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"quetzalbend/internal/core/readers"
+	"quetzalbend/internal/fleetsync"
+	"quetzalbend/internal/wire"
+)
+
+// reader is what a gateway of this failure domain told last of its reads of the
+// store.
+type reader struct {
+	fleetsync.Reader
+
+	incarnation int64
+	sequence    int64
+}
+
+// learnReader notes how far a gateway of this failure domain has read the store.
+func (p *peers) learnReader(datagram *wire.NodeLoad, now time.Time) {
+	read := datagram.GetRead()
+	if read == nil || datagram.Domain != p.gateway.node.Domain {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok := p.readers[datagram.Node]
+	if ok && (datagram.Incarnation < known.incarnation ||
+		datagram.Incarnation == known.incarnation && datagram.Sequence <= known.sequence) {
+		return
+	}
+	maps.DeleteFunc(p.readers, func(_ string, r reader) bool { return now.Sub(r.TargetsAsOf) > nodeLifetime })
+	p.readers[datagram.Node] = reader{
+		Reader: fleetsync.Reader{
+			Address:        datagram.ControlAddress,
+			SettingsNext:   read.SettingsNext,
+			TargetsNext:    read.TargetsNext,
+			TargetsChanged: read.TargetsChanged,
+			SettingsAsOf:   fleetsync.AsOf(read.SettingsAgeMs, now),
+			TargetsAsOf:    fleetsync.AsOf(read.TargetsAgeMs, now),
+		},
+		incarnation: datagram.Incarnation,
+		sequence:    datagram.Sequence,
+	}
+}
+
+// Reader returns the gateway that reads the store for this one.
+func (p *peers) Reader() (fleetsync.Reader, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	others := make([]readers.Gateway, 0, len(p.readers))
+	for name, r := range p.readers {
+		others = append(others, readers.Gateway{Name: name, SettingsAsOf: r.SettingsAsOf, TargetsAsOf: r.TargetsAsOf})
+	}
+	chosen, found := readers.Choose(p.gateway.node.Name, others, time.Now())
+	return p.readers[chosen.Name].Reader, found
+}
+
+// AskReader asks a gateway for what it has read and this one has not.
+func (p *peers) AskReader(ctx context.Context, r fleetsync.Reader, settingsNext, targetsNext int64) (*wire.FleetState, error) {
+	return p.ask(ctx, r.Address, settingsNext, targetsNext)
+}
--- /dev/null
+++ b/internal/core/readers/readers.go
@@ -0,0 +1,36 @@
+// Package readers decides which gateways of a failure domain read the
+// platform's store, and which learn from those what they have read.
+package readers
+
+import "time"
+
+// Freshness is the longest time since a gateway's last reads of the store at
+// which others rely on it. It is longer than the wait of a read.
+const Freshness = 1400 * time.Millisecond
+
+// Gateway is another gateway of the same failure domain.
+type Gateway struct {
+	Name         string
+	SettingsAsOf time.Time // moment at which it knew all settings
+	TargetsAsOf  time.Time // moment at which it knew the whole registry
+}
+
+func (g Gateway) fresh(now time.Time) bool {
+	return now.Sub(g.SettingsAsOf) <= Freshness && now.Sub(g.TargetsAsOf) <= Freshness
+}
+
+// Choose returns the gateway that reads the store for self: the first by name
+// whose reads are fresh. It reports false if self is to read the store.
+func Choose(self string, others []Gateway, now time.Time) (Gateway, bool) {
+	var chosen Gateway
+	found := false
+	for _, g := range others {
+		if g.Name >= self || !g.fresh(now) {
+			continue
+		}
+		if !found || g.Name < chosen.Name {
+			chosen, found = g, true
+		}
+	}
+	return chosen, found
+}
--- /dev/null
+++ b/internal/core/readers/readers_test.go
@@ -0,0 +1,54 @@
+package readers
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var now = time.Unix(1000, 0)
+
+func gateway(name string, settingsAge, targetsAge time.Duration) Gateway {
+	return Gateway{Name: name, SettingsAsOf: now.Add(-settingsAge), TargetsAsOf: now.Add(-targetsAge)}
+}
+
+func TestFirstByNameReads(t *testing.T) {
+	_, found := Choose("a", []Gateway{gateway("b", 0, 0), gateway("c", 0, 0)}, now)
+	assert.Assert(t, !found)
+	for _, self := range []string{"b", "c", "d"} {
+		reader, found := Choose(self, []Gateway{gateway("c", 0, 0), gateway("a", time.Second, 0)}, now)
+		assert.Assert(t, found)
+		assert.Equal(t, reader.Name, "a")
+	}
+}
+
+func TestReaderThatCannotReadIsPassedOver(t *testing.T) {
+	const old = Freshness + time.Millisecond
+	others := []Gateway{gateway("a", old, 0), gateway("b", 0, old)}
+	_, found := Choose("c", others, now)
+	assert.Assert(t, !found)
+	reader, found := Choose("d", append(others, gateway("c", 0, 0)), now)
+	assert.Assert(t, found)
+	assert.Equal(t, reader.Name, "c")
+}
+
+// One gateway at least reads, whatever gateways know of each other.
+func TestSomebodyReads(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	for fresh := range 1 << len(names) {
+		readers := 0
+		for _, self := range names {
+			var others []Gateway
+			for i, name := range names {
+				if name != self && fresh&(1<<i) != 0 {
+					others = append(others, gateway(name, 0, 0))
+				}
+			}
+			if _, found := Choose(self, others, now); !found {
+				readers++
+			}
+		}
+		assert.Assert(t, readers > 0, "fresh %b", fresh)
+	}
+}
--- a/internal/core/registry/table.go
+++ b/internal/core/registry/table.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"time"
 
 	"quetzalbend/internal/core/fleet"
@@ -18,9 +19,9 @@
 
 // Table holds the targets by id. It is not safe for concurrent use.
 type Table struct {
-	entries  map[string]*entry
-	away     bool      // the last read failed
-	returned time.Time // first read that succeeded after a failure
+	entries     map[string]*entry
+	away        bool      // the last read failed
+	settleUntil time.Time // until then a missing target may only have lapsed
 }
 
 // NewTable returns an empty table.
@@ -49,43 +50,41 @@
 	delete(t.entries, id)
 }
 
-// Replace takes the records of the whole registry: targets that are missing
-// from them are removed.
-func (t *Table) Replace(targets []fleet.Target, now time.Time) {
-	present := make(map[string]bool, len(targets))
-	for _, target := range targets {
-		present[target.ID] = true
-		t.Put(target, now)
-	}
-	for id := range t.entries {
-		if !present[id] {
-			t.Remove(id, now)
-		}
-	}
-}
-
 // ReadFailed records that the registry could not be read.
 func (t *Table) ReadFailed() { t.away = true }
 
-// ReadSucceeded records that the registry was read, and drops lapsed targets
-// whose grace period is over.
-func (t *Table) ReadSucceeded(now time.Time) {
+// ReadSucceeded records that the registry was read, drops lapsed targets whose
+// grace period is over, and reports whether there were any.
+func (t *Table) ReadSucceeded(now time.Time) bool {
 	if t.away {
 		t.away = false
-		t.returned = now
+		t.settleUntil = now.Add(lapseGrace)
 	}
 	if t.settling(now) {
-		return
+		return false
 	}
-	for id, e := range t.entries {
-		if e.lapsed {
-			delete(t.entries, id)
-		}
+	before := len(t.entries)
+	maps.DeleteFunc(t.entries, func(_ string, e *entry) bool { return e.lapsed })
+	return len(t.entries) < before
+}
+
+func (t *Table) settling(now time.Time) bool { return t.Settling(now) > 0 }
+
+// Settling returns the rest of the time in which a missing target may only have
+// lapsed while the store was away.
+func (t *Table) Settling(now time.Time) time.Duration {
+	if t.away {
+		return lapseGrace
 	}
+	return max(0, t.settleUntil.Sub(now))
 }
 
-func (t *Table) settling(now time.Time) bool {
-	return t.away || !t.returned.IsZero() && now.Sub(t.returned) < lapseGrace
+// Settle keeps missing targets usable until a time, since they may have lapsed
+// in an outage of the store that another gateway has seen.
+func (t *Table) Settle(until time.Time) {
+	if until.After(t.settleUntil) {
+		t.settleUntil = until
+	}
 }
 
 // Usable is a target that may get requests.
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -14,10 +15,11 @@
 )
 
 const (
-	targetsInterval = 700 * time.Millisecond // between reads of the registry
+	targetsInterval = 500 * time.Millisecond // between reads of the registry
 	targetsTimeout  = 600 * time.Millisecond
-	settingsWait    = 1300 * time.Millisecond // of a read that waits for new settings; it may miss one that comes as it begins
-	settingsTimeout = 1700 * time.Millisecond // a silent connection is noticed after that
+	settingsWait    = 800 * time.Millisecond  // of a read that waits for new settings; it may miss one that comes as it begins
+	settingsTimeout = 1200 * time.Millisecond // a silent connection is noticed after that
+	readerInterval  = 60 * time.Millisecond   // between looks at what the reader has told
 	retryInterval   = 250 * time.Millisecond  // after a failed read
 	newestTimeout   = 1500 * time.Millisecond
 	peerInterval    = 300 * time.Millisecond // between questions to peers while the store is away
@@ -34,6 +36,23 @@
 type Peers interface {
 	// Ask asks the next peer in turn.
 	Ask(ctx context.Context, settingsNext, targetsNext int64) (*wire.FleetState, error)
+	// Reader returns the gateway that reads the store for this one, or reports
+	// false if this gateway is to read itself.
+	Reader() (Reader, bool)
+	// AskReader asks that gateway.
+	AskReader(ctx context.Context, reader Reader, settingsNext, targetsNext int64) (*wire.FleetState, error)
+}
+
+// Reader is a gateway that reads the store for others of its failure domain.
+type Reader struct {
+	Address      string // of its control interface
+	SettingsNext int64  // offset that it has read settings up to
+	TargetsNext  int64
+	// TargetsChanged is the offset that it had read the registry up to with the
+	// newest change that is no heartbeat.
+	TargetsChanged int64
+	SettingsAsOf   time.Time // moment at which it knew all settings
+	TargetsAsOf    time.Time
 }
 
 // Follower keeps a State up to date.
@@ -45,6 +64,7 @@
 
 	settingsAway dependency
 	targetsAway  dependency
+	relieved     atomic.Bool // another gateway reads the store for this one
 }
 
 // Run follows the store until ctx ends.
@@ -53,12 +73,47 @@
 	group.Go(func() error { return f.followSettings(ctx) })
 	group.Go(func() error { return f.followTargets(ctx) })
 	group.Go(func() error { return f.askPeers(ctx) })
+	group.Go(func() error { return f.followReader(ctx) })
 	return group.Wait()
 }
 
+// followReader learns from the gateway that reads the store for this one, as
+// long as there is one that answers.
+func (f *Follower) followReader(ctx context.Context) error {
+	for pause.For(ctx, readerInterval) {
+		reader, found := f.Peers.Reader()
+		relieved := found && f.learnFrom(ctx, reader)
+		if f.relieved.Swap(relieved) != relieved {
+			f.Log.State("who reads the store", eventlog.Fields{"this": !relieved, "reader": reader.Address})
+		}
+	}
+	return nil
+}
+
+func (f *Follower) learnFrom(ctx context.Context, reader Reader) bool {
+	settingsNext, targetsNext := f.State.SettingsNext(), f.State.TargetsNext()
+	if reader.SettingsNext <= settingsNext && reader.TargetsChanged <= targetsNext {
+		f.State.Confirm(reader)
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	shared, err := f.Peers.AskReader(ctx, reader, settingsNext, targetsNext)
+	if err != nil {
+		f.Log.Decision("reader does not answer", eventlog.Fields{"reader": reader.Address, "error": err.Error()})
+		return false
+	}
+	f.State.Learn(shared)
+	return true
+}
+
 func (f *Follower) followSettings(ctx context.Context) error {
 	fresh := false
 	for ctx.Err() == nil {
+		if f.relieved.Load() {
+			pause.For(ctx, readerInterval)
+			continue
+		}
 		var err error
 		fresh, err = f.readSettings(ctx, fresh)
 		f.settingsAway.note(f.Log, "settings in the store", err)
@@ -96,6 +151,10 @@
 func (f *Follower) followTargets(ctx context.Context) error {
 	fresh := false
 	for ctx.Err() == nil {
+		if f.relieved.Load() {
+			pause.For(ctx, readerInterval)
+			continue
+		}
 		var err error
 		fresh, err = f.readTargets(ctx, fresh)
 		f.targetsAway.note(f.Log, "registry in the store", err)
@@ -140,7 +199,7 @@
 // askPeers asks other gateways while the store does not serve this one.
 func (f *Follower) askPeers(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if f.settingsAway.isAway() || f.targetsAway.isAway() {
+		if !f.relieved.Load() && (f.settingsAway.isAway() || f.targetsAway.isAway()) {
 			f.askPeer(ctx)
 		}
 		pause.For(ctx, peerInterval)
--- a/internal/fleetsync/state.go
+++ b/internal/fleetsync/state.go
@@ -32,9 +32,10 @@
 	settingsRaw  map[string][]byte // newest record of each key
 	settingsNext int64             // offset to read on from; 0: nothing read yet
 	targets      *registry.Table
-	targetsRaw   map[string][]byte
+	records      targetRecords
 	targetsNext  int64
-	targetsRead  bool
+	settingsAsOf time.Time // moment at which all settings were known; zero: never
+	targetsAsOf  time.Time // the same of the registry
 }
 
 // NewState returns a state that knows nothing.
@@ -43,7 +44,7 @@
 		log: log, now: now,
 		settingsRaw: make(map[string][]byte),
 		targets:     registry.NewTable(),
-		targetsRaw:  make(map[string][]byte),
+		records:     newTargetRecords(),
 	}
 }
 
@@ -71,6 +72,7 @@
 	if batch.Next < s.settingsNext {
 		return
 	}
+	s.settingsAsOf = s.now()
 	for _, record := range batch.Records {
 		setRaw(s.settingsRaw, record)
 	}
@@ -85,9 +87,14 @@
 func (s *State) ReplaceSettings(batch platform.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.replaceSettings(batch, s.now())
+}
+
+func (s *State) replaceSettings(batch platform.Batch, asOf time.Time) {
 	if batch.Next < s.settingsNext {
 		return
 	}
+	s.settingsAsOf = later(s.settingsAsOf, asOf)
 	s.settingsRaw = make(map[string][]byte)
 	for _, record := range batch.Records {
 		setRaw(s.settingsRaw, record)
@@ -131,31 +138,14 @@
 	if batch.Next < s.targetsNext {
 		return
 	}
-	s.targetsNext = batch.Next
 	now := s.now()
-	s.targets.ReadSucceeded(now)
+	s.readTargets(batch.Next, now, now)
 	for _, record := range batch.Records {
-		s.addTarget(record, now)
+		s.applyTarget(record, now)
 	}
-	s.targetsRead = true
 	s.publish()
 }
 
-func (s *State) addTarget(record platform.Record, now time.Time) {
-	if len(record.Value) == 0 {
-		delete(s.targetsRaw, record.Key)
-		s.targets.Remove(record.Key, now)
-		return
-	}
-	target, err := platform.DecodeTarget(record.Key, record.Value)
-	if err != nil {
-		s.log.Problem("registry record refused", err, nil)
-		return
-	}
-	s.targetsRaw[record.Key] = record.Value
-	s.targets.Put(target, now)
-}
-
 // ReplaceTargets takes the newest registry records of all targets.
 func (s *State) ReplaceTargets(batch platform.Batch) {
 	s.mu.Lock()
@@ -163,23 +153,53 @@
 	if batch.Next < s.targetsNext {
 		return
 	}
-	s.targetsNext = batch.Next
 	now := s.now()
+	if s.targetsNext == 0 {
+		s.records.complete = batch.Next
+	}
+	s.readTargets(batch.Next, now, now)
+	s.replaceTargets(batch.Records, now)
+	s.publish()
+}
+
+// readTargets records that the registry was read up to an offset.
+func (s *State) readTargets(next int64, now, asOf time.Time) {
+	s.targetsNext = next
+	s.targetsAsOf = later(s.targetsAsOf, asOf)
 	s.targets.ReadSucceeded(now)
-	s.targetsRaw = make(map[string][]byte)
+}
+
+func (s *State) replaceTargets(records []platform.Record, now time.Time) {
 	var targets []fleet.Target
-	for _, record := range batch.Records {
-		target, err := platform.DecodeTarget(record.Key, record.Value)
-		if err != nil {
-			s.log.Problem("registry record refused", err, nil)
-			continue
+	for _, record := range records {
+		if target, ok := s.applyTarget(record, now); ok {
+			targets = append(targets, target)
 		}
-		s.targetsRaw[record.Key] = record.Value
-		targets = append(targets, target)
 	}
-	s.targets.Replace(targets, now)
-	s.targetsRead = true
-	s.publish()
+	for _, id := range s.records.missing(targets) {
+		s.removeTarget(id, now)
+	}
+}
+
+// applyTarget takes one record, and reports whether it is a target's.
+func (s *State) applyTarget(record platform.Record, now time.Time) (fleet.Target, bool) {
+	if len(record.Value) == 0 {
+		s.removeTarget(record.Key, now)
+		return fleet.Target{}, false
+	}
+	target, err := platform.DecodeTarget(record.Key, record.Value)
+	if err != nil {
+		s.log.Problem("registry record refused", err, nil)
+		return fleet.Target{}, false
+	}
+	s.records.put(record.Value, target, s.targetsNext)
+	s.targets.Put(target, now)
+	return target, true
+}
+
+func (s *State) removeTarget(id string, now time.Time) {
+	s.records.remove(id, s.targetsNext)
+	s.targets.Remove(id, now)
 }
 
 // TargetsUnread records that the registry could not be read.
@@ -190,7 +210,7 @@
 }
 
 func (s *State) publish() {
-	if s.settings == nil || !s.targetsRead {
+	if s.settings == nil || s.targetsAsOf.IsZero() {
 		return
 	}
 	out := make(map[string]bool)
@@ -211,12 +231,17 @@
 func (s *State) Share(settingsNext, targetsNext int64) *wire.FleetState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	shared := &wire.FleetState{SettingsNext: s.settingsNext, TargetsNext: s.targetsNext}
+	shared := &wire.FleetState{
+		SettingsNext:      s.settingsNext,
+		TargetsNext:       s.targetsNext,
+		Read:              s.readState(),
+		TargetsSettlingMs: s.targets.Settling(s.now()).Milliseconds(),
+	}
 	if s.settingsNext > settingsNext {
 		shared.Settings = storedRecords(s.settingsRaw)
 	}
 	if s.targetsNext > targetsNext {
-		shared.Targets = storedRecords(s.targetsRaw)
+		s.records.share(shared, targetsNext)
 	}
 	return shared
 }
@@ -229,14 +254,94 @@
 	return records
 }
 
+// ReadState returns how far the store has been read, and how long ago.
+func (s *State) ReadState() *wire.ReadState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readState()
+}
+
+func (s *State) readState() *wire.ReadState {
+	now := s.now()
+	return &wire.ReadState{
+		SettingsNext:   s.settingsNext,
+		TargetsNext:    s.targetsNext,
+		TargetsChanged: s.records.changed,
+		SettingsAgeMs:  ageMS(s.settingsAsOf, now),
+		TargetsAgeMs:   ageMS(s.targetsAsOf, now),
+	}
+}
+
+// neverRead is the age of what has not been read.
+const neverRead = -1
+
+func ageMS(asOf, now time.Time) int64 {
+	if asOf.IsZero() {
+		return neverRead
+	}
+	return now.Sub(asOf).Milliseconds()
+}
+
+// AsOf returns the moment that an age tells of, the zero time for none.
+func AsOf(ageMS int64, now time.Time) time.Time {
+	if ageMS < 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ageMS) * time.Millisecond)
+}
+
 // Learn applies what a peer has shared, as far as it is newer.
 func (s *State) Learn(shared *wire.FleetState) {
-	if shared.SettingsNext > s.SettingsNext() {
-		s.ReplaceSettings(platform.Batch{Records: records(shared.Settings), Next: shared.SettingsNext})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	read := shared.GetRead()
+	if shared.SettingsNext > s.settingsNext {
+		batch := platform.Batch{Records: records(shared.Settings), Next: shared.SettingsNext}
+		s.replaceSettings(batch, AsOf(read.GetSettingsAgeMs(), now))
+	}
+	if shared.TargetsNext > s.targetsNext {
+		s.learnTargets(shared, now)
+	}
+}
+
+func (s *State) learnTargets(shared *wire.FleetState, now time.Time) {
+	if s.targetsNext == 0 {
+		s.records.complete = shared.TargetsNext
 	}
-	if shared.TargetsNext > s.TargetsNext() {
-		s.ReplaceTargets(platform.Batch{Records: records(shared.Targets), Next: shared.TargetsNext})
+	s.targets.Settle(now.Add(time.Duration(shared.TargetsSettlingMs) * time.Millisecond))
+	s.readTargets(shared.TargetsNext, now, AsOf(shared.GetRead().GetTargetsAgeMs(), now))
+	if shared.TargetsWhole {
+		s.replaceTargets(records(shared.Targets), now)
+	} else {
+		for _, record := range records(shared.Targets) {
+			s.applyTarget(record, now)
+		}
+		for _, id := range shared.TargetsGone {
+			s.removeTarget(id, now)
+		}
+	}
+	s.publish()
+}
+
+// Confirm records that a peer has read the store up to these offsets and knew
+// all at these moments, without a change that this gateway does not have.
+func (s *State) Confirm(read Reader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settingsAsOf = later(s.settingsAsOf, read.SettingsAsOf)
+	s.targetsAsOf = later(s.targetsAsOf, read.TargetsAsOf)
+	s.targetsNext = max(s.targetsNext, read.TargetsNext)
+	if s.targets.ReadSucceeded(s.now()) {
+		s.publish()
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
 func records(stored []*wire.StoredRecord) []platform.Record {
--- /dev/null
+++ b/internal/fleetsync/state_test.go
@@ -0,0 +1,127 @@
+package fleetsync
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/eventlog"
+	"quetzalbend/platform"
+)
+
+var start = time.Unix(1000, 0)
+
+// clock is a time that a test sets.
+type clock struct{ now time.Time }
+
+func newTestState(c *clock) *State {
+	s := NewState(eventlog.New(io.Discard), func() time.Time { return c.now })
+	s.ReplaceSettings(platform.Batch{Next: 1, Records: []platform.Record{
+		{Key: platform.KeySettings, Value: []byte(`{"version":1}`)},
+	}})
+	return s
+}
+
+func target(id string, heartbeat int) platform.Record {
+	value := fmt.Sprintf(`{"service":"app","address":"10.0.0.1:80","zone":"d1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":%d}`, heartbeat)
+	return platform.Record{Key: id, Value: []byte(value)}
+}
+
+func usable(s *State) int { return len(s.View().Targets["app"]) }
+
+func TestReplacedTargetsThatAreMissingAreGone(t *testing.T) {
+	s := newTestState(&clock{start})
+	s.ReplaceTargets(platform.Batch{Next: 5, Records: []platform.Record{target("a", 1), target("b", 1)}})
+	assert.Equal(t, usable(s), 2)
+	s.ReplaceTargets(platform.Batch{Next: 6, Records: []platform.Record{target("b", 2)}})
+	assert.Equal(t, usable(s), 1)
+	s.ReplaceTargets(platform.Batch{Next: 4, Records: []platform.Record{target("a", 1), target("b", 1)}})
+	assert.Equal(t, usable(s), 1)
+}
+
+func TestPeerIsToldOfChangesOnly(t *testing.T) {
+	s := newTestState(&clock{start})
+	s.ReplaceTargets(platform.Batch{Next: 5, Records: []platform.Record{target("a", 1), target("b", 1), target("c", 1)}})
+	s.AddTargets(platform.Batch{Next: 8, Records: []platform.Record{target("a", 2), target("b", 2)}})
+	assert.Equal(t, s.ReadState().TargetsChanged, int64(5))
+	assert.Equal(t, s.ReadState().TargetsNext, int64(8))
+	s.AddTargets(platform.Batch{Next: 10, Records: []platform.Record{target("d", 1), {Key: "c"}}})
+
+	shared := s.Share(1, 8)
+	assert.Assert(t, !shared.TargetsWhole)
+	assert.Equal(t, len(shared.Targets), 1)
+	assert.DeepEqual(t, shared.TargetsGone, []string{"c"})
+	// A removal before the first read is not known.
+	assert.Assert(t, s.Share(1, 4).TargetsWhole)
+	assert.Equal(t, len(s.Share(1, 4).Targets), 3)
+}
+
+// What a gateway learns from a peer in steps is what the peer knows, whatever
+// came in between.
+func TestLearntTargetsAreThePeers(t *testing.T) {
+	c := &clock{start}
+	reader, other := newTestState(c), newTestState(c)
+	next := int64(5)
+	known := map[string]bool{}
+	for step := range 400 {
+		next += 2
+		id := fmt.Sprint("i-", step*7%13)
+		switch {
+		case step%50 == 0:
+			reader.ReplaceTargets(platform.Batch{Next: next, Records: []platform.Record{target("i-1", step), target("i-2", step)}})
+			known = map[string]bool{"i-1": true, "i-2": true}
+		case step%3 == 0:
+			reader.AddTargets(platform.Batch{Next: next, Records: []platform.Record{{Key: id}}})
+			delete(known, id)
+		default:
+			reader.AddTargets(platform.Batch{Next: next, Records: []platform.Record{target(id, step)}})
+			known[id] = true
+		}
+		if step%5 == 0 {
+			other.Learn(reader.Share(other.SettingsNext(), other.TargetsNext()))
+			assert.Equal(t, usable(other), len(known), "step %d", step)
+		}
+	}
+}
+
+func TestManyRemovalsAreToldByTheWhole(t *testing.T) {
+	s := newTestState(&clock{start})
+	for i := range goneMost + 1 {
+		id := fmt.Sprint("i-", i)
+		s.AddTargets(platform.Batch{Next: int64(10 + i), Records: []platform.Record{target(id, 1), {Key: id}}})
+	}
+	assert.Assert(t, s.Share(1, 20).TargetsWhole)
+}
+
+func TestAgeOfWhatAPeerKnewIsKept(t *testing.T) {
+	c := &clock{start}
+	reader, other := newTestState(c), newTestState(c)
+	reader.AddTargets(platform.Batch{Next: 5, Records: []platform.Record{target("a", 1)}})
+	c.now = start.Add(2 * time.Second)
+	other.Learn(reader.Share(1, 0))
+	assert.Equal(t, other.ReadState().TargetsAgeMs, int64(2000))
+	other.Confirm(Reader{SettingsAsOf: c.now, TargetsAsOf: c.now.Add(-time.Second), TargetsNext: 9})
+	assert.Equal(t, other.ReadState().TargetsAgeMs, int64(1000))
+	assert.Equal(t, other.ReadState().SettingsAgeMs, int64(0))
+	assert.Equal(t, other.TargetsNext(), int64(9))
+}
+
+// A target that lapsed in an outage which only the peer has seen stays usable
+// for as long as at the peer.
+func TestLapsedTargetStaysAsAtThePeer(t *testing.T) {
+	c := &clock{start}
+	reader, other := newTestState(c), newTestState(c)
+	reader.AddTargets(platform.Batch{Next: 5, Records: []platform.Record{target("a", 1)}})
+	other.Learn(reader.Share(1, 0))
+	reader.TargetsUnread()
+	c.now = start.Add(time.Second)
+	reader.AddTargets(platform.Batch{Next: 7, Records: []platform.Record{{Key: "a"}}})
+	other.Learn(reader.Share(1, other.TargetsNext()))
+	assert.Equal(t, usable(other), 1)
+	c.now = c.now.Add(3 * time.Second)
+	other.Confirm(Reader{SettingsAsOf: c.now, TargetsAsOf: c.now, TargetsNext: 8})
+	assert.Equal(t, usable(other), 0)
+}
