--- a/internal/app/gateway/fleet_test.go
+++ b/internal/app/gateway/fleet_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"quetzalbend/internal/core/fleet"
+	"quetzalbend/internal/eventlog"
 	"quetzalbend/platform/platformtest"
 )
 
@@ -232,3 +236,27 @@
 	assert.Assert(t, most*4 <= 44, "%d in a second from one gateway of four", most)
 	assert.Assert(t, refused > 0)
 }
+
+// A gateway that cannot hear its peers ends with that error: soak, seeds 107 and
+// 1, had one that answered 503 for good, since its port for datagrams was taken.
+func TestGatewayEndsWhenAPartOfItFails(t *testing.T) {
+	taken, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close() //nolint:errcheck // nothing was sent
+	ports := freePorts(t, 3)
+	node := fleet.Node{
+		Name: "gateway-1", IP: "127.0.0.1", Domain: "d1",
+		CallerAddress: localAddress(ports[0]), HealthAddress: localAddress(ports[1]), ControlAddress: localAddress(ports[2]),
+		Ports:        [2]int{taken.LocalAddr().(*net.UDPAddr).Port, 0},
+		StoreAddress: platformtest.NewStore(t).Address(),
+		GracePeriod:  time.Second,
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- New(node, eventlog.New(io.Discard)).run(t.Context()) }()
+	select {
+	case err := <-ended:
+		assert.ErrorContains(t, err, "listen for peers")
+	case <-time.After(5 * time.Second):
+		t.Fatal("the gateway goes on")
+	}
+}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -90,7 +90,7 @@
 	follower := &fleetsync.Follower{Store: g.store, Peers: g.peers, State: g.state, Log: g.log}
 	group.Go(func() error { return follower.Run(background) })
 	group.Go(func() error { return g.peers.run(background) })
-	group.Go(func() error { return g.leader().Run(ctx) }) // a stopping gateway does not lead
+	group.Go(func() error { return g.lead(ctx, background) })
 	group.Go(func() error { return g.watchReload(background) })
 	group.Go(func() error { return g.suspension.watch(background, g.log) })
 	group.Go(func() error {
@@ -100,6 +100,15 @@
 	return group.Wait()
 }
 
+// lead takes part in the leadership of maps until SIGTERM, or until a part of
+// the gateway has failed: a stopping gateway does not lead.
+func (g *Gateway) lead(ctx, background context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(background, stop)()
+	return g.leader().Run(ctx)
+}
+
 // watchReload notes SIGHUP. The settings that may change while a node runs are
 // read from the store, so there is nothing to load again.
 func (g *Gateway) watchReload(ctx context.Context) error {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -44,7 +44,10 @@
 	if err := g.listen(group, control, g.node.ControlAddress); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-background.Done(): // a part of the gateway has failed
+	}
 	g.drain(background, callers)
 	for _, server := range []*http.Server{health, control} {
 		if err := server.Close(); err != nil {
--- a/scenarios/processes_test.go
+++ b/scenarios/processes_test.go
@@ -35,6 +35,11 @@
 // start runs a program under a name. A name may be started again after its
 // process has ended.
 func (p *processes) start(name, program string, args ...string) error {
+	return p.startWith(nil, name, program, args...)
+}
+
+// startWith adds variables to the program's environment.
+func (p *processes) startWith(variables []string, name, program string, args ...string) error {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	if old := p.byName[name]; old != nil && old.running() {
@@ -47,6 +52,9 @@
 	command := exec.Command(filepath.Join(p.binaries, program), args...)
 	command.Stdout = log
 	command.Stderr = log
+	if len(variables) > 0 {
+		command.Env = append(os.Environ(), variables...)
+	}
 	if err := command.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", name)
 	}
