maplead: log shifts of demand, phases of a change and unread groups

Cause: the leader's log told only when a map was planned and in force. It could not tell a change that prepares for long from one that holds a step for long, nor a group that could not be read from one without demand for a change. Change: 'map in force' carries prepared_ms, held_ms and unanswered; 'demand shifted', 'group not read completely' and its end are lines of their own. No change of logic.

--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -40,12 +40,46 @@
 	version        int64                  // of current; -1: unknown
 	targetVersion  int64                  // version being put in force; 0: none
 	planned        expertplan.Map         // map of version targetVersion
-	plannedAt      time.Time              // when that map was planned
+	progress       progress               // of the change to version targetVersion
 	shifts         int                    // number of demand shifts when that map was planned
 	accepted       map[string]rankSession // by the rank's address: session in which it last accepted an order
 	preparation    map[string]preparation // by the rank's address: last map that the rank agreed to prepare
 	abandoned      map[int64]bool         // versions for which disarm orders were sent
 	lastUnanswered time.Time              // when an order last got no answer; it may have been carried out
+	unreadSince    time.Time              // since when the ranks have not been read completely; zero: they have been
+}
+
+// progress is when a change reached each of its phases, for the log.
+type progress struct {
+	planned    time.Time
+	held       time.Time // when the first hold was accepted; zero: not yet
+	released   time.Time // when the last release was accepted; zero: not yet
+	unanswered int       // orders without an answer
+}
+
+// fields returns the duration of each phase that is complete.
+func (p *progress) fields(now time.Time) eventlog.Fields {
+	fields := eventlog.Fields{"ms": now.Sub(p.planned).Milliseconds(), "unanswered": p.unanswered}
+	if !p.held.IsZero() {
+		fields["prepared_ms"] = p.held.Sub(p.planned).Milliseconds()
+		if p.released.After(p.held) {
+			fields["held_ms"] = p.released.Sub(p.held).Milliseconds()
+		}
+	}
+	return fields
+}
+
+// record records the outcome of an order.
+func (p *progress) record(operation mapchange.Operation, answer platform.OrderAnswer, now time.Time) {
+	switch {
+	case answer == platform.OrderUnknown:
+		p.unanswered++
+	case answer != platform.OrderAccepted:
+	case operation == mapchange.Hold && p.held.IsZero():
+		p.held = now
+	case operation == mapchange.Release:
+		p.released = now
+	}
 }
 
 // unansweredWindow is the time after an order without an answer in which other
@@ -80,10 +114,10 @@
 		ranks[i].Touched = g.accepted[ranks[i].Target] == session
 		ranks[i].Busy = ranks[i].Busy || g.targetVersion != 0 && g.preparation[ranks[i].Target] == preparation{session, g.targetVersion}
 	}
-	if !mapchange.Complete(ranks) {
+	now := time.Now()
+	if !g.complete(ranks, now) {
 		return false
 	}
-	now := time.Now()
 	g.observe(ranks, now)
 	g.reconcile(service, members, ranks, token, now)
 	if g.outdated(ranks) || g.abandoned[g.targetVersion] {
@@ -116,9 +150,28 @@
 	}
 }
 
+// complete reports whether all ranks of the group were read, and logs when that changes.
+func (g *group) complete(ranks []mapchange.Rank, now time.Time) bool {
+	complete := mapchange.Complete(ranks)
+	switch {
+	case !complete && g.unreadSince.IsZero():
+		g.unreadSince = now
+		fields := eventlog.Fields{"group": g.name, "ranks_read": len(ranks)}
+		if len(ranks) > 0 {
+			fields["size"] = ranks[0].Size
+		}
+		g.leader.Log.State("group not read completely", fields)
+	case complete && !g.unreadSince.IsZero():
+		g.leader.Log.State("group read completely again", eventlog.Fields{"group": g.name, "ms": now.Sub(g.unreadSince).Milliseconds()})
+		g.unreadSince = time.Time{}
+	}
+	return complete
+}
+
 // observe adds the counts that the ranks report to the demand window.
 func (g *group) observe(ranks []mapchange.Rank, now time.Time) {
 	counted := false
+	shifts := g.window.Shifts()
 	for i := range ranks {
 		if len(ranks[i].Counts) > 0 {
 			g.window.Add(ranks[i].Target, ranks[i].Born, ranks[i].Epoch, ranks[i].Counts)
@@ -128,6 +181,9 @@
 	if counted {
 		g.window.EndRound(now)
 	}
+	if g.window.Shifts() != shifts {
+		g.leader.Log.State("demand shifted", eventlog.Fields{"group": g.name, "version": g.version})
+	}
 }
 
 // reconcile updates the leader's view of the group from the ranks' reports: it resets
@@ -147,10 +203,10 @@
 	}
 	switch {
 	case g.targetVersion != 0 && inForce == g.targetVersion:
-		g.leader.Log.State("map in force", eventlog.Fields{"group": g.name, "version": g.targetVersion, "ms": now.Sub(g.plannedAt).Milliseconds()})
+		g.logChange("map in force", now)
 		g.current, g.version, g.targetVersion = g.planned, inForce, 0
-	case g.targetVersion != 0 && now.Sub(g.plannedAt) > prepareTimeout && !mapchange.Changing(ranks):
-		g.leader.Log.State("map change abandoned", eventlog.Fields{"group": g.name, "version": g.targetVersion})
+	case g.targetVersion != 0 && now.Sub(g.progress.planned) > prepareTimeout && !mapchange.Changing(ranks):
+		g.logChange("map change abandoned", now)
 		g.targetVersion = 0
 	}
 	if inForce != g.version {
@@ -163,6 +219,13 @@
 	}
 }
 
+// logChange logs the end of the change to targetVersion.
+func (g *group) logChange(message string, now time.Time) {
+	fields := g.progress.fields(now)
+	fields["group"], fields["version"] = g.name, g.targetVersion
+	g.leader.Log.State(message, fields)
+}
+
 // commonVersion returns the version that is in force at every rank. It reports false
 // if the versions differ.
 func commonVersion(ranks []mapchange.Rank) (int64, bool) {
@@ -234,7 +297,8 @@
 // startChange makes next the map to put in force, under a new version.
 func (g *group) startChange(next expertplan.Map, token int64, now time.Time) {
 	g.versionsUsed++
-	g.targetVersion, g.planned, g.plannedAt, g.shifts = token*versionsPerToken+g.versionsUsed, next, now, g.window.Shifts()
+	g.targetVersion, g.planned, g.shifts = token*versionsPerToken+g.versionsUsed, next, g.window.Shifts()
+	g.progress = progress{planned: now}
 }
 
 // sendOrders sends all orders concurrently, records which ranks have accepted
@@ -265,6 +329,7 @@
 	allAccepted := true
 	for i, order := range orders {
 		rank := &ranks[order.Rank]
+		g.progress.record(order.Operation, answers[i], time.Now())
 		switch answers[i] {
 		case platform.OrderAccepted:
 			mapchange.Apply(rank, order)
