--- a/internal/maplead/leader_test.go
+++ b/internal/maplead/leader_test.go
@@ -21,16 +21,22 @@
 )
 
 const (
-	testRanks   = 4
-	testSets    = 2
-	testExperts = 16
+	testRanks  = 4
+	testSets   = 2
+	testPlaces = 6
 
 	firstGeneration = 3
 )
 
-var testService = &fleet.Service{
-	Name:   "model",
-	Engine: &fleet.Engine{Slots: 12, Sets: testSets, Experts: testExperts, Places: 6, Spare: 2},
+// expertsOf returns the number of experts of a set in a group of the given size: two
+// thirds of the places are taken by the first copy of an expert.
+func expertsOf(ranks int) int { return ranks * testPlaces * 2 / 3 }
+
+func testService(ranks int) *fleet.Service {
+	return &fleet.Service{
+		Name:   "model",
+		Engine: &fleet.Engine{Slots: 12, Sets: testSets, Experts: expertsOf(ranks), Places: testPlaces, Spare: 2},
+	}
 }
 
 // fakeGroup is a lock-step group whose ranks prepare maps at once. It runs steps until
@@ -46,13 +52,13 @@
 	switches     int  // number of times that a rank switched to another map
 }
 
-func newFakeGroup() *fakeGroup {
+func newFakeGroup(ranks int) *fakeGroup {
 	g := &fakeGroup{}
-	initial := expertplan.RoundRobin(testSets, testRanks, testExperts)
-	for r := range testRanks {
+	initial := expertplan.RoundRobin(testSets, ranks, expertsOf(ranks))
+	for r := range ranks {
 		g.ranks = append(g.ranks, mapchange.Rank{
-			Group: "g", Epoch: 1, Index: r, Size: testRanks, Open: true, Born: 1, Pace: 1,
-			Counts: make([]int64, testSets*testExperts),
+			Group: "g", Epoch: 1, Index: r, Size: ranks, Open: true, Born: 1, Pace: 1,
+			Counts: make([]int64, testSets*expertsOf(ranks)),
 		})
 		own := make([][]int32, testSets)
 		for s := range own {
@@ -89,10 +95,11 @@
 		}
 		g.mixed = g.mixed || r.Version != g.ranks[0].Version && i > 0
 		for s := range testSets {
-			for e := range testExperts {
-				r.Counts[s*testExperts+e] += 100
+			experts := expertsOf(len(g.ranks))
+			for e := range experts {
+				r.Counts[s*experts+e] += 100
 			}
-			r.Counts[s*testExperts+g.hot] += 1500
+			r.Counts[s*experts+g.hot] += int64(100 * experts * 15 / 16) // about half of all choices
 		}
 	}
 }
@@ -143,6 +150,13 @@
 	return platform.OrderAccepted, nil
 }
 
+// setHot sets the expert that is chosen most often.
+func (g *fakeGroup) setHot(expert int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hot = expert
+}
+
 // rank returns the state of the rank with the given index.
 func (g *fakeGroup) rank(index int) mapchange.Rank {
 	g.mu.Lock()
@@ -164,17 +178,18 @@
 
 func (e *fakeElection) Leave(context.Context, string, string) error { return nil }
 
-func startLeader(t *testing.T, g *fakeGroup) (*Leader, *fakeElection) {
+func startLeader(t *testing.T, group Ranks, ranks int) (*Leader, *fakeElection) {
 	t.Helper()
 	election := &fakeElection{generation: firstGeneration}
 	var targets []fleet.Target
-	for r := range testRanks {
+	for r := range ranks {
 		targets = append(targets, fleet.Target{ID: string(rune('a' + r)), Address: string(rune('a' + r)), Slots: r})
 	}
+	service := testService(ranks)
 	leader := &Leader{
-		Election: election, Topic: "t", Member: "m", Ranks: g, Log: eventlog.New(io.Discard),
+		Election: election, Topic: "t", Member: "m", Ranks: group, Log: eventlog.New(io.Discard),
 		Targets: func() map[*fleet.Service][]fleet.Target {
-			return map[*fleet.Service][]fleet.Target{testService: targets}
+			return map[*fleet.Service][]fleet.Target{service: targets}
 		},
 	}
 	go leader.Run(t.Context()) //nolint:errcheck // ends with the test
@@ -205,23 +220,21 @@
 }
 
 func TestLeaderSpreadsAHotExpert(t *testing.T) {
-	g := newFakeGroup()
+	g := newFakeGroup(testRanks)
 	go g.run(t.Context())
-	startLeader(t, g)
+	startLeader(t, g, testRanks)
 	wait(t, "the hot expert has copies", func() bool { return copiesOf(g, 0) >= 3 })
 	assert.Equal(t, g.rank(0).Held, int64(0))
-	g.mu.Lock()
-	g.hot = 7
-	g.mu.Unlock()
+	g.setHot(7)
 	wait(t, "the next hot expert has copies", func() bool { return copiesOf(g, 7) >= 3 })
 	assert.Assert(t, !g.mixed)
 }
 
 func TestLeaderContinuesWhenOrdersAreLost(t *testing.T) {
-	g := newFakeGroup()
+	g := newFakeGroup(testRanks)
 	g.ordersToLose = 9
 	go g.run(t.Context())
-	startLeader(t, g)
+	startLeader(t, g, testRanks)
 	wait(t, "the hot expert has copies", func() bool { return copiesOf(g, 0) >= 3 })
 	assert.Assert(t, !g.mixed)
 }
@@ -229,7 +242,7 @@
 // A leader that stops in the middle of a change leaves a step held, which blocks the
 // group until another leader finishes the change.
 func TestLeaderFinishesAnIncompleteChange(t *testing.T) {
-	g := newFakeGroup()
+	g := newFakeGroup(testRanks)
 	for i := range g.ranks {
 		r := &g.ranks[i]
 		r.Step = 20
@@ -240,16 +253,16 @@
 	g.ranks[1].Armed, g.ranks[1].ArmedStep = 2<<20, 22
 	g.ranks[3].Prepared = 1 << 20 // cannot be armed with the others
 	go g.run(t.Context())
-	startLeader(t, g)
+	startLeader(t, g, testRanks)
 	wait(t, "the group has begun the held step", func() bool { return g.rank(0).Step > 22 })
 	assert.Assert(t, !g.mixed)
 }
 
 func TestFencedLeaderSendsNoOrdersUntilReelected(t *testing.T) {
-	g := newFakeGroup()
+	g := newFakeGroup(testRanks)
 	g.minToken = 5
 	go g.run(t.Context())
-	leader, election := startLeader(t, g)
+	leader, election := startLeader(t, g, testRanks)
 	wait(t, "the leader knows that it is fenced", func() bool {
 		leader.mu.Lock()
 		defer leader.mu.Unlock()
