maplead: let prepare orders take the time that the leader's link needs

Cause: a prepare order names the experts of all ranks (6.3 KB for 72 ranks), and all are sent at once: 0.09 s on the leader's link of 40 Mbit/s. Orders were given up after 25 ms, a limit from groups of 16, and sent again whole, in up to five rounds, without any fault. The same orders counted as lost ones, so that the hold was placed six steps ahead in place of two (0.6 s more). Class of fault: a time limit that does not grow with what is sent, and a sign of loss that a full link gives as well.

--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -11,7 +11,6 @@
 	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/core/mapchange"
 	"quetzalbend/internal/eventlog"
-	"quetzalbend/platform"
 )
 
 const (
@@ -37,55 +36,21 @@
 	token          int64
 	versionsUsed   int64 // versions assigned under token
 	current        expertplan.Map
-	version        int64                  // of current; -1: unknown
-	targetVersion  int64                  // version being put in force; 0: none
-	planned        expertplan.Map         // map of version targetVersion
-	progress       progress               // of the change to version targetVersion
-	shifts         int                    // number of demand shifts when that map was planned
-	accepted       map[string]rankSession // by the rank's address: session in which it last accepted an order
-	preparation    map[string]preparation // by the rank's address: last map that the rank agreed to prepare
-	abandoned      map[int64]bool         // versions for which disarm orders were sent
-	lastUnanswered time.Time              // when an order last got no answer; it may have been carried out
-	unreadSince    time.Time              // since when the ranks have not been read completely; zero: they have been
-}
-
-// progress is when a change reached each of its phases, for the log.
-type progress struct {
-	planned    time.Time
-	held       time.Time // when the first hold was accepted; zero: not yet
-	released   time.Time // when the last release was accepted; zero: not yet
-	unanswered int       // orders without an answer
-}
-
-// fields returns the duration of each phase that is complete.
-func (p *progress) fields(now time.Time) eventlog.Fields {
-	fields := eventlog.Fields{"ms": now.Sub(p.planned).Milliseconds(), "unanswered": p.unanswered}
-	if !p.held.IsZero() {
-		fields["prepared_ms"] = p.held.Sub(p.planned).Milliseconds()
-		if p.released.After(p.held) {
-			fields["held_ms"] = p.released.Sub(p.held).Milliseconds()
-		}
-	}
-	return fields
-}
+	version        int64          // of current; -1: unknown
+	targetVersion  int64          // version being put in force; 0: none
+	planned        expertplan.Map // map of version targetVersion
+	shifts         int            // number of demand shifts when that map was planned
+	abandoned      map[int64]bool // versions for which disarm orders were sent
+	lastUnanswered time.Time      // when an order other than prepare last got no answer; it may have been carried out
+	unreadSince    time.Time      // since when the ranks have not been read completely; zero: they have been
 
-// record records the outcome of an order.
-func (p *progress) record(operation mapchange.Operation, answer platform.OrderAnswer, now time.Time) {
-	switch {
-	case answer == platform.OrderUnknown:
-		p.unanswered++
-	case answer != platform.OrderAccepted:
-	case operation == mapchange.Hold && p.held.IsZero():
-		p.held = now
-	case operation == mapchange.Release:
-		p.released = now
-	}
+	mu          sync.Mutex             // of the fields below, which prepare orders update when they end
+	progress    progress               // of the change to version targetVersion
+	accepted    map[string]rankSession // by the rank's address: session in which it last accepted an order
+	preparation map[string]preparation // by the rank's address: last map that the rank agreed to prepare
+	preparing   map[string]int64       // by the rank's address: version of the prepare order in flight
 }
 
-// unansweredWindow is the time after an order without an answer in which other
-// orders are likely to get no answer as well.
-const unansweredWindow = 2 * time.Second
-
 // preparation identifies a map that a rank has agreed to prepare, and the session in
 // which it did.
 type preparation struct {
@@ -94,11 +59,11 @@
 }
 
 func newGroup(leader *Leader, name string) *group {
-	return &group{leader: leader, name: name, window: demand.NewWindow(), version: -1, accepted: make(map[string]rankSession), preparation: make(map[string]preparation), abandoned: make(map[int64]bool)}
-}
-
-func (g *group) changePlan() mapchange.Plan {
-	return mapchange.Plan{WantedVersion: g.targetVersion, Abandoned: g.abandoned, OrdersLost: time.Since(g.lastUnanswered) < unansweredWindow}
+	return &group{
+		leader: leader, name: name, window: demand.NewWindow(), version: -1,
+		accepted: make(map[string]rankSession), preparation: make(map[string]preparation),
+		preparing: make(map[string]int64), abandoned: make(map[int64]bool),
+	}
 }
 
 func (g *group) needsPlacement() bool { return g.current == nil }
@@ -107,13 +72,7 @@
 // whether a change is planned or in progress.
 func (g *group) update(ctx context.Context, service *fleet.Service, members []member, token int64) bool {
 	slices.SortFunc(members, func(a, b member) int { return a.rank.Index - b.rank.Index })
-	ranks := make([]mapchange.Rank, len(members))
-	for i := range members {
-		ranks[i] = members[i].rank
-		session := rankSession{ranks[i].Epoch, ranks[i].Born, token}
-		ranks[i].Touched = g.accepted[ranks[i].Target] == session
-		ranks[i].Busy = ranks[i].Busy || g.targetVersion != 0 && g.preparation[ranks[i].Target] == preparation{session, g.targetVersion}
-	}
+	ranks := g.currentRanks(members, token)
 	now := time.Now()
 	if !g.complete(ranks, now) {
 		return false
@@ -134,20 +93,20 @@
 	return g.targetVersion != 0 || mapchange.Changing(ranks)
 }
 
-// maxRounds limits the rounds of orders that are sent without reading the ranks
-// again. A change takes three rounds from the hold to its release.
-const maxRounds = 6
-
-// advance sends the orders that are due and, once these are accepted, those that
-// follow, without reading the ranks again: a held step blocks the group as soon as
-// the group reaches it.
-func (g *group) advance(ctx context.Context, members []member, ranks []mapchange.Rank, token int64) {
-	for range maxRounds {
-		orders := mapchange.Next(ranks, g.changePlan())
-		if len(orders) == 0 || !g.sendOrders(ctx, members, ranks, orders, token) {
-			return
-		}
+// currentRanks returns the members' ranks, with what the leader knows of its own orders.
+func (g *group) currentRanks(members []member, token int64) []mapchange.Rank {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ranks := make([]mapchange.Rank, len(members))
+	for i := range members {
+		r := &ranks[i]
+		*r = members[i].rank
+		session := rankSession{r.Epoch, r.Born, token}
+		r.Touched = g.accepted[r.Target] == session
+		r.Busy = r.Busy || g.targetVersion != 0 &&
+			(g.preparing[r.Target] == g.targetVersion || g.preparation[r.Target] == preparation{session, g.targetVersion})
 	}
+	return ranks
 }
 
 // complete reports whether all ranks of the group were read, and logs when that changes.
@@ -205,7 +164,7 @@
 	case g.targetVersion != 0 && inForce == g.targetVersion:
 		g.logChange("map in force", now)
 		g.current, g.version, g.targetVersion = g.planned, inForce, 0
-	case g.targetVersion != 0 && now.Sub(g.progress.planned) > prepareTimeout && !mapchange.Changing(ranks):
+	case g.targetVersion != 0 && now.Sub(g.plannedAt()) > prepareTimeout && !mapchange.Changing(ranks):
 		g.logChange("map change abandoned", now)
 		g.targetVersion = 0
 	}
@@ -219,9 +178,18 @@
 	}
 }
 
+// plannedAt returns when the map of targetVersion was planned.
+func (g *group) plannedAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.progress.planned
+}
+
 // logChange logs the end of the change to targetVersion.
 func (g *group) logChange(message string, now time.Time) {
+	g.mu.Lock()
 	fields := g.progress.fields(now)
+	g.mu.Unlock()
 	fields["group"], fields["version"] = g.name, g.targetVersion
 	g.leader.Log.State(message, fields)
 }
@@ -298,64 +266,7 @@
 func (g *group) startChange(next expertplan.Map, token int64, now time.Time) {
 	g.versionsUsed++
 	g.targetVersion, g.planned, g.shifts = token*versionsPerToken+g.versionsUsed, next, g.window.Shifts()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.progress = progress{planned: now}
 }
-
-// sendOrders sends all orders concurrently, records which ranks have accepted
-// theirs, and reports whether all have.
-func (g *group) sendOrders(ctx context.Context, members []member, ranks []mapchange.Rank, orders []mapchange.Order, token int64) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	var wait sync.WaitGroup
-	answers := make([]platform.OrderAnswer, len(orders))
-	for i, order := range orders {
-		rank := &ranks[order.Rank]
-		rankOrder := platform.RankOrder{Order: order, Epoch: rank.Epoch, Expected: rank.Sequence, Token: token}
-		switch order.Operation {
-		case mapchange.Prepare:
-			rankOrder.Map = g.planned
-		case mapchange.Disarm:
-			g.abandoned[order.Version] = true
-		}
-		wait.Go(func() {
-			answer, err := g.leader.Ranks.SendOrder(ctx, members[order.Rank].target, rankOrder)
-			if err != nil || answer != platform.OrderAccepted {
-				g.logOrder(rankOrder, rank.Target, answer, err)
-			}
-			answers[i] = answer
-		})
-	}
-	wait.Wait()
-	allAccepted := true
-	for i, order := range orders {
-		rank := &ranks[order.Rank]
-		g.progress.record(order.Operation, answers[i], time.Now())
-		switch answers[i] {
-		case platform.OrderAccepted:
-			mapchange.Apply(rank, order)
-			session := rankSession{rank.Epoch, rank.Born, token}
-			g.accepted[rank.Target] = session
-			if order.Operation == mapchange.Prepare {
-				g.preparation[rank.Target] = preparation{session, order.Version}
-			}
-			continue
-		case platform.OrderUnknown:
-			g.lastUnanswered = time.Now()
-		case platform.OrderFenced:
-			g.leader.setFenced(token)
-		}
-		allAccepted = false
-	}
-	return allAccepted
-}
-
-func (g *group) logOrder(order platform.RankOrder, target string, answer platform.OrderAnswer, err error) {
-	fields := eventlog.Fields{
-		"group": g.name, "target": target, "operation": string(order.Operation), "version": order.Version,
-		"step": order.Step, "epoch": order.Epoch, "token": order.Token, "answer": answer.String(),
-	}
-	if err != nil {
-		fields["error"] = err.Error()
-	}
-	g.leader.Log.Decision("order not accepted", fields)
-}
--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -28,7 +28,6 @@
 	changeInterval = 25 * time.Millisecond // between reads of the ranks during a change
 	standbyPause   = 100 * time.Millisecond
 	readTimeout    = 250 * time.Millisecond
-	orderTimeout   = 25 * time.Millisecond
 )
 
 // Election elects the member that leads. platform.Store implements it.
