maplead: let no single late rank stop the change of a group's map

From the 12th second on nearly all streams were late, from the 28th a third was refused besides. Cause: each decision waited for a fresh report of all 72 ranks, and started anew when one of 72 orders got no answer. A lost packet costs 0.2 s; with 72 ranks some rank always had one, so that a change took 2.0 to 3.1 s while demand shifts every 3.5 s. Class of fault: a step that needs N round trips at once is as late as the latest of them, at each phase, the more the larger N is. Change: reads go on in the background; a rank whose read is late is read again and meanwhile stands with its last report, for 1 s at most, with the orders that it has accepted since. A report that may be older than the last order to the rank, or that follows an order without an answer, is not used. Orders without an answer are sent again at once, without reading all ranks. A step is held only if all reports are younger than 0.3 s, so that no rank that is gone keeps the group waiting.

--- a/internal/core/mapchange/next_test.go
+++ b/internal/core/mapchange/next_test.go
@@ -49,6 +49,25 @@
 	assert.DeepEqual(t, Next(ranks, Plan{WantedVersion: 5, OrdersLost: true}), []Order{{Operation: Hold, Rank: 0, Step: 14}})
 }
 
+func TestNoHoldWhileSomeRankMayBeUnreachable(t *testing.T) {
+	ranks := heldGroup()
+	ranks[0].Held = 0
+	assert.Equal(t, len(Next(ranks, Plan{WantedVersion: 5, DeferHold: true})), 0)
+	ranks[0].Held = 10
+	assert.Equal(t, len(Next(ranks, Plan{WantedVersion: 5, DeferHold: true})), 3, "a step that is held must be released")
+}
+
+func TestMapInForceIsNotArmedAgain(t *testing.T) {
+	ranks := heldGroup()
+	for i := range ranks {
+		ranks[i].Version = 5
+	}
+	assert.Assert(t, Stuck(ranks, Plan{}))
+	for _, order := range Next(ranks, Plan{WantedVersion: 6}) {
+		assert.Equal(t, order.Operation, Prepare)
+	}
+}
+
 func TestNewLeaderRenewsTheHoldFirst(t *testing.T) {
 	ranks := heldGroup()
 	for i := range ranks {
--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -46,11 +46,17 @@
 
 	mu          sync.Mutex             // of the fields below, which prepare orders update when they end
 	progress    progress               // of the change to version targetVersion
-	accepted    map[string]rankSession // by the rank's address: session in which it last accepted an order
+	accepted    map[string]acceptance  // by the rank's address: first order that it has accepted in its session
 	preparation map[string]preparation // by the rank's address: last map that the rank agreed to prepare
 	preparing   map[string]int64       // by the rank's address: version of the prepare order in flight
 }
 
+// acceptance is when a rank accepted the first order of a session.
+type acceptance struct {
+	session rankSession
+	at      time.Time
+}
+
 // preparation identifies a map that a rank has agreed to prepare, and the session in
 // which it did.
 type preparation struct {
@@ -61,35 +67,35 @@
 func newGroup(leader *Leader, name string) *group {
 	return &group{
 		leader: leader, name: name, window: demand.NewWindow(), version: -1,
-		accepted: make(map[string]rankSession), preparation: make(map[string]preparation),
+		accepted: make(map[string]acceptance), preparation: make(map[string]preparation),
 		preparing: make(map[string]int64), abandoned: make(map[int64]bool),
 	}
 }
 
 func (g *group) needsPlacement() bool { return g.current == nil }
 
-// update processes the ranks' reports and sends the orders that are due. It reports
-// whether a change is planned or in progress.
-func (g *group) update(ctx context.Context, service *fleet.Service, members []member, token int64) bool {
+// update processes the ranks' reports and sends the orders that are due. endRound ends
+// a round of counts. It reports whether a change is planned or in progress.
+func (g *group) update(ctx context.Context, service *fleet.Service, members []member, token int64, endRound bool) bool {
 	slices.SortFunc(members, func(a, b member) int { return a.rank.Index - b.rank.Index })
 	ranks := g.currentRanks(members, token)
 	now := time.Now()
 	if !g.complete(ranks, now) {
-		return false
+		return g.targetVersion != 0 || mapchange.Changing(ranks)
 	}
-	g.observe(ranks, now)
+	g.observe(ranks, endRound, now)
 	g.reconcile(service, members, ranks, token, now)
 	if g.outdated(ranks) || g.abandoned[g.targetVersion] {
 		g.targetVersion = 0
 	}
 	switch {
 	case g.targetVersion != 0:
-	case mapchange.Stuck(ranks, g.changePlan()):
+	case mapchange.Stuck(ranks, g.changePlan(false)):
 		g.reissueCurrent(token, now)
 	case !mapchange.Changing(ranks):
 		g.plan(service, ranks, token, now)
 	}
-	g.advance(ctx, members, ranks, token)
+	g.advance(ctx, members, ranks, token, now)
 	return g.targetVersion != 0 || mapchange.Changing(ranks)
 }
 
@@ -102,7 +108,8 @@
 		r := &ranks[i]
 		*r = members[i].rank
 		session := rankSession{r.Epoch, r.Born, token}
-		r.Touched = g.accepted[r.Target] == session
+		first := g.accepted[r.Target]
+		r.Touched = r.Touched || first.session == session && members[i].readAt.After(first.at)
 		r.Busy = r.Busy || g.targetVersion != 0 &&
 			(g.preparing[r.Target] == g.targetVersion || g.preparation[r.Target] == preparation{session, g.targetVersion})
 	}
@@ -127,17 +134,16 @@
 	return complete
 }
 
-// observe adds the counts that the ranks report to the demand window.
-func (g *group) observe(ranks []mapchange.Rank, now time.Time) {
-	counted := false
+// observe adds the counts that the ranks report to the demand window, and may end a
+// round of it.
+func (g *group) observe(ranks []mapchange.Rank, endRound bool, now time.Time) {
 	shifts := g.window.Shifts()
 	for i := range ranks {
 		if len(ranks[i].Counts) > 0 {
 			g.window.Add(ranks[i].Target, ranks[i].Born, ranks[i].Epoch, ranks[i].Counts)
-			counted = true
 		}
 	}
-	if counted {
+	if endRound {
 		g.window.EndRound(now)
 	}
 	if g.window.Shifts() != shifts {
--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -27,11 +27,6 @@
 	countInterval  = 80 * time.Millisecond // between reads of counts
 	changeInterval = 25 * time.Millisecond // between reads of the ranks during a change
 	standbyPause   = 100 * time.Millisecond
-	readTimeout    = 250 * time.Millisecond
-	// maxCountedRanks limits the ranks whose counts are read: the counts of a large group
-	// would fill the leader's link. Requests are spread evenly over the ranks, so a part of
-	// the ranks shows the demand at all of them.
-	maxCountedRanks = 24
 )
 
 // Election elects the member that leads. platform.Store implements it.
@@ -61,13 +56,15 @@
 	token       int64 // fencing token while this member leads; 0: it does not lead
 	fencedToken int64 // highest token that a rank has refused as out of date
 
+	knownToken int64 // token under which groups and reports were filled
 	groups     map[string]*group
+	reports    *reports
 	countsRead time.Time // when counts were last read
 }
 
 // Run leads whenever this member is elected, until ctx ends.
 func (l *Leader) Run(ctx context.Context) error {
-	l.groups = make(map[string]*group)
+	l.forget(0)
 	work, ctx := errgroup.WithContext(ctx)
 	work.Go(func() error { return l.stayInElection(ctx) })
 	work.Go(func() error { return l.lead(ctx) })
@@ -136,8 +133,10 @@
 func (l *Leader) lead(ctx context.Context) error {
 	for ctx.Err() == nil {
 		token := l.leaderToken()
+		if token != l.knownToken {
+			l.forget(token)
+		}
 		if token == 0 {
-			clear(l.groups)
 			pause.For(ctx, standbyPause)
 			continue
 		}
@@ -152,88 +151,38 @@
 	return nil
 }
 
+// forget forgets all that is known of the ranks: under another token, other leaders may
+// have sent orders in between.
+func (l *Leader) forget(token int64) {
+	l.knownToken, l.groups, l.reports = token, make(map[string]*group), newReports(l.Ranks, l.Log)
+}
+
 // cycle reads all ranks of a service and sends the orders that are due. It reports
 // whether a change is planned or in progress in any of its groups.
 func (l *Leader) cycle(ctx context.Context, service *fleet.Service, targets []fleet.Target, token int64) bool {
-	members := l.read(ctx, targets)
+	targets = onePerAddress(targets)
+	options := ranklink.StateOptions{Counts: time.Since(l.countsRead) >= countInterval}
+	if options.Counts {
+		l.countsRead = time.Now()
+	}
+	for _, g := range l.groups {
+		options.Placement = options.Placement || g.needsPlacement()
+	}
+	l.reports.refresh(ctx, targets, options)
 	active := false
-	for name, ranks := range members {
+	for name, ranks := range l.reports.members(targets, time.Now()) {
 		g := l.groups[name]
 		if g == nil {
 			g = newGroup(l, name)
 			l.groups[name] = g
 		}
-		if g.update(ctx, service, ranks, token) {
+		if g.update(ctx, service, ranks, token, options.Counts) {
 			active = true
 		}
 	}
 	return active
 }
 
-// member is the last reported state of a rank, with the target that it runs on.
-type member struct {
-	target    fleet.Target
-	rank      mapchange.Rank
-	placement [][]int32 // experts that the rank holds, by set; nil: not reported
-}
-
-// read reads all ranks concurrently and returns those that answered, by group.
-func (l *Leader) read(ctx context.Context, targets []fleet.Target) map[string][]member {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	options := ranklink.StateOptions{Counts: time.Since(l.countsRead) >= countInterval}
-	if options.Counts {
-		l.countsRead = time.Now()
-	}
-	for _, g := range l.groups {
-		options.Placement = options.Placement || g.needsPlacement()
-	}
-	targets = onePerAddress(targets)
-	counted := countedAddresses(targets)
-	members := make([]*member, len(targets))
-	reads := &errgroup.Group{}
-	for i, target := range targets {
-		reads.Go(func() error {
-			targetOptions := options
-			targetOptions.Counts = options.Counts && counted[target.Address]
-			rank, placement, err := l.Ranks.State(ctx, target, targetOptions)
-			if err != nil {
-				l.Log.Decision("cannot read the rank", eventlog.Fields{"target": target.ID, "error": err.Error()})
-				return nil
-			}
-			rank.Target = target.Address
-			members[i] = &member{target, rank, placement}
-			return nil
-		})
-	}
-	if err := reads.Wait(); err != nil {
-		return nil
-	}
-	groups := make(map[string][]member)
-	for _, m := range members {
-		if m != nil {
-			groups[m.rank.Group] = append(groups[m.rank.Group], *m)
-		}
-	}
-	return groups
-}
-
-// countedAddresses returns the addresses of the targets whose counts are read. They are
-// the same for the same targets.
-func countedAddresses(targets []fleet.Target) map[string]bool {
-	addresses := make([]string, len(targets))
-	for i, target := range targets {
-		addresses[i] = target.Address
-	}
-	slices.Sort(addresses)
-	count := min(len(addresses), maxCountedRanks)
-	counted := make(map[string]bool, count)
-	for i := range count {
-		counted[addresses[i*len(addresses)/count]] = true
-	}
-	return counted
-}
-
 // onePerAddress keeps only the youngest of the targets registered at the same
 // address: a target that restarts may get a new id before the record of its previous
 // incarnation is gone.
--- a/internal/maplead/orders.go
+++ b/internal/maplead/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,34 +21,44 @@
 	// unansweredWindow is the time after an order without an answer in which other orders
 	// are likely to get no answer as well.
 	unansweredWindow = 2 * time.Second
-	// maxRounds limits the rounds of orders that are sent without reading the ranks
-	// again. A change takes three rounds from the hold to its release.
-	maxRounds = 6
+	// maxHoldReportAge is the age of a rank's report beyond which no step is held: a rank
+	// that has become unreachable would keep the group from beginning the step.
+	maxHoldReportAge = 300 * time.Millisecond
+	// maxRounds limits the rounds of orders that are sent without reading the ranks again:
+	// three from the hold to its release, and those that repeat orders without an answer.
+	maxRounds = 12
 )
 
-func (g *group) changePlan() mapchange.Plan {
+func (g *group) changePlan(deferHold bool) mapchange.Plan {
 	return mapchange.Plan{
 		WantedVersion: g.targetVersion,
 		Abandoned:     g.abandoned,
 		OrdersLost:    time.Since(g.lastUnanswered) < unansweredWindow,
+		DeferHold:     deferHold,
 	}
 }
 
 // advance sends the orders that are due and, once these are accepted, those that
 // follow, without reading the ranks again: a held step blocks the group as soon as
-// the group reaches it.
-func (g *group) advance(ctx context.Context, members []member, ranks []mapchange.Rank, token int64) {
+// the group reaches it. Orders that got no answer are sent again.
+func (g *group) advance(ctx context.Context, members []member, ranks []mapchange.Rank, token int64, now time.Time) {
+	deferHold := slices.ContainsFunc(members, func(m member) bool { return now.Sub(m.readAt) > maxHoldReportAge })
+	uncertain := make(map[string]bool) // addresses of ranks whose state must be read again
 	for range maxRounds {
-		orders := mapchange.Next(ranks, g.changePlan())
-		if len(orders) == 0 || !g.sendOrders(ctx, members, ranks, orders, token) {
-			return
+		orders := mapchange.Next(ranks, g.changePlan(deferHold))
+		if len(orders) == 0 || !g.sendOrders(ctx, members, ranks, orders, token, uncertain) {
+			break
 		}
 	}
+	for address := range uncertain {
+		g.leader.reports.invalidate(address, time.Now())
+	}
 }
 
 // sendOrders sends all orders concurrently, and waits for all but the prepare orders. It
-// applies the accepted orders to ranks and reports whether all ranks have accepted theirs.
-func (g *group) sendOrders(ctx context.Context, members []member, ranks []mapchange.Rank, orders []mapchange.Order, token int64) bool {
+// applies the accepted orders to ranks and adds the other ranks to uncertain. It reports
+// false if a rank has refused its order.
+func (g *group) sendOrders(ctx context.Context, members []member, ranks []mapchange.Rank, orders []mapchange.Order, token int64, uncertain map[string]bool) bool {
 	var wait sync.WaitGroup
 	answers := make([]platform.OrderAnswer, len(orders))
 	for i, order := range orders {
@@ -65,20 +76,25 @@
 		wait.Go(func() { answers[i] = g.send(ctx, send, orderTimeout) })
 	}
 	wait.Wait()
-	allAccepted := true
+	refused := false
 	for i, order := range orders {
+		rank := &ranks[order.Rank]
 		switch {
 		case order.Operation == mapchange.Prepare:
 			continue
 		case answers[i] == platform.OrderAccepted:
-			mapchange.Apply(&ranks[order.Rank], order)
+			mapchange.Apply(rank, order)
+			g.leader.reports.accepted(*rank, time.Now())
+			delete(uncertain, rank.Target)
 			continue
 		case answers[i] == platform.OrderUnknown:
 			g.lastUnanswered = time.Now()
+		default:
+			refused = true
 		}
-		allAccepted = false
+		uncertain[rank.Target] = true
 	}
-	return allAccepted
+	return !refused
 }
 
 // sending is an order with the rank that it is sent to.
@@ -123,8 +139,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.progress.record(s.order.Operation, answer, time.Now())
-	if answer == platform.OrderAccepted {
-		g.accepted[s.target.Address] = s.session
+	if answer == platform.OrderAccepted && g.accepted[s.target.Address].session != s.session {
+		g.accepted[s.target.Address] = acceptance{s.session, time.Now()}
 	}
 	return answer
 }
