gateway: count a request out of its target's load however the attempt ends

What callers saw: nothing that could be told apart in the incident. A target from which callers had left in mid-stream counted as more loaded than it was, at this gateway and at its peers, for as long as the process lived, so that it got fewer streams than the others. Cause: a write to a caller that is gone ends the request with a panic that net/http expects (http.ErrAbortHandler); the release of the load came after the attempt and was passed over. Class of fault: a release that is not deferred, behind a call that may panic. Change: the attempt defers the release. The other panics of this kind come before a target is chosen, or after its release. Evidence: TestCallerThatLeavesMidStreamIsCountedOutOfTheTargetsLoad failed before (1 request left at the target).

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -85,8 +85,10 @@
 	return false
 }
 
-// attempt sends the request to one target and relays its answer.
+// attempt sends the request to one target and relays its answer. It panics if the caller
+// leaves in the middle of a stream.
 func (x *exchange) attempt(ctx context.Context, target registry.Usable) outcome {
+	defer x.gateway.loads.release(target.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := newWatchdog(x, target.ID, cancel)
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -166,7 +166,6 @@
 			break
 		}
 		outcome := x.attempt(ctx, target)
-		x.gateway.loads.release(target.ID)
 		if x.recordAttempt(outcome, target.ID) {
 			return
 		}
--- a/internal/app/gateway/streams_test.go
+++ b/internal/app/gateway/streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -106,3 +107,21 @@
 		assert.Equal(t, got.status, http.StatusOK)
 	}
 }
+
+// brokenWriter is the connection of a caller that is gone: what is written to it fails.
+type brokenWriter struct{ header http.Header }
+
+func (w *brokenWriter) Header() http.Header       { return w.header }
+func (w *brokenWriter) WriteHeader(int)           {}
+func (w *brokenWriter) Write([]byte) (int, error) { return 0, net.ErrClosed }
+
+func TestCallerThatLeavesMidStreamIsCountedOutOfTheTargetsLoad(t *testing.T) {
+	one := platformtest.NewTarget(t, "i-1")
+	b := newTestbed(t, one)
+	func() {
+		defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
+		b.gateway.ServeHTTP(&brokenWriter{make(http.Header)}, b.request(t.Context(), http.MethodPost, "/stream/", "prompt"))
+	}()
+	assert.Equal(t, arrived(one), 1)
+	assert.Equal(t, len(b.gateway.loads.ownRequests(time.Now())), 0)
+}
