gateway: leave answers that do not end

What callers would see: requests that may not be repeated held to their deadline (504 after 5 s in place of 502), streams that end late or without the rest, and gateways of 184 MB that run out of memory: 146 to 161 MB of one answer were taken. Cause: the bodies of plain answers and the lines of a stream were read without a limit, heads up to 10 MB, and events without an id kept a stream alive. Change: 64 KB for a head, 4 MB for a plain answer, 256 KB for an event and for what comes between two events that take a stream further; beyond it the attempt ends, and another target is tried where that is allowed. Limit: data events without ids, from a target that never sent an id, still count as a stream.

--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -19,6 +19,7 @@
 	loadTimeout         = time.Second
 	maxShortAnswerBytes = 64 << 10 // of a load report or the answer to an order
 	maxAnswerBytes      = 8 << 20  // of an answer that is not streamed
+	maxAnswerHeadBytes  = 64 << 10
 )
 
 // Headers between the agent and the engine.
@@ -51,10 +52,11 @@
 	return &Client{
 		base: strings.TrimSuffix(base, "/"),
 		transport: &http.Transport{
-			MaxIdleConns:        maxIdleConnections,
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			MaxIdleConns:           maxIdleConnections,
+			MaxIdleConnsPerHost:    maxIdleConnections,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxAnswerHeadBytes,
 		},
 	}
 }
--- a/internal/adapter/service/client.go
+++ b/internal/adapter/service/client.go
@@ -17,6 +17,7 @@
 	maxIdleConnections = 256
 	idleTimeout        = 30 * time.Second
 	maxAnswerBytes     = 8 << 20
+	maxAnswerHeadBytes = 64 << 10
 )
 
 // KeyHeader is the header that passes a call's idempotency key to the service.
@@ -37,9 +38,10 @@
 	return &Client{
 		base: strings.TrimSuffix(base, "/"),
 		keepAlive: &http.Transport{
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			MaxIdleConnsPerHost:    maxIdleConnections,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxAnswerHeadBytes,
 		},
 		singleUse: singleUseTransport(),
 	}
@@ -51,9 +53,10 @@
 // other reasons to resend.
 func singleUseTransport() *http.Transport {
 	return &http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-		TLSNextProto:       map[string]func(string, *tls.Conn) http.RoundTripper{},
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
 	}
 }
 
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -15,6 +15,11 @@
 	"quetzalbend/platform"
 )
 
+const (
+	maxAnswerBytes     = 4 << 20  // of an answer that is not streamed
+	maxAnswerHeadBytes = 64 << 10 // of a target's answer
+)
+
 // outcome is how an attempt ended.
 type outcome int
 
@@ -156,8 +161,9 @@
 	case x.stream.started:
 		return failed
 	}
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerBytes))
 	if err != nil {
+		x.gateway.log.Decision("answer broken", eventlog.Fields{"request": x.caller.RequestID, "target": target, "error": err.Error()})
 		if watch.fired() {
 			return timedOut
 		}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -67,9 +67,10 @@
 	// Each request uses a connection of its own: on a reused connection, a late
 	// or duplicate answer would be mistaken for the answer to the next request.
 	g.transport = &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}
 	g.peers = newPeers(g)
 	return g
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -20,15 +20,31 @@
 	last    int64 // id of the last event relayed; 0: none
 }
 
-const eventBuffer = 4 << 10 // bytes
+// advances reports whether an event takes the stream further: the events of a stream
+// have increasing ids, or none at all.
+func (p streamPosition) advances(e event) bool {
+	return e.id > p.last || p.last == 0 && e.hasData
+}
+
+const (
+	eventBuffer = 4 << 10 // bytes
+	// maxFillerBytes limits an event, and what a stream sends between two events that take
+	// it further.
+	maxFillerBytes = 256 << 10
+)
 
 // event is one complete event of a stream, byte for byte as received.
 type event struct {
-	raw []byte
-	id  int64 // 0: none
+	raw     []byte
+	id      int64 // 0: none
+	hasData bool
 }
 
-var errCutEvent = errors.New("stream ends within an event")
+var (
+	errCutEvent   = errors.New("stream ends within an event")
+	errLongEvent  = errors.Errorf("event is over %d bytes", maxFillerBytes)
+	errNoProgress = errors.Errorf("stream sends over %d bytes without a new event", maxFillerBytes)
+)
 
 // eventReader splits a stream into complete events.
 type eventReader struct{ from *bufio.Reader }
@@ -42,7 +58,7 @@
 func (r *eventReader) next() (event, error) {
 	var e event
 	for {
-		line, err := r.from.ReadBytes('\n')
+		line, err := r.line(maxFillerBytes - len(e.raw))
 		e.raw = append(e.raw, line...)
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(e.raw) > 0 {
@@ -61,6 +77,22 @@
 			}
 			e.id = id
 		}
+		e.hasData = e.hasData || bytes.HasPrefix(content, []byte("data"))
+	}
+}
+
+// line returns the next line of at most limit bytes.
+func (r *eventReader) line(limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.from.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case len(line) > limit:
+			return nil, errLongEvent
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return line, err
+		}
 	}
 }
 
@@ -69,11 +101,19 @@
 	reader := newEventReader(response.Body)
 	flusher := http.NewResponseController(x.writer)
 	begun := false
+	filler := 0 // bytes since the last event that took the stream further
 	for {
 		next, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(response)
 		}
+		filler += len(next.raw)
+		if x.stream.advances(next) {
+			filler = 0
+		}
+		if filler > maxFillerBytes {
+			err = errNoProgress
+		}
 		if err != nil {
 			x.gateway.log.Decision("stream broken", eventlog.Fields{"request": x.caller.RequestID, "target": target, "error": err.Error()})
 			switch {
