expertplan: compute the cost of a move from the ranks that it changes

Cause: each of some 1,300 candidate moves recomputed the sums over all ranks. Change: a placement keeps the ranks that hold each expert and the sum that the cost is made of; a move updates the ranks that it touches.

--- a/internal/core/expertplan/placement.go
+++ b/internal/core/expertplan/placement.go
@@ -9,12 +9,16 @@
 type placement struct {
 	shape         Shape
 	ranks         [][]int32 // experts at each rank
+	holders       [][]int   // ranks that hold the expert, by expert
 	resident      [][]int32 // experts at each rank before the change
 	loads         []float64 // by expert
 	speeds        []float64 // by rank
-	copies        []int     // number of ranks that hold the expert, by expert
+	mean          float64   // time of every rank if the set were balanced perfectly
 	times         []float64 // load divided by speed, by rank
-	expertsToLoad []int     // experts of all sets that each rank must load for this change
+	powers        []float64 // of times relative to mean, with exponent 8, by rank
+	powerSum      float64
+	expertsToLoad []int  // experts of all sets that each rank must load for this change
+	moveBuffer    []move // reused by moves
 }
 
 // move adds an expert to one rank, and may remove it from another rank and evict an
@@ -29,15 +33,26 @@
 }
 
 func newPlacement(ranks [][]int32, loads, speeds []float64) *placement {
-	p := &placement{ranks: ranks, loads: loads, speeds: speeds, copies: make([]int, len(loads)), times: make([]float64, len(ranks))}
-	for _, experts := range ranks {
+	p := &placement{
+		ranks: ranks, loads: loads, speeds: speeds, holders: make([][]int, len(loads)),
+		times: make([]float64, len(ranks)), powers: make([]float64, len(ranks)),
+	}
+	for r, experts := range ranks {
 		for _, e := range experts {
-			p.copies[e]++
+			p.holders[e] = append(p.holders[e], r)
 		}
 	}
+	load, speed := 0.0, 0.0
 	for r := range ranks {
 		p.times[r] = p.rankTime(r)
+		load += p.times[r] * speeds[r]
+		speed += speeds[r]
 	}
+	p.mean = math.Max(load/speed, math.SmallestNonzeroFloat64)
+	for r := range ranks {
+		p.powers[r] = p.power(r)
+	}
+	p.sumPowers()
 	return p
 }
 
@@ -45,38 +60,33 @@
 func (p *placement) rankTime(rank int) float64 {
 	load := 0.0
 	for _, e := range p.ranks[rank] {
-		load += p.loads[e] / float64(p.copies[e])
+		load += p.loads[e] / float64(len(p.holders[e]))
 	}
 	return load / p.speeds[rank]
 }
 
 func (p *placement) maxTime() float64 { return slices.Max(p.times) }
 
-// meanTime returns the total load divided by the total speed, which is the time of
-// every rank if the set is balanced perfectly.
-func (p *placement) meanTime() float64 {
-	load, speed := 0.0, 0.0
-	for r := range p.times {
-		load += p.times[r] * p.speeds[r]
-		speed += p.speeds[r]
+func (p *placement) power(rank int) float64 {
+	power := p.times[rank] / p.mean
+	power *= power
+	power *= power
+	return power * power
+}
+
+// sumPowers computes powerSum anew, without the rounding errors of updateTimes.
+func (p *placement) sumPowers() {
+	p.powerSum = 0
+	for _, power := range p.powers {
+		p.powerSum += power
 	}
-	return math.Max(load/speed, math.SmallestNonzeroFloat64)
 }
 
-// cost returns the power mean with exponent 8 of the ranks' times, relative to
-// meanTime. It weights heavily loaded ranks more than others, so that the ranks
-// next to the most loaded one are relieved as well.
+// cost returns the power mean with exponent 8 of the ranks' times, relative to mean. It
+// weights heavily loaded ranks more than others, so that the ranks next to the most
+// loaded one are relieved as well.
 func (p *placement) cost() float64 {
-	meanTime := p.meanTime()
-	sum := 0.0
-	for _, t := range p.times {
-		power := t / meanTime
-		power *= power
-		power *= power
-		power *= power
-		sum += power
-	}
-	return math.Sqrt(math.Sqrt(math.Sqrt(sum / float64(len(p.times)))))
+	return math.Sqrt(math.Sqrt(math.Sqrt(max(p.powerSum, 0) / float64(len(p.times)))))
 }
 
 // bestMove returns the move of an expert of the most loaded rank that lowers the cost
@@ -109,9 +119,10 @@
 	return best, found
 }
 
-// moves returns the allowed moves that add an expert of rank `from` to rank `to`.
+// moves returns the allowed moves that add an expert of rank `from` to rank `to`, until
+// its next call.
 func (p *placement) moves(expert int32, from, to int) []move {
-	var list []move
+	list := p.moveBuffer[:0]
 	add := func(m move) {
 		if p.allowed(m) {
 			list = append(list, m)
@@ -122,7 +133,7 @@
 		add(move{expert: expert, from: from, to: to, evict: -1})
 	}
 	for _, evict := range p.ranks[to] {
-		if p.copies[evict] > 1 {
+		if len(p.holders[evict]) > 1 {
 			add(move{expert: expert, from: -1, to: to, evict: evict})
 			add(move{expert: expert, from: from, to: to, evict: evict})
 		}
@@ -130,6 +141,7 @@
 			add(move{expert: expert, from: from, to: to, evict: evict, swap: true})
 		}
 	}
+	p.moveBuffer = list
 	return list
 }
 
@@ -174,9 +186,11 @@
 
 // costAfter returns the cost of the placement after a move.
 func (p *placement) costAfter(m move) float64 {
+	before := p.powerSum
 	p.change(m)
 	cost := p.cost()
 	p.revert(m)
+	p.powerSum = before
 	return cost
 }
 
@@ -188,6 +202,7 @@
 		}
 	}
 	p.change(m)
+	p.sumPowers()
 	for _, rank := range []int{m.to, m.from} {
 		if rank >= 0 {
 			p.expertsToLoad[rank] += p.newExpertsAt(rank)
@@ -236,23 +251,40 @@
 
 func (p *placement) add(rank int, expert int32) {
 	p.ranks[rank] = append(p.ranks[rank], expert)
-	p.copies[expert]++
+	p.holders[expert] = append(p.holders[expert], rank)
 }
 
 func (p *placement) remove(rank int, expert int32) {
-	at := slices.Index(p.ranks[rank], expert)
-	last := len(p.ranks[rank]) - 1
-	p.ranks[rank][at] = p.ranks[rank][last]
-	p.ranks[rank] = p.ranks[rank][:last]
-	p.copies[expert]--
+	p.ranks[rank] = removeUnordered(p.ranks[rank], expert)
+	p.holders[expert] = removeUnordered(p.holders[expert], rank)
+}
+
+// removeUnordered removes an element that the list contains.
+func removeUnordered[E comparable](list []E, element E) []E {
+	last := len(list) - 1
+	list[slices.Index(list, element)] = list[last]
+	return list[:last]
 }
 
 // updateTimes recomputes the times of the ranks that a move affects.
 func (p *placement) updateTimes(m move) {
-	for r := range p.ranks {
-		touched := r == m.to || r == m.from || slices.Contains(p.ranks[r], m.expert)
-		if touched || m.evict >= 0 && slices.Contains(p.ranks[r], m.evict) {
-			p.times[r] = p.rankTime(r)
+	p.updateTime(m.to)
+	if m.from >= 0 {
+		p.updateTime(m.from)
+	}
+	for _, rank := range p.holders[m.expert] {
+		p.updateTime(rank)
+	}
+	if m.evict >= 0 {
+		for _, rank := range p.holders[m.evict] {
+			p.updateTime(rank)
 		}
 	}
 }
+
+func (p *placement) updateTime(rank int) {
+	p.times[rank] = p.rankTime(rank)
+	power := p.power(rank)
+	p.powerSum += power - p.powers[rank]
+	p.powers[rank] = power
+}
--- a/internal/core/expertplan/plan.go
+++ b/internal/core/expertplan/plan.go
@@ -51,7 +51,7 @@
 	sum := 0.0
 	for s := range m {
 		p := newPlacement(m[s], loads[s], speeds)
-		sum += p.maxTime() / p.meanTime()
+		sum += p.maxTime() / p.mean
 	}
 	return sum / float64(len(m))
 }
@@ -89,7 +89,7 @@
 	for s := range m {
 		order[s] = s
 		p := newPlacement(m[s], loads[s], speeds)
-		skews[s] = p.maxTime() / p.meanTime()
+		skews[s] = p.maxTime() / p.mean
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		switch {
