maplead: read all ranks again right before a step is held

Cause: a step is held, and then a rank that does not answer can't be armed; nor may the group be released, since the arm order may yet arrive. The hold went by reports of up to 0.3 s before. Class of fault: a step that can't be taken back, on the word of a peer that may be gone. Change: right before a hold all ranks are read again, those that are late every 25 ms, for 0.15 s at most; if one does not answer, no step is held. Evidence: TestNoStepIsHeldWhileARankDoesNotAnswer failed before (3 of 3). Limit: a rank that freezes in the 25 to 150 ms between its answer and its arm order still keeps the group waiting.

--- a/internal/core/mapchange/next.go
+++ b/internal/core/mapchange/next.go
@@ -17,9 +17,6 @@
 	Abandoned map[int64]bool
 	// OrdersLost is set if orders have recently got no answer.
 	OrdersLost bool
-	// DeferHold keeps Next from placing a hold. It is set while some rank may be
-	// unreachable, which could then not be armed.
-	DeferHold bool
 }
 
 func (p Plan) holdAhead() int64 {
@@ -48,9 +45,6 @@
 	if orders, prepared := prepare(ranks, plan.WantedVersion); !prepared {
 		return orders
 	}
-	if plan.DeferHold {
-		return nil
-	}
 	return []Order{{Operation: Hold, Rank: 0, Step: latestStep(ranks) + plan.holdAhead()}}
 }
 
--- a/internal/core/mapchange/next_test.go
+++ b/internal/core/mapchange/next_test.go
@@ -49,14 +49,6 @@
 	assert.DeepEqual(t, Next(ranks, Plan{WantedVersion: 5, OrdersLost: true}), []Order{{Operation: Hold, Rank: 0, Step: 14}})
 }
 
-func TestNoHoldWhileSomeRankMayBeUnreachable(t *testing.T) {
-	ranks := heldGroup()
-	ranks[0].Held = 0
-	assert.Equal(t, len(Next(ranks, Plan{WantedVersion: 5, DeferHold: true})), 0)
-	ranks[0].Held = 10
-	assert.Equal(t, len(Next(ranks, Plan{WantedVersion: 5, DeferHold: true})), 3, "a step that is held must be released")
-}
-
 func TestMapInForceIsNotArmedAgain(t *testing.T) {
 	ranks := heldGroup()
 	for i := range ranks {
--- a/internal/maplead/group.go
+++ b/internal/maplead/group.go
@@ -77,7 +77,7 @@
 // update processes the ranks' reports and sends the orders that are due. endRound ends
 // a round of counts. It reports whether a change is planned or in progress.
 func (g *group) update(ctx context.Context, service *fleet.Service, members []member, token int64, endRound bool) bool {
-	slices.SortFunc(members, func(a, b member) int { return a.rank.Index - b.rank.Index })
+	sortByIndex(members)
 	ranks := g.currentRanks(members, token)
 	now := time.Now()
 	if !g.complete(ranks, now) {
@@ -90,15 +90,19 @@
 	}
 	switch {
 	case g.targetVersion != 0:
-	case mapchange.Stuck(ranks, g.changePlan(false)):
+	case mapchange.Stuck(ranks, g.changePlan()):
 		g.reissueCurrent(token, now)
 	case !mapchange.Changing(ranks):
 		g.plan(service, ranks, token, now)
 	}
-	g.advance(ctx, members, ranks, token, now)
+	g.advance(ctx, members, ranks, token)
 	return g.targetVersion != 0 || mapchange.Changing(ranks)
 }
 
+func sortByIndex(members []member) {
+	slices.SortFunc(members, func(a, b member) int { return a.rank.Index - b.rank.Index })
+}
+
 // currentRanks returns the members' ranks, with what the leader knows of its own orders.
 func (g *group) currentRanks(members []member, token int64) []mapchange.Rank {
 	g.mu.Lock()
--- a/internal/maplead/large_group_test.go
+++ b/internal/maplead/large_group_test.go
@@ -29,8 +29,13 @@
 	random    *rand.Rand
 	prepares  map[prepareOrder]int
 	farthest  int64 // most steps ahead at which a hold was placed
+	freezes   bool  // frozenRank freezes once it has reported that it is prepared
+	frozen    bool
+	heldSteps int // orders to hold a step while frozenRank was frozen
 }
 
+const frozenRank = 5
+
 // prepareOrder identifies the prepare orders that tell a rank the same.
 type prepareOrder struct {
 	rank    int
@@ -47,22 +52,31 @@
 	}
 }
 
-// lose waits for ctx to end if the message is lost, and reports whether it is.
-func (g *networkedGroup) lose(ctx context.Context) bool {
+// lose reports whether a message is lost.
+func (g *networkedGroup) lose() bool {
 	g.networkMu.Lock()
-	lost := g.random.Float64() < g.lossRate
-	g.networkMu.Unlock()
-	if lost {
-		<-ctx.Done()
-	}
-	return lost
+	defer g.networkMu.Unlock()
+	return g.random.Float64() < g.lossRate
 }
 
 func (g *networkedGroup) State(ctx context.Context, target fleet.Target, options ranklink.StateOptions) (mapchange.Rank, [][]int32, error) {
-	if g.lose(ctx) {
+	if g.lose() || g.isFrozen(target) {
+		<-ctx.Done()
 		return mapchange.Rank{}, nil, ctx.Err()
 	}
-	return g.fakeGroup.State(ctx, target, options)
+	rank, placement, err := g.fakeGroup.State(ctx, target, options)
+	g.networkMu.Lock()
+	defer g.networkMu.Unlock()
+	if g.freezes && rank.Index == frozenRank && rank.Prepared > 0 {
+		g.freezes, g.frozen = false, true
+	}
+	return rank, placement, err
+}
+
+func (g *networkedGroup) isFrozen(target fleet.Target) bool {
+	g.networkMu.Lock()
+	defer g.networkMu.Unlock()
+	return g.frozen && target.Slots == frozenRank
 }
 
 func (g *networkedGroup) SendOrder(ctx context.Context, target fleet.Target, order platform.RankOrder) (platform.OrderAnswer, error) {
@@ -72,13 +86,17 @@
 			return platform.OrderUnknown, ctx.Err()
 		}
 	}
-	if g.lose(ctx) {
+	if g.lose() || g.isFrozen(target) {
+		<-ctx.Done()
 		return platform.OrderUnknown, ctx.Err()
 	}
 	if order.Operation == mapchange.Hold {
 		ahead := order.Step - g.rank(target.Slots).Step
 		g.networkMu.Lock()
 		g.farthest = max(g.farthest, ahead)
+		if g.frozen {
+			g.heldSteps++
+		}
 		g.networkMu.Unlock()
 	}
 	return g.fakeGroup.SendOrder(ctx, target, order)
@@ -134,3 +152,21 @@
 	}
 	assert.Assert(t, !g.mixedMaps())
 }
+
+// A VM froze 60 ms before a step was held, and the group stood still until it ran again,
+// for 6.5 s.
+func TestNoStepIsHeldWhileARankDoesNotAnswer(t *testing.T) {
+	g := newNetworkedGroup(0, 0)
+	g.freezes = true
+	go g.run(t.Context())
+	startLeader(t, g, largeGroupRanks)
+	wait(t, "the rank is frozen", func() bool { return g.isFrozen(fleet.Target{Slots: frozenRank}) })
+	step := g.rank(0).Step
+	wait(t, "the group has begun 200 further steps", func() bool { return g.rank(0).Step > step+200 })
+	g.networkMu.Lock()
+	assert.Equal(t, g.heldSteps, 0)
+	g.frozen = false
+	g.networkMu.Unlock()
+	wait(t, "the hot expert has copies", func() bool { return copiesOf(g.fakeGroup, 0) >= 3 })
+	assert.Assert(t, !g.mixedMaps())
+}
--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -168,7 +168,7 @@
 	for _, g := range l.groups {
 		options.Placement = options.Placement || g.needsPlacement()
 	}
-	l.reports.refresh(ctx, targets, options)
+	l.reports.refresh(ctx, targets, options, readWait)
 	active := false
 	for name, ranks := range l.reports.members(targets, time.Now()) {
 		g := l.groups[name]
--- a/internal/maplead/orders.go
+++ b/internal/maplead/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,32 +20,40 @@
 	// unansweredWindow is the time after an order without an answer in which other orders
 	// are likely to get no answer as well.
 	unansweredWindow = 2 * time.Second
-	// maxHoldReportAge is the age of a rank's report beyond which no step is held: a rank
-	// that has become unreachable would keep the group from beginning the step.
-	maxHoldReportAge = 300 * time.Millisecond
+	// rereadTimeout limits the reading of all ranks right before a step is held.
+	rereadTimeout = 150 * time.Millisecond
 	// maxRounds limits the rounds of orders that are sent without reading the ranks again:
 	// three from the hold to its release, and those that repeat orders without an answer.
 	maxRounds = 12
 )
 
-func (g *group) changePlan(deferHold bool) mapchange.Plan {
+func (g *group) changePlan() mapchange.Plan {
 	return mapchange.Plan{
 		WantedVersion: g.targetVersion,
 		Abandoned:     g.abandoned,
 		OrdersLost:    time.Since(g.lastUnanswered) < unansweredWindow,
-		DeferHold:     deferHold,
 	}
 }
 
 // advance sends the orders that are due and, once these are accepted, those that
 // follow, without reading the ranks again: a held step blocks the group as soon as
 // the group reaches it. Orders that got no answer are sent again.
-func (g *group) advance(ctx context.Context, members []member, ranks []mapchange.Rank, token int64, now time.Time) {
-	deferHold := slices.ContainsFunc(members, func(m member) bool { return now.Sub(m.readAt) > maxHoldReportAge })
+func (g *group) advance(ctx context.Context, members []member, ranks []mapchange.Rank, token int64) {
 	uncertain := make(map[string]bool) // addresses of ranks whose state must be read again
+	reread := false
 	for range maxRounds {
-		orders := mapchange.Next(ranks, g.changePlan(deferHold))
-		if len(orders) == 0 || !g.sendOrders(ctx, members, ranks, orders, token, uncertain) {
+		orders := mapchange.Next(ranks, g.changePlan())
+		if len(orders) == 0 {
+			break
+		}
+		if orders[0].Operation == mapchange.Hold && !reread {
+			if members, reread = g.reread(ctx, members); !reread {
+				break
+			}
+			ranks = g.currentRanks(members, token)
+			continue
+		}
+		if !g.sendOrders(ctx, members, ranks, orders, token, uncertain) {
 			break
 		}
 	}
@@ -55,6 +62,21 @@
 	}
 }
 
+// reread reads all members again and reports whether all have answered. If a rank became
+// unreachable while a step is held, it could not be armed, and the group would wait for it.
+func (g *group) reread(ctx context.Context, members []member) ([]member, bool) {
+	targets := make([]fleet.Target, len(members))
+	for i := range members {
+		targets[i] = members[i].target
+	}
+	if !g.leader.reports.reread(ctx, targets, rereadTimeout) {
+		return members, false
+	}
+	members = g.leader.reports.members(targets, time.Now())[g.name]
+	sortByIndex(members)
+	return members, true
+}
+
 // sendOrders sends all orders concurrently, and waits for all but the prepare orders. It
 // applies the accepted orders to ranks and adds the other ranks to uncertain. It reports
 // false if a rank has refused its order.
--- a/internal/maplead/reports.go
+++ b/internal/maplead/reports.go
@@ -10,6 +10,7 @@
 	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/core/mapchange"
 	"quetzalbend/internal/eventlog"
+	"quetzalbend/internal/pause"
 	"quetzalbend/internal/ranklink"
 )
 
@@ -17,8 +18,11 @@
 	readTimeout = 400 * time.Millisecond // of one read; leaves time for a retransmission
 	// readWait is how long the leader waits for the reads that it has started, and after
 	// which it starts another read of a rank that has not answered.
-	readWait = 60 * time.Millisecond
-	maxReads = 4 // of one rank in progress
+	readWait   = 60 * time.Millisecond
+	rereadWait = 25 * time.Millisecond // like readWait, for reads without counts before a hold
+	maxReads   = 8                     // of one rank in progress
+	// rereadPause limits how often reread looks for the reads that have ended.
+	rereadPause = time.Millisecond
 	// maxReportAge is how long the last report of a rank is used while newer reads fail.
 	maxReportAge = time.Second
 	// maxCountedRanks limits the ranks whose counts are read: the counts of a large group
@@ -59,15 +63,15 @@
 	return &reports{ranks: ranks, log: log, byAddress: make(map[string]*report)}
 }
 
-// refresh starts a read of each target, except of those that were read within the last
-// readWait and have not answered. It returns when all of these reads have ended, or after
-// readWait.
-func (r *reports) refresh(ctx context.Context, targets []fleet.Target, options ranklink.StateOptions) {
+// refresh starts a read of each target, except of those with a read that started within
+// the last wait and has not ended. It returns when all of these reads have ended, or after
+// wait.
+func (r *reports) refresh(ctx context.Context, targets []fleet.Target, options ranklink.StateOptions, wait time.Duration) {
 	counted := countedAddresses(targets)
 	reads := &sync.WaitGroup{}
 	now := time.Now()
 	for _, target := range targets {
-		inProgress, start := r.startRead(target.Address, now)
+		inProgress, start := r.startRead(target.Address, now, wait)
 		if !start {
 			continue
 		}
@@ -80,7 +84,7 @@
 		reads.Wait()
 		close(ended)
 	}()
-	timeout := time.NewTimer(readWait)
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
 	case <-ended:
@@ -88,6 +92,35 @@
 	}
 }
 
+// reread reads all targets until each has answered a read that started after the call. It
+// reports false if that takes longer than timeout.
+func (r *reports) reread(ctx context.Context, targets []fleet.Target, timeout time.Duration) bool {
+	since := time.Now()
+	for time.Since(since) < timeout && ctx.Err() == nil {
+		targets = r.readBefore(targets, since)
+		if len(targets) == 0 {
+			return true
+		}
+		r.refresh(ctx, targets, ranklink.StateOptions{}, rereadWait)
+		pause.For(ctx, rereadPause)
+	}
+	return len(r.readBefore(targets, since)) == 0
+}
+
+// readBefore returns the targets whose last report is from a read that started before the
+// given time.
+func (r *reports) readBefore(targets []fleet.Target, since time.Time) []fleet.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var older []fleet.Target
+	for _, target := range targets {
+		if r.byAddress[target.Address].readAt.Before(since) {
+			older = append(older, target)
+		}
+	}
+	return older
+}
+
 // countedAddresses returns the addresses of the targets whose counts are read. They are
 // the same for the same targets.
 func countedAddresses(targets []fleet.Target) map[string]bool {
@@ -106,7 +139,7 @@
 
 // startRead reports how many reads of the rank are in progress and whether another may be
 // started, which it then counts.
-func (r *reports) startRead(address string, now time.Time) (inProgress int, start bool) {
+func (r *reports) startRead(address string, now time.Time, wait time.Duration) (inProgress int, start bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.byAddress[address]
@@ -115,7 +148,7 @@
 		r.byAddress[address] = known
 	}
 	inProgress = known.reads
-	if inProgress >= maxReads || inProgress > 0 && now.Sub(known.lastRead) < readWait {
+	if inProgress >= maxReads || inProgress > 0 && now.Sub(known.lastRead) < wait {
 		return inProgress, false
 	}
 	known.reads++
--- a/internal/maplead/reports_test.go
+++ b/internal/maplead/reports_test.go
@@ -53,11 +53,11 @@
 func TestLastReportIsUsedWhileReadsFail(t *testing.T) {
 	r, rank := newScriptedReports()
 	rank.states <- &mapchange.Rank{Group: "g", Step: 7, Counts: []int64{1}}
-	r.refresh(t.Context(), reportTargets, ranklink.StateOptions{})
+	r.refresh(t.Context(), reportTargets, ranklink.StateOptions{}, readWait)
 	first := onlyMember(t, r, time.Now())
 	assert.Equal(t, len(first.rank.Counts), 1)
 	rank.states <- nil
-	r.refresh(t.Context(), reportTargets, ranklink.StateOptions{})
+	r.refresh(t.Context(), reportTargets, ranklink.StateOptions{}, readWait)
 	kept := onlyMember(t, r, first.readAt.Add(maxReportAge))
 	assert.Equal(t, kept.rank.Step, int64(7))
 	assert.Equal(t, len(kept.rank.Counts), 0, "counts were returned twice")
@@ -68,14 +68,14 @@
 func TestReportFromBeforeAnOrderIsNotUsed(t *testing.T) {
 	r, rank := newScriptedReports()
 	rank.states <- &mapchange.Rank{Group: "g", Prepared: 5}
-	r.refresh(t.Context(), reportTargets, ranklink.StateOptions{})
+	r.refresh(t.Context(), reportTargets, ranklink.StateOptions{}, readWait)
 	state := onlyMember(t, r, time.Now()).rank
 
 	late := make(chan struct{})
 	<-rank.asked
 	go func() {
 		defer close(late)
-		r.refresh(t.Context(), reportTargets, ranklink.StateOptions{})
+		r.refresh(t.Context(), reportTargets, ranklink.StateOptions{}, readWait)
 	}()
 	<-rank.asked
 	mapchange.Apply(&state, mapchange.Order{Operation: mapchange.Arm, Version: 5, Step: 9})
