gateway tests: choose ports that no other process is given meanwhile

Cause: the harness asked the system for a free TCP port, closed it and used the same number for UDP as well; the system gives such numbers to any other connection, and the UDP port was never looked at. Change: ports come from below the system's range and must be free for TCP and UDP.

--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -114,16 +115,33 @@
 	return g, cancel, ended
 }
 
-// freePorts returns distinct TCP ports on which no process listens. All listeners stay
-// open until the end, since a port that is free again may be returned twice.
+// Ports below those that systems give to connections and to listeners without a port of
+// their own, so that no other process gets one between the test's choice and its use.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// freePorts returns distinct ports on which no process listens, neither by TCP nor by UDP.
+// All listeners stay open until the end, since a port that is free again may be returned
+// twice.
 func freePorts(t *testing.T, count int) []int {
 	t.Helper()
-	ports := make([]int, count)
-	for i := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer listener.Close() //nolint:errcheck // the port is free afterwards either way
-		ports[i] = listener.Addr().(*net.TCPAddr).Port
+	var ports []int
+	for attempts := 0; len(ports) < count; attempts++ {
+		assert.Assert(t, attempts < 1000, "no free ports")
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		tcp, err := net.Listen("tcp", localAddress(port))
+		if err != nil {
+			continue
+		}
+		defer tcp.Close() //nolint:errcheck // the port is free afterwards either way
+		udp, err := net.ListenPacket("udp4", localAddress(port))
+		if err != nil {
+			continue
+		}
+		defer udp.Close() //nolint:errcheck // the port is free afterwards either way
+		ports = append(ports, port)
 	}
 	return ports
 }
