--- a/internal/maplead/large_group_test.go
+++ b/internal/maplead/large_group_test.go
@@ -11,6 +11,7 @@
 
 	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/core/mapchange"
+	"quetzalbend/internal/pause"
 	"quetzalbend/internal/ranklink"
 	"quetzalbend/platform"
 )
@@ -112,17 +113,7 @@
 func (g *networkedGroup) sendPrepare(ctx context.Context) bool {
 	g.link.Lock()
 	defer g.link.Unlock()
-	if ctx.Err() != nil {
-		return false
-	}
-	sent := time.NewTimer(g.prepareTime)
-	defer sent.Stop()
-	select {
-	case <-sent.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, g.prepareTime)
 }
 
 // A link that takes 0.1 s for the prepare orders of all ranks loses none of them. When
