ranklink: tell the leader when an engine has not answered an order

Cause: since prepare orders may take 1 s of the leader's link, one that the engine did not answer was sent again only after that second. The agent, which is beside the engine, waited as long as the leader did. Class of fault: one time limit for two hops of which only one is slow. Change: the agent gives its engine 0.1 s (answers come within 10 ms) and then answers that the outcome is unknown. Evidence: TestOrderThatTheEngineDoesNotAnswerIsReportedByTheAgent failed before.

--- a/internal/ranklink/server.go
+++ b/internal/ranklink/server.go
@@ -21,6 +21,9 @@
 	queryCounts   = "counts" // query parameter: include how often each expert was chosen
 	queryPlaced   = "placed" // query parameter: include the experts that the rank holds
 	engineTimeout = 300 * time.Millisecond
+	// orderTimeout limits an order to the engine, which answers at once. The leader allows
+	// more time, since its link may be busy, and can so send the order again.
+	orderTimeout  = 100 * time.Millisecond
 	maxOrderBytes = 1 << 20
 	mediaType     = "application/x-protobuf"
 )
@@ -94,7 +97,9 @@
 		return
 	}
 	order := decodeOrder(encoded)
-	answer, err := s.engine.SendOrder(r.Context(), order)
+	ctx, cancel := context.WithTimeout(r.Context(), orderTimeout)
+	defer cancel()
+	answer, err := s.engine.SendOrder(ctx, order)
 	reply := &wire.RankAnswer{Answer: int32(answer)}
 	if err != nil {
 		reply.Error = err.Error()
