fleetsync: a gateway that cannot read the store does not offer to read for others

Trace: the store reset the calls of front-mu-north-b-1 from second 16.5 to 23.5. It asked peers, whose answers made its state look 0.3 s old, so that front-mu-north-b-2 took it for its reader from 19.8 to 22.3 and stopped reading the store itself. Cause: what a gateway was told counted like what it had read. Class of fault: a copy that offers itself as a source. Each hop adds its delay, and two gateways may rely on each other. Change: while its own last read failed, a gateway announces no age for it, so that nobody chooses it. Open: why the second gateway, having stopped to rely on the first, used the target for 0.4 to 0.8 s more.

--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -121,6 +121,7 @@
 		incremental, err = f.readSettings(ctx, incremental)
 		f.settingsDependency.record(f.Log, "settings in the store", err)
 		if err != nil {
+			f.State.RecordSettingsReadFailure()
 			pause.For(ctx, retryInterval)
 		}
 	}
--- a/internal/fleetsync/state.go
+++ b/internal/fleetsync/state.go
@@ -37,6 +37,9 @@
 	targetsNext     int64
 	settingsAsOf    time.Time // when all settings were last known; zero: never
 	targetsAsOf     time.Time // when the whole registry was last known; zero: never
+
+	settingsReadFailed bool // the last own read of the settings in the store failed
+	targetsReadFailed  bool // the last own read of the registry in the store failed
 }
 
 // NewState returns a state without settings and targets.
@@ -70,6 +73,7 @@
 func (s *State) AddSettings(batch platform.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.settingsReadFailed = false
 	if batch.Next < s.settingsNext {
 		return
 	}
@@ -88,6 +92,7 @@
 func (s *State) ReplaceSettings(batch platform.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.settingsReadFailed = false
 	s.replaceSettings(batch, s.now())
 }
 
@@ -136,6 +141,7 @@
 func (s *State) AddTargets(batch platform.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.targetsReadFailed = false
 	if batch.Next < s.targetsNext {
 		return
 	}
@@ -151,6 +157,7 @@
 func (s *State) ReplaceTargets(batch platform.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.targetsReadFailed = false
 	if batch.Next < s.targetsNext {
 		return
 	}
@@ -204,10 +211,18 @@
 	s.targets.Remove(id, now)
 }
 
-// RecordTargetsReadFailure records that the registry could not be read.
+// RecordSettingsReadFailure records that the settings could not be read from the store.
+func (s *State) RecordSettingsReadFailure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settingsReadFailed = true
+}
+
+// RecordTargetsReadFailure records that the registry could not be read from the store.
 func (s *State) RecordTargetsReadFailure() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.targetsReadFailed = true
 	s.targets.ReadFailed()
 }
 
@@ -257,11 +272,21 @@
 	return records
 }
 
-// ReadState returns up to which offsets the store has been read, and how long ago.
+// ReadState returns up to which offsets the store has been read, and how long ago, for
+// the choice of the gateway that reads for others. While own reads fail, it reports the
+// age of data that was never read: what peers have told is older than what they know,
+// and two gateways could rely on each other.
 func (s *State) ReadState() *wire.ReadState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.readState()
+	read := s.readState()
+	if s.settingsReadFailed {
+		read.SettingsAgeMs = neverRead
+	}
+	if s.targetsReadFailed {
+		read.TargetsAgeMs = neverRead
+	}
+	return read
 }
 
 func (s *State) readState() *wire.ReadState {
--- a/internal/fleetsync/state_test.go
+++ b/internal/fleetsync/state_test.go
@@ -111,6 +111,27 @@
 
 // A target whose record expired in an outage of the store that only the peer has seen
 // stays usable for the peer's grace period.
+// A gateway that the store rejected looked up to date by what peers told it, so that
+// another one stopped reading the store and used a draining target for 2 s.
+func TestGatewayThatCannotReadTheStoreDoesNotOfferToReadForOthers(t *testing.T) {
+	c := &clock{start}
+	rejected, peer := newTestState(c), newTestState(c)
+	rejected.AddTargets(platform.Batch{Next: 1})
+	rejected.RecordTargetsReadFailure()
+	peer.AddTargets(platform.Batch{Records: []platform.Record{target("a", 1)}, Next: 2})
+	rejected.Merge(peer.Share(0, 1))
+	assert.Equal(t, rejected.ReadState().TargetsNext, int64(2))
+	assert.Equal(t, rejected.ReadState().TargetsAgeMs, int64(neverRead))
+	assert.Equal(t, rejected.Share(0, 0).Read.TargetsAgeMs, int64(0), "peers must learn the true age of what is shared")
+	rejected.AddTargets(platform.Batch{Next: 2})
+	assert.Equal(t, rejected.ReadState().TargetsAgeMs, int64(0))
+
+	rejected.RecordSettingsReadFailure()
+	assert.Equal(t, rejected.ReadState().SettingsAgeMs, int64(neverRead))
+	rejected.AddSettings(platform.Batch{Next: rejected.SettingsNext()})
+	assert.Equal(t, rejected.ReadState().SettingsAgeMs, int64(0))
+}
+
 func TestExpiredTargetStaysUsableForThePeersGracePeriod(t *testing.T) {
 	c := &clock{start}
 	reader, other := newTestState(c), newTestState(c)
