--- a/internal/core/expertplan/bench_test.go
+++ b/internal/core/expertplan/bench_test.go
@@ -9,10 +9,7 @@
 // loads of another, in which a few experts of each set are far more in demand.
 func groupAfterShift(sets, ranks, experts, places int) (Map, [][]float64, []float64, Shape) {
 	random := rand.New(rand.NewPCG(3, 1))
-	speeds := make([]float64, ranks)
-	for r := range speeds {
-		speeds[r] = 1
-	}
+	speeds := evenSpeeds(ranks)
 	shape := Shape{Ranks: ranks, Experts: experts, Places: places, Spare: 2, Loads: 2}
 	m := RoundRobin(sets, ranks, experts)
 	for range 3 {
