--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -37,6 +37,10 @@
 
 func (o outcome) String() string { return outcomeNames[o] }
 
+// lost reports whether the request was sent and has neither an answer nor an error of
+// the target.
+func (o outcome) lost() bool { return o == unknown || o == cut || o == timedOut }
+
 // bufferedResponse is the complete answer of a target.
 type bufferedResponse struct {
 	status int
@@ -57,14 +61,14 @@
 
 // recordAttempt records how an attempt ended and reports whether the request is
 // complete.
-func (x *exchange) recordAttempt(o outcome, target string) bool {
-	x.tried[target] = true
+func (x *exchange) recordAttempt(o outcome, target registry.Usable) bool {
+	x.tried[target.ID] = true
 	now := time.Now()
 	if o != delivered {
-		x.gateway.log.Decision("attempt ended", eventlog.Fields{
-			"request": x.caller.RequestID, "target": target, "outcome": o.String(), "blamed": x.faultyTarget,
-			"ms": now.Sub(x.arrived).Milliseconds(), "last_event": x.stream.last,
-		})
+		x.logAttempt(o, target.ID, now)
+	}
+	if x.mayHaveCrashed(o) {
+		x.gateway.targetChecks.start(target)
 	}
 	switch o {
 	case delivered:
@@ -72,24 +76,43 @@
 		return true
 	case notSent:
 		x.dials++
-		x.gateway.loads.markSuspect(target, now)
+		x.gateway.loads.markSuspect(target.ID, now)
 	case notRun:
 		x.attempts++
 	case unknown, cut:
 		x.attempts++
 		x.mayHaveRun = true
-		x.gateway.loads.markSuspect(target, now)
+		x.gateway.loads.markSuspect(target.ID, now)
 		if x.request.Context().Err() == nil {
 			x.gateway.strikes.Strike(x.fingerprint, strike.ConnectionLost, now)
 		}
 	case failed, timedOut:
 		x.attempts++
 		x.mayHaveRun = true
-		x.gateway.loads.markSuspect(target, now)
+		x.gateway.loads.markSuspect(target.ID, now)
 	}
 	return false
 }
 
+// mayHaveCrashed reports whether the target may have crashed as it began to answer: the
+// attempt was lost before the stream had an event that shows the answer being written.
+func (x *exchange) mayHaveCrashed(o outcome) bool {
+	return o.lost() && len(x.caller.SharedParts) > 0 && !x.answered && x.request.Context().Err() == nil
+}
+
+// logAttempt logs how an attempt ended that did not deliver an answer. If it was lost,
+// the line names the parts of the prompt.
+func (x *exchange) logAttempt(o outcome, target string, now time.Time) {
+	fields := eventlog.Fields{
+		"request": x.caller.RequestID, "target": target, "outcome": o.String(), "blamed": x.faultyTarget,
+		"ms": now.Sub(x.arrived).Milliseconds(), "last_event": x.stream.last,
+	}
+	if o.lost() {
+		fields["shared_parts"] = x.caller.SharedParts
+	}
+	x.gateway.log.Decision("attempt ended", fields)
+}
+
 // attempt sends the request to one target and relays its answer. It panics if the caller
 // leaves in the middle of a stream.
 func (x *exchange) attempt(ctx context.Context, target registry.Usable) outcome {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -34,6 +34,7 @@
 	loads         *loads
 	peers         *peers
 	strikes       *strike.Table
+	targetChecks  *targetChecks
 	transport     *http.Transport
 	metrics       *metrics.Registry
 	requests      gometrics.Counter
@@ -72,6 +73,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}
+	g.targetChecks = newTargetChecks(dialer, log)
 	g.peers = newPeers(g)
 	return g
 }
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -45,6 +45,7 @@
 	usableTargets int               // number of usable targets of the service
 	fallback      *bufferedResponse // error answer of a target, sent if no attempt succeeds
 	stream        streamPosition
+	answered      bool // a target has begun to write an answer and went on
 }
 
 // ServeHTTP handles one caller's request.
@@ -166,7 +167,7 @@
 			break
 		}
 		outcome := x.attempt(ctx, target)
-		if x.recordAttempt(outcome, target.ID) {
+		if x.recordAttempt(outcome, target) {
 			return
 		}
 	}
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -31,6 +31,9 @@
 	// maxFillerBytes limits an event, and what a stream sends between two events that take
 	// it further.
 	maxFillerBytes = 256 << 10
+	// answeredEvents is the number of events that show that a target goes on after the
+	// beginning of an answer.
+	answeredEvents = 2
 )
 
 // event is one complete event of a stream, byte for byte as received.
@@ -101,6 +104,7 @@
 	reader := newEventReader(response.Body)
 	flusher := http.NewResponseController(x.writer)
 	begun := false
+	events := 0 // of this attempt that took the stream further
 	filler := 0 // bytes since the last event that took the stream further
 	for {
 		next, err := reader.next()
@@ -110,6 +114,10 @@
 		filler += len(next.raw)
 		if x.stream.advances(next) {
 			filler = 0
+			events++
+		}
+		if events >= answeredEvents {
+			x.answered = true
 		}
 		if filler > maxFillerBytes {
 			err = errNoProgress
