gateway: refuse requests with a part of a prompt that crashes targets

Callers saw streams refused for most of 80 s: requests with one part in common, no two alike, crashed a replica each, and each crash stops the group of 16 ranks for 4 s.

Cause: a request that crashes targets was recognised by the hash of account, path and whole body, so each of these counted as new. The class of fault: evidence is kept under a key that is finer than what causes the harm.

Change: package core/poison. A crash is told from a lost answer by a connection that the target refuses right after, counts against the shared parts of the requests that were lost before their answers were under way, and is cleared for a part once any request with it is answered. A part under crashes at two times is tried by one request at a time, sent by one gateway in turns of 3 s; two blamed trials that crash refuse it for 10 min.

Why so: a sound first part of a route is under every crash of a group that crashes before it has answered anything.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -26,6 +26,7 @@
 const (
 	delivered outcome = iota // the caller has the whole answer
 	notSent                  // no connection to the target was made
+	refused                  // like notSent, since nothing listens at the target's address
 	notRun                   // the target did not run the request and will not
 	failed                   // the target answered with an error of its own
 	unknown                  // the request was sent, but its answer is missing or incomplete
@@ -33,7 +34,7 @@
 	timedOut                 // like unknown, but the watchdog cancelled the attempt
 )
 
-var outcomeNames = [...]string{"delivered", "not_sent", "not_run", "failed", "unknown", "cut", "timed_out"}
+var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out"}
 
 func (o outcome) String() string { return outcomeNames[o] }
 
@@ -67,14 +68,12 @@
 	if o != delivered {
 		x.logAttempt(o, target.ID, now)
 	}
-	if x.mayHaveCrashed(o) {
-		x.gateway.targetChecks.start(target)
-	}
+	x.recordCrashSigns(o, target, now)
 	switch o {
 	case delivered:
 		x.attempts++
 		return true
-	case notSent:
+	case notSent, refused:
 		x.dials++
 		x.gateway.loads.markSuspect(target.ID, now)
 	case notRun:
@@ -94,12 +93,6 @@
 	return false
 }
 
-// mayHaveCrashed reports whether the target may have crashed as it began to answer: the
-// attempt was lost before the stream had an event that shows the answer being written.
-func (x *exchange) mayHaveCrashed(o outcome) bool {
-	return o.lost() && len(x.caller.SharedParts) > 0 && !x.answered && x.request.Context().Err() == nil
-}
-
 // logAttempt logs how an attempt ended that did not deliver an answer. If it was lost,
 // the line names the parts of the prompt.
 func (x *exchange) logAttempt(o outcome, target string, now time.Time) {
@@ -129,6 +122,8 @@
 	response, err := x.gateway.transport.RoundTrip(x.targetRequest(ctx, target))
 	if err != nil {
 		switch {
+		case !connected.Load() && refusedConnection(err):
+			return refused
 		case !connected.Load():
 			return notSent
 		case watch.fired():
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -34,7 +34,7 @@
 	loads         *loads
 	peers         *peers
 	strikes       *strike.Table
-	targetChecks  *targetChecks
+	poison        *poisonGuard
 	transport     *http.Transport
 	metrics       *metrics.Registry
 	requests      gometrics.Counter
@@ -73,8 +73,8 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}
-	g.targetChecks = newTargetChecks(dialer, log)
 	g.peers = newPeers(g)
+	g.poison = newPoisonGuard(dialer, log, g.peers)
 	return g
 }
 
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/core/fleet"
+	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/fleetsync"
@@ -43,9 +44,12 @@
 	mayHaveRun    bool              // a target may have run the request
 	faultyTarget  string            // target that a rejection named as the faulty one
 	usableTargets int               // number of usable targets of the service
+	noTarget      bool              // no target may be sent the request now
 	fallback      *bufferedResponse // error answer of a target, sent if no attempt succeeds
 	stream        streamPosition
 	answered      bool // a target has begun to write an answer and went on
+	barred        poison.Decision
+	blamed        []string // parts to which a crash of the target of the running attempt is due
 }
 
 // ServeHTTP handles one caller's request.
@@ -162,18 +166,34 @@
 			x.logOutcome("caller_left", 0)
 			return
 		}
-		target, found := x.chooseTarget()
-		if !found {
-			break
-		}
-		outcome := x.attempt(ctx, target)
-		if x.recordAttempt(outcome, target) {
+		if !x.tryTarget(ctx) {
 			return
 		}
 	}
 	x.giveUp()
 }
 
+// tryTarget makes one attempt, if the parts of the prompt allow it and a target is found.
+// It reports false once the request is complete.
+func (x *exchange) tryTarget(ctx context.Context) bool {
+	decision := x.gateway.poison.admit(x.caller.SharedParts, time.Now())
+	if !decision.MaySend() {
+		x.barred = decision
+		return true
+	}
+	x.blamed = decision.Blamed
+	if decision.Trial {
+		defer x.gateway.poison.endTrial(x)
+	}
+	target, found := x.chooseTarget()
+	if !found {
+		x.noTarget = true
+		return true
+	}
+	outcome := x.attempt(ctx, target)
+	return !x.recordAttempt(outcome, target)
+}
+
 // detectDisconnect waits up to disconnectWait, if the request may have been pending
 // while the process was suspended, so that net/http notices a disconnected caller.
 func (x *exchange) detectDisconnect() {
@@ -196,7 +216,7 @@
 		return false
 	case x.mayHaveRun && !x.route.Repeatable():
 		return false
-	case x.faultyTarget != "":
+	case x.faultyTarget != "", x.noTarget, !x.barred.MaySend():
 		return false
 	}
 	return x.attempts == 0 || x.gateway.takeRetry(x.service)
@@ -221,6 +241,10 @@
 
 func (x *exchange) refusalReason() string {
 	switch {
+	case x.barred.Verdict == poison.Refused:
+		return "part_kills_targets"
+	case !x.barred.MaySend():
+		return "part_may_kill_targets"
 	case x.faultyTarget != "":
 		return "group_broken"
 	case x.attempts > 0:
@@ -245,6 +269,9 @@
 // seconds. Since a caller retries only once, the time for a stream is the longest
 // that retryAfterDivisor allows.
 func (x *exchange) retryAfter() time.Duration {
+	if !x.barred.MaySend() {
+		return x.barred.RetryAfter
+	}
 	wait := max(time.Until(x.deadline)/retryAfterDivisor, 0)
 	if x.route.Kind == fleet.Stream {
 		return wait
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -34,8 +34,9 @@
 	idleInterval     = 300 * time.Millisecond // between datagrams while none run; less than readers.MaxReadAge, since peers rely on a reported read only up to that age
 	datagramBytes    = 8 << 10
 	maxStateBytes    = 32 << 20
-	gatewayHeadroom  = 3  // gateways that may be added at any moment
-	initialGateways  = 30 // assumed number until the nodes have been read once
+	aliveAge         = time.Second // after its last datagram, a gateway counts as alive
+	gatewayHeadroom  = 3           // gateways that may be added at any moment
+	initialGateways  = 30          // assumed number until the nodes have been read once
 )
 
 // peerRecord is a gateway's record in the store.
@@ -49,6 +50,7 @@
 type peerNode struct {
 	record   peerRecord
 	lastSeen time.Time // last change of the record or last datagram
+	heard    time.Time // last datagram; zero: none
 }
 
 // peers tracks the other gateways and exchanges load datagrams with them.
@@ -167,7 +169,7 @@
 			continue
 		}
 		if known, ok := p.nodes[r.Key]; !ok || known.record.Revision != record.Revision {
-			p.nodes[r.Key] = peerNode{record, now}
+			p.nodes[r.Key] = peerNode{record: record, lastSeen: now, heard: known.heard}
 		}
 	}
 	p.expireNodes(now)
@@ -180,7 +182,7 @@
 	node, known := p.nodes[datagram.Node]
 	node.record.Control = datagram.ControlAddress
 	node.record.Loads = from.String()
-	node.lastSeen = now
+	node.lastSeen, node.heard = now, now
 	p.nodes[datagram.Node] = node
 	if !known {
 		p.expireNodes(now)
@@ -212,6 +214,19 @@
 	return records
 }
 
+// alive returns the names of the other gateways from which a datagram has come lately.
+func (p *peers) alive(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var names []string
+	for name, node := range p.nodes {
+		if name != p.gateway.node.Name && now.Sub(node.heard) <= aliveAge {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // FetchFromPeer fetches from the next peer (round robin) the state that is newer than
 // the given offsets. It returns nil if there is no peer.
 func (p *peers) FetchFromPeer(ctx context.Context, settingsNext, targetsNext int64) (*wire.FleetState, error) {
@@ -297,6 +312,7 @@
 				datagram.Strikes = append(datagram.Strikes, &wire.RequestStrikes{Fingerprint: count.Fingerprint, Strikes: int32(count.Strikes)})
 			}
 		}
+		datagram.PartCrashes = p.gateway.poison.toSend(now)
 		strikesSince = now.Add(-strikeRepeat)
 		p.sendAll(datagram)
 	}
@@ -344,6 +360,7 @@
 		now := time.Now()
 		p.gateway.loads.received(datagram, now)
 		p.mergeStrikes(datagram, now)
+		p.gateway.poison.merge(datagram.PartCrashes, now)
 		p.recordReader(datagram, now)
 		p.recordNode(datagram, from, now)
 	}
--- /dev/null
+++ b/internal/app/gateway/poison.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/core/poison"
+	"quetzalbend/internal/core/registry"
+	"quetzalbend/internal/eventlog"
+	"quetzalbend/internal/wire"
+)
+
+const (
+	evidenceRepeat  = 300 * time.Millisecond // new evidence is sent repeatedly, since datagrams may be lost
+	evidenceRefresh = time.Second            // between datagrams with all parts that are not allowed, for gateways that start
+	maxSentParts    = 48                     // of a datagram
+	maxSentCrashes  = 4                      // of a part in a datagram; more than a verdict needs
+)
+
+// poisonGuard keeps requests whose prompts have a part that crashes targets away from
+// them. It finds out whether a target that has not answered has crashed: a crashed one
+// refuses connections, whereas one that only lost an answer accepts them.
+type poisonGuard struct {
+	table  *poison.Table
+	losses *poison.Losses
+	dialer *net.Dialer
+	log    *eventlog.Log
+	peers  *peers
+
+	mu          sync.Mutex
+	checking    map[uint64]bool // targets whose connections are being checked
+	refreshedAt time.Time
+}
+
+func newPoisonGuard(dialer *net.Dialer, log *eventlog.Log, peers *peers) *poisonGuard {
+	return &poisonGuard{
+		table: poison.NewTable(), losses: poison.NewLosses(),
+		dialer: dialer, log: log, peers: peers,
+		checking: make(map[uint64]bool),
+	}
+}
+
+// admit decides whether a request with these parts may be sent now.
+func (g *poisonGuard) admit(parts []string, now time.Time) poison.Decision {
+	return g.table.Admit(parts, g.tries, now)
+}
+
+// tries reports whether this gateway sends the trials in a turn.
+func (g *poisonGuard) tries(turn int64) bool {
+	return poison.Tries(turn, g.peers.gateway.node.Name, g.peers.alive(time.Now()))
+}
+
+func (g *poisonGuard) endTrial(x *exchange) { g.table.EndTrial(x.caller.SharedParts) }
+
+// incarnationHash identifies an incarnation of a target. One that restarts may keep its
+// id.
+func incarnationHash(target registry.Usable) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(target.ID)) // never returns an error
+	h.Write(binary.BigEndian.AppendUint64(nil, uint64(target.Born)))
+	return h.Sum64()
+}
+
+// recordCrashSigns records what an attempt tells about a crash of its target.
+func (x *exchange) recordCrashSigns(o outcome, target registry.Usable, now time.Time) {
+	switch {
+	case o == refused:
+		x.gateway.poison.crashed(target, now)
+	case o.lost() && len(x.caller.SharedParts) > 0 && !x.answered:
+		loss := poison.Loss{Parts: x.caller.SharedParts, Blamed: x.blamed}
+		x.gateway.poison.lost(target, loss, x.request.Context().Err() == nil, now)
+	}
+}
+
+// recordAnswered records, once, that a target goes on with the answer to the request.
+func (x *exchange) recordAnswered() {
+	if x.answered || len(x.caller.SharedParts) == 0 {
+		return
+	}
+	x.answered = true
+	g := x.gateway.poison
+	g.logChanges(g.table.RecordAnswered(x.caller.SharedParts, time.Now()))
+}
+
+// lost records that a request was lost at a target. If check is set, it finds out whether
+// the target has crashed; that is needless for a caller that left.
+func (g *poisonGuard) lost(target registry.Usable, loss poison.Loss, check bool, now time.Time) {
+	incarnation := incarnationHash(target)
+	if g.losses.Add(incarnation, loss, now) {
+		g.recordCrash([]poison.Loss{loss}, target, now)
+		return
+	}
+	if check && g.beginCheck(incarnation) {
+		go g.check(target, incarnation)
+	}
+}
+
+// crashed records that a target refuses connections.
+func (g *poisonGuard) crashed(target registry.Usable, now time.Time) {
+	incarnation := incarnationHash(target)
+	if losses := g.losses.Crashed(incarnation, now); len(losses) > 0 {
+		g.recordCrash(losses, target, now)
+	}
+}
+
+func (g *poisonGuard) recordCrash(losses []poison.Loss, target registry.Usable, now time.Time) {
+	for _, loss := range losses {
+		g.log.Decision("lost in a crash", eventlog.Fields{"target": target.ID, "born": target.Born, "shared_parts": loss.Parts, "blamed": loss.Blamed})
+	}
+	g.logChanges(g.table.RecordCrash(losses, incarnationHash(target), now))
+}
+
+func (g *poisonGuard) beginCheck(incarnation uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.checking[incarnation] {
+		return false
+	}
+	g.checking[incarnation] = true
+	return true
+}
+
+// check connects to a target to find out whether it has crashed.
+func (g *poisonGuard) check(target registry.Usable, incarnation uint64) {
+	started := time.Now()
+	conn, err := g.dialer.Dial("tcp", target.Address)
+	g.mu.Lock()
+	delete(g.checking, incarnation)
+	g.mu.Unlock()
+	fields := eventlog.Fields{"target": target.ID, "refused": refusedConnection(err), "ms": time.Since(started).Milliseconds()}
+	switch {
+	case err == nil:
+		g.losses.Alive(incarnation, started)
+		err = conn.Close()
+	case refusedConnection(err):
+		g.crashed(target, time.Now())
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	g.log.Decision("target checked", fields)
+}
+
+// refusedConnection reports whether nothing listens at the address that was dialled.
+func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+func (g *poisonGuard) logChanges(changes []poison.Change) {
+	for _, c := range changes {
+		g.log.State("verdict on a part of prompts", eventlog.Fields{"part": c.Part, "from": c.From.String(), "to": c.To.String()})
+	}
+}
+
+// toSend returns the evidence for the next datagram to the peers: what is new, and from
+// time to time all parts that are not allowed.
+func (g *poisonGuard) toSend(now time.Time) []*wire.PartCrashes {
+	evidence := g.table.Observed(now.Add(-evidenceRepeat))
+	g.mu.Lock()
+	refresh := now.Sub(g.refreshedAt) >= evidenceRefresh
+	if refresh {
+		g.refreshedAt = now
+	}
+	g.mu.Unlock()
+	if refresh {
+		evidence = append(g.table.NotAllowed(now), evidence...)
+	}
+	return encodeEvidence(evidence[:min(len(evidence), maxSentParts)], now)
+}
+
+// merge adds the evidence of a peer.
+func (g *poisonGuard) merge(crashes []*wire.PartCrashes, now time.Time) {
+	if len(crashes) > 0 {
+		g.logChanges(g.table.Merge(decodeEvidence(crashes, now), now))
+	}
+}
+
+// encodeEvidence encodes the latest crashes of each part.
+func encodeEvidence(evidence []poison.Evidence, now time.Time) []*wire.PartCrashes {
+	encoded := make([]*wire.PartCrashes, 0, len(evidence))
+	for _, e := range evidence {
+		part := &wire.PartCrashes{Part: e.Part}
+		for _, c := range e.Crashes[max(len(e.Crashes)-maxSentCrashes, 0):] {
+			part.Crashes = append(part.Crashes, &wire.PartCrash{Target: c.Target, AgeMs: now.Sub(c.At).Milliseconds(), Cleared: c.Cleared, Blamed: c.Blamed})
+		}
+		encoded = append(encoded, part)
+	}
+	return encoded
+}
+
+func decodeEvidence(crashes []*wire.PartCrashes, now time.Time) []poison.Evidence {
+	evidence := make([]poison.Evidence, 0, len(crashes))
+	for _, part := range crashes {
+		e := poison.Evidence{Part: part.Part}
+		for _, c := range part.Crashes {
+			at := now.Add(-time.Duration(max(c.AgeMs, 0)) * time.Millisecond)
+			e.Crashes = append(e.Crashes, poison.Crash{Target: c.Target, At: at, Cleared: c.Cleared, Blamed: c.Blamed})
+		}
+		evidence = append(evidence, e)
+	}
+	return evidence
+}
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -26,6 +26,26 @@
 	return e.id > p.last || p.last == 0 && e.hasData
 }
 
+// streamProgress is how far one attempt has taken a stream.
+type streamProgress struct {
+	events int // that took the stream further
+	filler int // bytes since the last of them
+}
+
+// add adds an event. It returns errNoProgress if the stream sends too much without going
+// on.
+func (p *streamProgress) add(e event, position streamPosition) error {
+	p.filler += len(e.raw)
+	if position.advances(e) {
+		p.filler = 0
+		p.events++
+	}
+	if p.filler > maxFillerBytes {
+		return errNoProgress
+	}
+	return nil
+}
+
 const (
 	eventBuffer = 4 << 10 // bytes
 	// maxFillerBytes limits an event, and what a stream sends between two events that take
@@ -104,23 +124,17 @@
 	reader := newEventReader(response.Body)
 	flusher := http.NewResponseController(x.writer)
 	begun := false
-	events := 0 // of this attempt that took the stream further
-	filler := 0 // bytes since the last event that took the stream further
+	var progress streamProgress
 	for {
 		next, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(response)
 		}
-		filler += len(next.raw)
-		if x.stream.advances(next) {
-			filler = 0
-			events++
-		}
-		if events >= answeredEvents {
-			x.answered = true
+		if err == nil {
+			err = progress.add(next, x.stream)
 		}
-		if filler > maxFillerBytes {
-			err = errNoProgress
+		if progress.events >= answeredEvents {
+			x.recordAnswered()
 		}
 		if err != nil {
 			x.gateway.log.Decision("stream broken", eventlog.Fields{"request": x.caller.RequestID, "target": target, "error": err.Error()})
@@ -170,6 +184,7 @@
 
 func (x *exchange) finishStream(response *http.Response) outcome {
 	x.startStream(response.Header)
+	x.recordAnswered()
 	x.observeLatency()
 	x.logOutcome("streamed", http.StatusOK)
 	return delivered
--- /dev/null
+++ b/internal/core/poison/table.go
@@ -0,0 +1,306 @@
+package poison
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// occasionSpacing separates crashes that count one by one. Crashes closer together
+	// may have one cause, such as the loss of a failure domain.
+	occasionSpacing  = time.Second
+	suspectOccasions = 2
+	refusedTrials    = 2
+	// Lifetime is the time after a part's latest crash in which its crashes count.
+	Lifetime        = 10 * time.Minute
+	maxParts        = 4096
+	maxCrashesAPart = 16
+)
+
+// Verdict says how requests with a part may be sent.
+type Verdict int
+
+// Values of Verdict.
+const (
+	Allowed Verdict = iota
+	Suspect         // one at a time, by one gateway
+	Refused         // not at all
+)
+
+var verdictNames = [...]string{"allowed", "suspect", "refused"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Crash is the end of a target that was about to answer a request with a part.
+type Crash struct {
+	Target  uint64 // hash of the target's incarnation
+	At      time.Time
+	Blamed  bool // the request that the target was about to answer was the trial of the part
+	Cleared bool // another request with the part was answered afterwards
+}
+
+// Loss is a request that was lost at a target before its answer was under way.
+type Loss struct {
+	Parts  []string // shared parts of its prompt
+	Blamed []string // those of them to which a crash of the target would be due, see Decision
+}
+
+// Evidence holds the crashes of one part.
+type Evidence struct {
+	Part    string
+	Crashes []Crash
+}
+
+// Change is a new verdict on a part.
+type Change struct {
+	Part     string
+	From, To Verdict
+}
+
+// record is what is known of one part.
+type record struct {
+	crashes map[uint64]Crash // by target
+	ownAt   time.Time        // latest change that this gateway has observed itself
+	trial   trial
+	aloneAt time.Time // when a request in which this was the only suspect part was last seen
+}
+
+// Table holds the evidence against all parts that are under crashes. It has one lock,
+// which a request takes once unless targets crash.
+type Table struct {
+	size    atomic.Int64 // number of records
+	mu      sync.Mutex
+	records map[string]*record
+	answers answers
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{records: make(map[string]*record), answers: newAnswers()} }
+
+// RecordCrash records that a target has crashed, at which these requests were lost.
+func (t *Table) RecordCrash(losses []Loss, target uint64, now time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	for _, loss := range losses {
+		for _, part := range loss.Parts {
+			r := t.getOrCreate(part, now)
+			before := r.verdict(now)
+			if r.add(Crash{Target: target, At: now, Blamed: slices.Contains(loss.Blamed, part)}) {
+				r.ownAt = now
+			}
+			changes = appendChange(changes, part, before, r.verdict(now))
+		}
+	}
+	return changes
+}
+
+// RecordAnswered clears the crashes so far of these parts, since a request with them is
+// being answered.
+func (t *Table) RecordAnswered(parts []string, now time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	for _, part := range parts {
+		t.answers.record(part, now)
+		r := t.records[part]
+		if r == nil {
+			continue
+		}
+		before := r.verdict(now)
+		if r.clear() {
+			r.ownAt = now
+		}
+		changes = appendChange(changes, part, before, r.verdict(now))
+	}
+	return changes
+}
+
+// Merge adds the evidence of another gateway. A crash after which this gateway has seen
+// the part being answered is cleared.
+func (t *Table) Merge(evidence []Evidence, now time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	for _, e := range evidence {
+		if !e.current(now) {
+			continue
+		}
+		r := t.getOrCreate(e.Part, now)
+		before := r.verdict(now)
+		for _, crash := range e.Crashes {
+			vetoed := !crash.Cleared && t.answers.after(e.Part, crash.At)
+			crash.Cleared = crash.Cleared || vetoed
+			if r.add(crash) && vetoed {
+				r.ownAt = now
+			}
+		}
+		changes = appendChange(changes, e.Part, before, r.verdict(now))
+	}
+	return changes
+}
+
+// current reports whether any of the crashes still counts.
+func (e Evidence) current(now time.Time) bool {
+	return slices.ContainsFunc(e.Crashes, func(c Crash) bool { return now.Sub(c.At) <= Lifetime })
+}
+
+func appendChange(changes []Change, part string, from, to Verdict) []Change {
+	if from == to {
+		return changes
+	}
+	return append(changes, Change{part, from, to})
+}
+
+// Observed returns the evidence that this gateway has observed itself since a time.
+func (t *Table) Observed(since time.Time) []Evidence {
+	return t.evidence(func(r *record) bool { return !r.ownAt.IsZero() && !r.ownAt.Before(since) })
+}
+
+// NotAllowed returns the evidence against the parts that are suspect or refused.
+func (t *Table) NotAllowed(now time.Time) []Evidence {
+	return t.evidence(func(r *record) bool { return r.verdict(now) != Allowed })
+}
+
+// Refused returns the evidence against the parts that are refused.
+func (t *Table) Refused(now time.Time) []Evidence {
+	return t.evidence(func(r *record) bool { return r.verdict(now) == Refused })
+}
+
+func (t *Table) evidence(include func(*record) bool) []Evidence {
+	if t.size.Load() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Evidence
+	for part, r := range t.records {
+		if include(r) {
+			list = append(list, Evidence{part, r.sorted()})
+		}
+	}
+	return list
+}
+
+// getOrCreate returns the record of a part. The caller holds the lock.
+func (t *Table) getOrCreate(part string, now time.Time) *record {
+	r := t.records[part]
+	if r == nil {
+		if len(t.records) >= maxParts {
+			t.evict(now)
+		}
+		r = &record{crashes: make(map[uint64]Crash)}
+		t.records[part] = r
+		t.size.Store(int64(len(t.records)))
+	}
+	return r
+}
+
+// evict removes the expired records or, if there are none, the one whose latest crash is
+// the oldest.
+func (t *Table) evict(now time.Time) {
+	oldest, oldestAt := "", time.Time{}
+	for part, r := range t.records {
+		latest := r.latest()
+		if now.Sub(latest) > Lifetime {
+			delete(t.records, part)
+		} else if oldest == "" || latest.Before(oldestAt) {
+			oldest, oldestAt = part, latest
+		}
+	}
+	if len(t.records) >= maxParts {
+		delete(t.records, oldest)
+	}
+}
+
+// add adds a crash and reports whether it changed the record.
+func (r *record) add(crash Crash) bool {
+	known, ok := r.crashes[crash.Target]
+	if !ok && len(r.crashes) >= maxCrashesAPart {
+		delete(r.crashes, r.sorted()[0].Target)
+	}
+	if ok {
+		crash.Cleared = crash.Cleared || known.Cleared
+		crash.Blamed = crash.Blamed || known.Blamed
+		if known.At.Before(crash.At) {
+			crash.At = known.At
+		}
+	}
+	r.crashes[crash.Target] = crash
+	return !ok || crash != known
+}
+
+// clear clears all crashes and reports whether any was not cleared before.
+func (r *record) clear() bool {
+	changed := false
+	for target, crash := range r.crashes {
+		changed = changed || !crash.Cleared
+		crash.Cleared = true
+		r.crashes[target] = crash
+	}
+	return changed
+}
+
+// sorted returns the crashes in the order of their times.
+func (r *record) sorted() []Crash {
+	crashes := make([]Crash, 0, len(r.crashes))
+	for _, crash := range r.crashes {
+		crashes = append(crashes, crash)
+	}
+	slices.SortFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	return crashes
+}
+
+// latest returns the time of the latest crash.
+func (r *record) latest() time.Time {
+	var latest time.Time
+	for _, crash := range r.crashes {
+		if crash.At.After(latest) {
+			latest = crash.At
+		}
+	}
+	return latest
+}
+
+func (r *record) verdict(now time.Time) Verdict {
+	if now.Sub(r.latest()) > Lifetime {
+		return Allowed
+	}
+	switch {
+	case r.blamed() >= refusedTrials:
+		return Refused
+	case r.occasions() >= suspectOccasions:
+		return Suspect
+	}
+	return Allowed
+}
+
+// blamed returns the number of trials of the part that ended in a crash.
+func (r *record) blamed() int {
+	count := 0
+	for _, crash := range r.crashes {
+		if crash.Blamed && !crash.Cleared {
+			count++
+		}
+	}
+	return count
+}
+
+// occasions returns the number of times, at least occasionSpacing apart, at which targets
+// crashed and that are not cleared.
+func (r *record) occasions() int {
+	count := 0
+	var begun time.Time
+	for _, crash := range r.sorted() {
+		if crash.Cleared {
+			continue
+		}
+		if count == 0 || crash.At.Sub(begun) >= occasionSpacing {
+			count++
+			begun = crash.At
+		}
+	}
+	return count
+}
--- a/internal/core/routing/state.go
+++ b/internal/core/routing/state.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"quetzalbend/internal/core/rendezvous"
 )
 
 // reportLifetime is how long a reported load counts; its weight falls to 0 over
@@ -151,7 +153,7 @@
 // Get returns the state of a target and creates it if there is none. The state
 // persists when settings change.
 func (s *States) Get(target string) *State {
-	shard := &s.shards[hash(target)%stateShards]
+	shard := &s.shards[rendezvous.Hash(target)%stateShards]
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	state, ok := shard.states[target]
--- a/internal/core/routing/strategy.go
+++ b/internal/core/routing/strategy.go
@@ -1,6 +1,10 @@
 package routing
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"quetzalbend/internal/core/rendezvous"
+)
 
 // affinitySlack is how far the utilization of a prefix's home (see Affinity) may
 // exceed the mean before another target is picked.
@@ -79,7 +83,7 @@
 	var sum float64
 	for _, member := range members {
 		sum += Utilization(member, query)
-		if weight := hash(query.Affinity, member.Target.Name); weight >= best {
+		if weight := rendezvous.Hash(query.Affinity, member.Target.Name); weight >= best {
 			best = weight
 			home = member
 		}
