gateway: keep refused parts of prompts in the store

Callers would see, after all gateways have been restarted at once, that a part already refused crashes targets again until four more have ended.

Cause: what crashes a target was held in the gateways' memories alone.

A gateway that does not know that a crash is cleared is told.

Test: TestPartThatCrashesTargetsIsStillRefusedAfterAllGatewaysHaveRestarted failed before (the new gateways did not refuse the part within 15 s) and passes, without one more request sent.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -94,6 +94,9 @@
 	group.Go(func() error { return follower.Run(background) })
 	group.Go(func() error { return g.peers.run(background) })
 	group.Go(func() error { return g.lead(ctx, background) })
+	group.Go(func() error {
+		return (&poisonStore{guard: g.poison, store: g.store, log: g.log}).run(background)
+	})
 	group.Go(func() error { return g.logReloads(background) })
 	group.Go(func() error { return g.suspension.watch(background, g.log) })
 	group.Go(func() error {
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -33,6 +34,8 @@
 	log    *eventlog.Log
 	peers  *peers
 
+	refused chan struct{} // receives when this gateway has observed what makes a part refused
+
 	mu          sync.Mutex
 	checking    map[uint64]bool // targets whose connections are being checked
 	refreshedAt time.Time
@@ -42,6 +45,7 @@
 	return &poisonGuard{
 		table: poison.NewTable(), losses: poison.NewLosses(),
 		dialer: dialer, log: log, peers: peers,
+		refused:  make(chan struct{}, 1),
 		checking: make(map[uint64]bool),
 	}
 }
@@ -113,7 +117,14 @@
 	for _, loss := range losses {
 		g.log.Decision("lost in a crash", eventlog.Fields{"target": target.ID, "born": target.Born, "shared_parts": loss.Parts, "blamed": loss.Blamed})
 	}
-	g.logChanges(g.table.RecordCrash(losses, incarnationHash(target), now))
+	changes := g.table.RecordCrash(losses, incarnationHash(target), now)
+	g.logChanges(changes)
+	if slices.ContainsFunc(changes, func(c poison.Change) bool { return c.To == poison.Refused }) {
+		select {
+		case g.refused <- struct{}{}:
+		default: // the writer has not yet handled the last one
+		}
+	}
 }
 
 func (g *poisonGuard) beginCheck(incarnation uint64) bool {
--- a/internal/app/gateway/poison_test.go
+++ b/internal/app/gateway/poison_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -48,12 +49,11 @@
 	return p
 }
 
-func (p *poisonBed) addGateway(name string) *testbed {
+func (p *poisonBed) addGateway(name string) {
 	g, stop, ended := startGateway(p.t, name, p.store.Address(), nil)
 	b := &testbed{t: p.t, store: p.store, gateway: g, stop: stop, ended: ended}
 	b.waitReady()
 	p.gateways = append(p.gateways, b)
-	return b
 }
 
 // prompt sends a request whose prompt has the given shared parts and one of its own.
@@ -166,3 +166,39 @@
 	assert.Assert(t, refusedInARow >= 30, "the part is not refused")
 	assertServed(t, sound, crashes[len(crashes)-1].Add(2*targetDowntime))
 }
+
+// All gateways restart at once. What they knew of the part is kept in the store.
+func TestPartThatCrashesTargetsIsStillRefusedAfterAllGatewaysHaveRestarted(t *testing.T) {
+	p := newPoisonBed(t, 2, 3)
+	p.refuse()
+	for _, b := range p.gateways {
+		b.stop()
+	}
+	for _, b := range p.gateways {
+		assert.NilError(t, <-b.ended)
+	}
+	sent := p.sentAfter(time.Time{})
+	p.gateways = nil
+	for i := range 2 {
+		p.addGateway(fmt.Sprint("new-gateway-", i))
+	}
+	for _, b := range p.gateways {
+		b.wait("the part is refused", func() bool {
+			return strings.Contains(b.prompt("5a:40,"+poisonPart+":300", 1<<25).body, "part_kills_targets")
+		})
+	}
+	assert.Equal(t, p.sentAfter(time.Time{}), sent)
+}
+
+// refuse sends requests with the part until all gateways refuse it.
+func (p *poisonBed) refuse() {
+	p.t.Helper()
+	for i, b := range p.gateways {
+		number := 1<<24 + i<<16
+		b.wait("the part is refused", func() bool {
+			number++
+			b.prompt("5a:40,5b:300", number)
+			return strings.Contains(b.prompt("5a:40,"+poisonPart+":300", number).body, "part_kills_targets")
+		})
+	}
+}
--- /dev/null
+++ b/internal/app/gateway/poisonstore.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"quetzalbend/internal/core/poison"
+	"quetzalbend/internal/eventlog"
+	"quetzalbend/internal/wire"
+	"quetzalbend/platform"
+)
+
+// poisonStore keeps the refused parts of prompts in the store, for gateways that start
+// when no other one is left to tell them.
+type poisonStore struct {
+	guard *poisonGuard
+	store *platform.Store
+	log   *eventlog.Log
+	known map[string]bool // parts in the store when it was last read or written
+}
+
+// run reads the parts in the store repeatedly, and writes those that it lacks as soon as
+// this gateway refuses them.
+func (s *poisonStore) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait := listInterval
+		if !s.sync(ctx) {
+			wait = listRetry
+		}
+		s.writeUntil(ctx, time.Now().Add(wait))
+	}
+	return nil
+}
+
+// writeUntil writes newly refused parts until a time.
+func (s *poisonStore) writeUntil(ctx context.Context, end time.Time) {
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.guard.refused:
+			s.write(ctx)
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sync reads the parts in the store and writes those that it lacks. It reports whether
+// the store could be read.
+func (s *poisonStore) sync(ctx context.Context) bool {
+	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	batch, err := s.store.Newest(readCtx, platform.TopicParts)
+	cancel()
+	if err != nil {
+		s.log.Decision("refused parts not read", eventlog.Fields{"error": err.Error()})
+		return false
+	}
+	s.known = make(map[string]bool, len(batch.Records))
+	for _, record := range batch.Records {
+		s.known[record.Key] = true
+		s.guard.merge(s.decode(record), time.Now())
+	}
+	s.write(ctx)
+	s.deleteAllowed(ctx)
+	return true
+}
+
+// decode returns the evidence in a record with the ages that it has now.
+func (s *poisonStore) decode(record platform.Record) []*wire.PartCrashes {
+	stored := &wire.StoredPart{}
+	if err := proto.Unmarshal(record.Value, stored); err != nil {
+		s.log.Problem("invalid record of a refused part", err, eventlog.Fields{"part": record.Key})
+		return nil
+	}
+	sinceWritten := max(time.Now().UnixMilli()-stored.GetWrittenUnixMs(), 0)
+	for _, crash := range stored.GetEvidence().GetCrashes() {
+		crash.AgeMs += sinceWritten
+	}
+	return []*wire.PartCrashes{stored.GetEvidence()}
+}
+
+// write writes the refused parts that the store lacks.
+func (s *poisonStore) write(ctx context.Context) {
+	now := time.Now()
+	for _, evidence := range encodeEvidence(s.guard.table.Refused(now), now) {
+		if s.known[evidence.Part] {
+			continue
+		}
+		value, err := proto.Marshal(&wire.StoredPart{Evidence: evidence, WrittenUnixMs: now.UnixMilli()})
+		if err == nil {
+			err = s.put(ctx, evidence.Part, value)
+		}
+		if err != nil {
+			s.log.Problem("refused part not written", err, eventlog.Fields{"part": evidence.Part})
+			continue
+		}
+		s.known[evidence.Part] = true
+	}
+}
+
+// deleteAllowed deletes the parts from the store that have been answered meanwhile or
+// whose crashes no longer count.
+func (s *poisonStore) deleteAllowed(ctx context.Context) {
+	for part := range s.known {
+		if s.guard.table.Verdict(part, time.Now()) != poison.Allowed {
+			continue
+		}
+		if err := s.put(ctx, part, nil); err != nil {
+			s.log.Problem("allowed part not deleted", err, eventlog.Fields{"part": part})
+		}
+	}
+}
+
+func (s *poisonStore) put(ctx context.Context, part string, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return s.store.Put(ctx, platform.TopicParts, part, value)
+}
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -119,7 +119,8 @@
 }
 
 // Merge adds the evidence of another gateway. A crash after which this gateway has seen
-// the part being answered is cleared.
+// the part being answered is cleared. If the other gateway does not know that a crash is
+// cleared, that counts as observed now, so that it is told.
 func (t *Table) Merge(evidence []Evidence, now time.Time) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -131,9 +132,10 @@
 		r := t.getOrCreate(e.Part, now)
 		before := r.verdict(now)
 		for _, crash := range e.Crashes {
-			vetoed := !crash.Cleared && t.answers.after(e.Part, crash.At)
-			crash.Cleared = crash.Cleared || vetoed
-			if r.add(crash) && vetoed {
+			reported := crash.Cleared
+			crash.Cleared = reported || t.answers.after(e.Part, crash.At)
+			r.add(crash)
+			if r.crashes[crash.Target].Cleared && !reported {
 				r.ownAt = now
 			}
 		}
@@ -164,6 +166,17 @@
 	return t.evidence(func(r *record) bool { return r.verdict(now) != Allowed })
 }
 
+// Verdict returns the verdict on a part.
+func (t *Table) Verdict(part string, now time.Time) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[part]
+	if r == nil {
+		return Allowed
+	}
+	return r.verdict(now)
+}
+
 // Refused returns the evidence against the parts that are refused.
 func (t *Table) Refused(now time.Time) []Evidence {
 	return t.evidence(func(r *record) bool { return r.verdict(now) == Refused })
--- a/internal/core/poison/table_test.go
+++ b/internal/core/poison/table_test.go
@@ -98,6 +98,19 @@
 	assert.Assert(t, other.Observed(start)[0].Crashes[0].Cleared)
 }
 
+// A gateway that starts reads from the store that the part is refused.
+func TestGatewayThatMissedAnAnswerIsToldOfIt(t *testing.T) {
+	table, other := NewTable(), NewTable()
+	table.RecordCrash([]Loss{{Parts: []string{"a"}, Blamed: []string{"a"}}}, 1, start)
+	other.Merge(table.Observed(start), start)
+	table.RecordAnswered([]string{"a"}, start)
+	now := start.Add(Lifetime / 2)
+	assert.Equal(t, len(table.Observed(now)), 0)
+	table.Merge(other.evidence(func(*record) bool { return true }), now)
+	other.Merge(table.Observed(now), now)
+	assert.Assert(t, other.evidence(func(*record) bool { return true })[0].Crashes[0].Cleared)
+}
+
 func TestEvidenceIsNotKeptAliveByExchange(t *testing.T) {
 	a, b := NewTable(), NewTable()
 	a.RecordCrash(lost("p"), 1, start)
