gateway: tell requests with different queries apart in the table of strikes

Callers would get 503 for ten minutes for a lookup that has never failed, because four answers to lookups of the same path with another query were lost.

Cause: the fingerprint under which strikes are counted was taken of account, path and body, without method and query.

TestRequestIsNotRefusedForAnotherWithADifferentQuery failed before.

--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -115,7 +115,7 @@
 	}
 	x.account = account
 	x.service = x.route.Service(rand.Float64())
-	x.fingerprint = strike.Fingerprint(account.Name+x.request.URL.Path, x.body)
+	x.fingerprint = strike.Fingerprint(account.Name+" "+x.request.Method+" "+x.request.URL.RequestURI(), x.body)
 	x.setDeadline()
 	x.gateway.requests.Inc(1)
 	return true
--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -217,3 +217,18 @@
 	assert.Equal(t, b.get("/read/").status, http.StatusOK) // sent after the abandoned request
 	assert.Equal(t, arrived(one), 1)
 }
+
+func TestRequestIsNotRefusedForAnotherWithADifferentQuery(t *testing.T) {
+	var resets []platformtest.Behavior
+	for range 20 {
+		resets = append(resets, platformtest.Reset)
+	}
+	one := platformtest.NewTarget(t, "i-1", resets...)
+	b := newTestbed(t, one)
+	for b.get("/read/?id=1").body != "kills_targets\n" {
+		assert.Assert(t, arrived(one) < len(resets))
+	}
+	arrivedBefore := arrived(one)
+	b.get("/read/?id=2")
+	assert.Assert(t, arrived(one) > arrivedBefore, "the request was not sent")
+}
