gateway: clear the strikes of a request that is answered

Callers would get 503 for ten minutes for a request that is served: the answers of four requests that are alike, such as lookups without a body, were lost on the way within ten minutes, and those answered in between did not count.

Cause: strikes stand for lost answers as well as for crashes, and the gateway never cleared them.

Change: a delivered answer clears the strikes of its fingerprint at all gateways. A request that crashes what runs it is never answered. Clearing what is cleared does not extend the record's life any more.

TestRequestWhoseAnswersAreLostNowAndThenIsStillServed failed before (503 after the fourth lost answer), and so did TestClearedStrikesExpire.

--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -309,7 +309,9 @@
 		}
 		for _, count := range p.gateway.strikes.CountsSince(strikesSince, now) {
 			if count.Node == p.gateway.node.Name {
-				datagram.Strikes = append(datagram.Strikes, &wire.RequestStrikes{Fingerprint: count.Fingerprint, Strikes: int32(count.Strikes)})
+				datagram.Strikes = append(datagram.Strikes, &wire.RequestStrikes{
+					Fingerprint: count.Fingerprint, Strikes: int32(count.Strikes), Cleared: int32(count.Cleared),
+				})
 			}
 		}
 		datagram.PartCrashes = p.gateway.poison.toSend(now)
@@ -370,7 +372,9 @@
 func (p *peers) mergeStrikes(datagram *wire.NodeLoad, now time.Time) {
 	counts := make([]strike.Count, 0, len(datagram.Strikes))
 	for _, s := range datagram.Strikes {
-		counts = append(counts, strike.Count{Fingerprint: s.Fingerprint, Node: datagram.Node, Strikes: int(s.Strikes)})
+		counts = append(counts, strike.Count{
+			Fingerprint: s.Fingerprint, Node: datagram.Node, Strikes: int(s.Strikes), Cleared: int(s.Cleared),
+		})
 	}
 	if len(counts) > 0 {
 		p.gateway.strikes.Merge(counts, now)
--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -218,6 +218,18 @@
 	assert.Equal(t, arrived(one), 1)
 }
 
+// Answers are lost now and then although their target lives. Requests without a body, or
+// whose body repeats, are alike, and those that are answered in between crash nothing.
+func TestRequestWhoseAnswersAreLostNowAndThenIsStillServed(t *testing.T) {
+	one := platformtest.NewTarget(t, "i-1")
+	b := newTestbed(t, one)
+	for range 8 {
+		one.QueueBehaviors(platformtest.Reset)
+		assert.Equal(t, b.get("/read/").status, http.StatusBadGateway)
+		b.wait("the target is used again", func() bool { return b.get("/read/").status == http.StatusOK })
+	}
+}
+
 func TestRequestIsNotRefusedForAnotherWithADifferentQuery(t *testing.T) {
 	var resets []platformtest.Behavior
 	for range 20 {
--- a/internal/core/strike/table.go
+++ b/internal/core/strike/table.go
@@ -49,7 +49,7 @@
 	Fingerprint string
 	Node        string
 	Strikes     int
-	Cleared     int // strikes cleared because the request later completed while running alone
+	Cleared     int // strikes, of all nodes, cleared because the request later completed
 }
 
 // record holds the counts of all nodes for one fingerprint.
@@ -128,14 +128,13 @@
 	return own
 }
 
-// ClearStrikes clears the strikes so far, because the request completed while
-// running alone.
+// ClearStrikes clears the strikes so far, because the request completed.
 func (t *Table) ClearStrikes(fingerprint string, now time.Time) {
 	s := t.shard(fingerprint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found, ok := s.records[fingerprint]
-	if !ok {
+	if !ok || found.strikes() == 0 {
 		return
 	}
 	sum := 0
--- a/internal/core/strike/table_test.go
+++ b/internal/core/strike/table_test.go
@@ -97,3 +97,13 @@
 		}
 	})
 }
+
+// A request that is answered over and over does not keep its record alive.
+func TestClearedStrikesExpire(t *testing.T) {
+	table := NewTable("a")
+	table.Strike("f", ConnectionLost, start)
+	for now := start; now.Sub(start) < 2*Lifetime; now = now.Add(Lifetime / 4) {
+		table.ClearStrikes("f", now)
+	}
+	assert.Equal(t, len(table.Counts(start.Add(2*Lifetime))), 0)
+}
