dispatch: refuse chats with a message that crashes targets

Entries exchange the evidence with their strikes. Each entry sends trials of its own, since entries do not know at once which others are alive.

TestMessageThatKillsTargetsIsRefusedAndOthersAreServed failed before (every chat was sent; the last one failed as request_kills_targets after two more deaths) and passes.

--- a/internal/adapter/callerhttp/chat.go
+++ b/internal/adapter/callerhttp/chat.go
@@ -9,6 +9,7 @@
 	"unicode/utf8"
 
 	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/rendezvous"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/dispatch"
 	"quetzalbend/internal/wire"
@@ -45,6 +46,7 @@
 	affinity := prefixHash(x.account.Team, chat)
 	req := h.request(x, body)
 	req.Affinity = affinity
+	req.SharedParts = sharedParts(chat)
 	req.Model = &wire.ModelCall{
 		Model:      workload.Model,
 		Adapter:    workload.Adapter,
@@ -97,6 +99,19 @@
 	return chat, nil
 }
 
+const maxSharedParts = 64 // of a prompt
+
+// sharedParts identifies the messages that other requests may have as well: all but the
+// last one.
+func sharedParts(chat *chatRequest) []string {
+	shared := chat.Messages[:min(len(chat.Messages)-1, maxSharedParts)]
+	parts := make([]string, 0, len(shared))
+	for _, message := range shared {
+		parts = append(parts, strconv.FormatUint(rendezvous.Hash(message.Role, string(message.Content)), 16))
+	}
+	return parts
+}
+
 // prefixHash identifies a conversation by its messages up to and including the
 // user's first one, which all later requests of the same conversation repeat.
 func prefixHash(team string, chat *chatRequest) string {
--- a/internal/adapter/callerhttp/problem.go
+++ b/internal/adapter/callerhttp/problem.go
@@ -62,6 +62,8 @@
 	dispatch.CodeCallerGone:     statusCallerGone,
 	dispatch.CodeIncomplete:     http.StatusBadGateway,
 	dispatch.CodeCrashesTargets: http.StatusUnprocessableEntity,
+	dispatch.CodePartCrashes:    http.StatusUnprocessableEntity,
+	dispatch.CodePartSuspect:    http.StatusServiceUnavailable,
 	dispatch.CodeOutcomeUnknown: http.StatusBadGateway,
 	dispatch.CodeAnswerLost:     http.StatusBadGateway,
 	dispatch.CodeAnswerTooLarge: http.StatusBadGateway,
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -16,6 +16,7 @@
 	"quetzalbend/internal/adapter/link"
 	"quetzalbend/internal/adapter/platform"
 	"quetzalbend/internal/core/limits"
+	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/dispatch"
@@ -52,6 +53,7 @@
 	pool            *link.Pool
 	platform        *platform.Client
 	strikes         *strike.Table
+	poison          *poison.Table
 	limits          *limits.Limiter
 	exchange        *exchanger
 	node            *settingssync.Node
@@ -93,6 +95,7 @@
 		security:        security,
 		platform:        platform.NewClient(platform.Config{BaseURL: cfg.Platform, Node: cfg.Name}),
 		strikes:         strike.NewTable(cfg.Name + "/" + incarnation),
+		poison:          poison.NewTable(),
 		limits:          limits.New(limitsConfig(len(cfg.Peers))),
 		settingsMetrics: gometrics.NewRegistry(),
 	}
@@ -103,6 +106,7 @@
 		pool:        link.NewPool(exchangeLinkConfig(links)),
 		limits:      e.limits,
 		strikes:     e.strikes,
+		poison:      e.poison,
 		round:       roundTime(len(cfg.Peers)),
 		strikeAdded: make(chan struct{}, 1),
 	}
@@ -215,8 +219,10 @@
 		Links:             links{e.pool},
 		Strategy:          r.strategy(),
 		Strikes:           e.strikes,
+		Poison:            e.poison,
 		Counter:           newRecorder(e.registry),
 		OnStrike:          e.exchange.notifyStrike,
+		OnCrash:           e.exchange.notify,
 		QueryInterval:     outcomePollInterval,
 		UnknownTimeout:    unknownOutcomeTimeout,
 		NoRetryCodes:      noRetryCodes,
--- a/internal/app/entry/exchange.go
+++ b/internal/app/entry/exchange.go
@@ -8,7 +8,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"quetzalbend/internal/adapter/link"
+	"quetzalbend/internal/adapter/poisonwire"
 	"quetzalbend/internal/core/limits"
+	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/settingssync"
 	"quetzalbend/internal/wire"
@@ -24,6 +26,7 @@
 	newStrikeRounds      = 5  // rounds in which a new strike is sent
 	allStrikesInterval   = 30 // all strikes are sent in one of this many rounds
 	maxStrikesPerMessage = 1024
+	maxPartsPerMessage   = 64
 	noSettingsRequested  = int64(1) << 62 // an offset that no peer's settings exceed
 )
 
@@ -52,14 +55,18 @@
 	pool        *link.Pool // separate from the entry's pool
 	limits      *limits.Limiter
 	strikes     *strike.Table
-	strikeAdded chan struct{} // signals a strike that is sent to peers at once
+	poison      *poison.Table
+	strikeAdded chan struct{} // signals a strike or a crash that is sent to peers at once
 	round       time.Duration // time in which each peer is sent one message
 	rounds      int           // rounds begun so far
 }
 
 // notifyStrike makes run send new strikes at once. It ignores the count, which is
 // in the table of strikes already.
-func (x *exchanger) notifyStrike(strike.Count) {
+func (x *exchanger) notifyStrike(strike.Count) { x.notify() }
+
+// notify makes run send new strikes and new crashes at once.
+func (x *exchanger) notify() {
 	select {
 	case x.strikeAdded <- struct{}{}:
 	default:
@@ -148,9 +155,17 @@
 			Cleared:     int32(count.Cleared),
 		})
 	}
+	peerSync.PartCrashes = x.partCrashes(time.Now())
 	return peerSync
 }
 
+// partCrashes returns the crashes that count against parts of prompts: those against
+// parts that are not allowed, and those that are recent enough to be sent.
+func (x *exchanger) partCrashes(now time.Time) []*wire.PartCrashes {
+	evidence := append(x.poison.NotAllowed(now), x.poison.Observed(now.Add(-newStrikeRounds*x.round))...)
+	return poisonwire.Encode(evidence[:min(len(evidence), maxPartsPerMessage)], now)
+}
+
 // send sends a message to one peer and reports its delivery to the limiter. It
 // does not retry: the peer gets the next message in the next round.
 func (x *exchanger) send(ctx context.Context, peer settingssync.Peer, peerSync *wire.PeerSync) {
@@ -180,6 +195,7 @@
 		})
 	}
 	x.strikes.Merge(counts, now)
+	x.poison.Merge(poisonwire.Decode(peerSync.GetPartCrashes(), now), now)
 	if peerSync.GetReport() == 0 {
 		return
 	}
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/adapter/poisonwire"
 	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/core/registry"
 	"quetzalbend/internal/eventlog"
@@ -21,7 +22,6 @@
 	evidenceRepeat  = 300 * time.Millisecond // new evidence is sent repeatedly, since datagrams may be lost
 	evidenceRefresh = time.Second            // between datagrams with all parts that are not allowed, for gateways that start
 	maxSentParts    = 48                     // of a datagram
-	maxSentCrashes  = 4                      // of a part in a datagram; more than a verdict needs
 )
 
 // poisonGuard keeps requests whose prompts have a part that crashes targets away from
@@ -180,38 +180,12 @@
 	if refresh {
 		evidence = append(g.table.NotAllowed(now), evidence...)
 	}
-	return encodeEvidence(evidence[:min(len(evidence), maxSentParts)], now)
+	return poisonwire.Encode(evidence[:min(len(evidence), maxSentParts)], now)
 }
 
 // merge adds the evidence of a peer.
 func (g *poisonGuard) merge(crashes []*wire.PartCrashes, now time.Time) {
 	if len(crashes) > 0 {
-		g.logChanges(g.table.Merge(decodeEvidence(crashes, now), now))
+		g.logChanges(g.table.Merge(poisonwire.Decode(crashes, now), now))
 	}
 }
-
-// encodeEvidence encodes the latest crashes of each part.
-func encodeEvidence(evidence []poison.Evidence, now time.Time) []*wire.PartCrashes {
-	encoded := make([]*wire.PartCrashes, 0, len(evidence))
-	for _, e := range evidence {
-		part := &wire.PartCrashes{Part: e.Part}
-		for _, c := range e.Crashes[max(len(e.Crashes)-maxSentCrashes, 0):] {
-			part.Crashes = append(part.Crashes, &wire.PartCrash{Target: c.Target, AgeMs: now.Sub(c.At).Milliseconds(), Cleared: c.Cleared, Blamed: c.Blamed})
-		}
-		encoded = append(encoded, part)
-	}
-	return encoded
-}
-
-func decodeEvidence(crashes []*wire.PartCrashes, now time.Time) []poison.Evidence {
-	evidence := make([]poison.Evidence, 0, len(crashes))
-	for _, part := range crashes {
-		e := poison.Evidence{Part: part.Part}
-		for _, c := range part.Crashes {
-			at := now.Add(-time.Duration(max(c.AgeMs, 0)) * time.Millisecond)
-			e.Crashes = append(e.Crashes, poison.Crash{Target: c.Target, At: at, Cleared: c.Cleared, Blamed: c.Blamed})
-		}
-		evidence = append(evidence, e)
-	}
-	return evidence
-}
--- a/internal/app/gateway/poisonstore.go
+++ b/internal/app/gateway/poisonstore.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"quetzalbend/internal/adapter/poisonwire"
 	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/wire"
@@ -87,7 +88,7 @@
 // write writes the refused parts that the store lacks.
 func (s *poisonStore) write(ctx context.Context) {
 	now := time.Now()
-	for _, evidence := range encodeEvidence(s.guard.table.Refused(now), now) {
+	for _, evidence := range poisonwire.Encode(s.guard.table.Refused(now), now) {
 		if s.known[evidence.Part] {
 			continue
 		}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -36,6 +36,7 @@
 	strikes    int  // against the request
 	silent     bool // the target or the path to it does not respond
 	permanent  bool // any other target would give the same result
+	unanswered bool // the answer was not yet under way
 	callerGone bool // the caller disconnected or its deadline passed
 	retryAfter time.Duration
 	err        error
@@ -48,7 +49,9 @@
 	member        *routing.Member
 	stream        Stream
 	validator     frameValidator
+	answered      bool // a target has begun to write the answer and went on
 	admitted      bool
+	startPosition int64  // tokens of earlier attempts
 	relaying      bool   // chunks are written to the caller as they arrive
 	trailing      []byte // data after the last token, held back until the answer is known to be complete
 	answer        Answer
@@ -75,7 +78,9 @@
 		stream:    stream,
 		validator: frameValidator{requestID: r.req.ID, streamed: r.req.streamed(), position: r.position},
 		relaying:  r.req.streamed(),
-		answer:    Answer{Status: http.StatusOK, Target: member.Target.Name},
+
+		startPosition: r.position,
+		answer:        Answer{Status: http.StatusOK, Target: member.Target.Name},
 	}
 	stop := context.AfterFunc(ctx, a.interrupt)
 	defer stop()
@@ -149,6 +154,9 @@
 		if load := frame.GetLoad(); load != nil {
 			a.recordLoad(load)
 		}
+		if a.validator.position >= a.startPosition+answeredTokens {
+			a.recordAnswered()
+		}
 		if ended, done := a.process(frame); done {
 			return ended
 		}
@@ -264,7 +272,20 @@
 	return result{}, false
 }
 
+// answeredTokens is the number of tokens that show that a target goes on after the
+// beginning of an answer.
+const answeredTokens = 2
+
+// recordAnswered records, once, that the target goes on with the answer.
+func (a *attempt) recordAnswered() {
+	if !a.answered {
+		a.answered = true
+		a.run.d.cfg.Poison.RecordAnswered(a.run.req.SharedParts, a.run.d.cfg.Now())
+	}
+}
+
 func (a *attempt) final(final *wire.Final) result {
+	a.recordAnswered()
 	if len(a.trailing) > 0 {
 		if ended, failed := a.write(a.trailing); failed {
 			return ended
@@ -297,7 +318,10 @@
 }
 
 func (a *attempt) failed(failed *wire.Failed) result {
-	ended := result{outcome: retry.Failed, code: failed.GetReason(), ran: failed.GetRan(), err: detail(failed.GetDetail())}
+	ended := result{
+		outcome: retry.Failed, code: failed.GetReason(), ran: failed.GetRan(),
+		unanswered: !a.answered, err: detail(failed.GetDetail()),
+	}
 	switch {
 	case failed.GetTargetDied():
 		ended.strikes = strike.TargetDied
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -282,3 +284,33 @@
 	_, _, failure := f.do(serviceRequest())
 	assert.Equal(t, failure.Ran, wire.Ran_RAN_UNKNOWN)
 }
+
+// Requests that share a message, no two alike, kill each target that begins to answer
+// them. Others share their first message.
+func TestMessageThatKillsTargetsIsRefusedAndOthersAreServed(t *testing.T) {
+	now := time.Now()
+	deaths := 0
+	targets := func(open *wire.Open) ([]proto.Message, error) {
+		if !strings.HasPrefix(open.GetCall().GetFingerprint(), "bad") {
+			return answersWhole("abc")(open)
+		}
+		deaths++
+		return answersWith(&wire.Admitted{}, &wire.Failed{Reason: "target_died", TargetDied: true})(open)
+	}
+	f := newFixture(t, targets, targets, targets, targets)
+	f.dispatcher.cfg.Now = func() time.Time { return now }
+	var failure *Failure
+	for i := range 20 {
+		bad := modelRequest(true)
+		bad.Fingerprint = fmt.Sprint("bad", i)
+		bad.SharedParts = []string{"first", "bad"}
+		_, _, failure = f.do(bad)
+		now = now.Add(2 * time.Second)
+		sound := modelRequest(true)
+		sound.SharedParts = []string{"first", "other"}
+		_, _, soundFailure := f.do(sound)
+		assert.Assert(t, soundFailure == nil, "%v", soundFailure)
+	}
+	assert.Equal(t, failure.Code, CodePartCrashes)
+	assert.Assert(t, deaths <= 6, "%d targets died", deaths)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/core/retry"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/strike"
@@ -17,8 +18,10 @@
 	Links             Links
 	Strategy          routing.Strategy
 	Strikes           *strike.Table
+	Poison            *poison.Table
 	Counter           Counter
 	OnStrike          func(strike.Count)  // called for each new strike; may be nil
+	OnCrash           func()              // called for each crash that counts against parts of a prompt; may be nil
 	FirstFrameTimeout time.Duration       // time that an agent has to send its first frame
 	StallTimeout      time.Duration       // gap between frames after which a stream is resumed at another target
 	AvoidPeriod       time.Duration       // how long an unreachable target is not picked
@@ -41,6 +44,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Poison == nil {
+		cfg.Poison = poison.NewTable()
+	}
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -17,6 +17,8 @@
 	CodeCallerGone       = "caller_gone"           // the caller disconnected
 	CodeIncomplete       = "answer_incomplete"     // the answer ended before it was complete
 	CodeCrashesTargets   = "request_kills_targets" // the request was in flight when targets died, repeatedly
+	CodePartCrashes      = "part_kills_targets"    // targets died as they were to answer prompts with one of its parts
+	CodePartSuspect      = "part_may_kill_targets" // like CodePartCrashes, but another request is the trial of the part
 	CodeOutcomeUnknown   = "outcome_unknown"       // a call that may not be repeated may have run
 	CodeAnswerLost       = "answer_lost"           // the call ran, but its answer is lost
 	CodeAnswerTooLarge   = "answer_too_large"      // the answer is larger than the limit
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -16,8 +16,9 @@
 	Class       schema.Class
 	Priority    int32
 	Deadline    time.Time
-	Fingerprint string // see strike.Fingerprint
-	Affinity    string // hash of the prompt's prefix
+	Fingerprint string   // see strike.Fingerprint
+	Affinity    string   // hash of the prompt's prefix
+	SharedParts []string // hashes of the parts of the prompt that other requests may have as well
 	Model       *wire.ModelCall
 	Service     *wire.ServiceCall
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
+	"quetzalbend/internal/core/poison"
+	"quetzalbend/internal/core/rendezvous"
 	"quetzalbend/internal/core/retry"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/strike"
@@ -29,6 +32,7 @@
 	tried        []string
 	last         *routing.Member
 	refusal      *Failure // latest refusal for lack of capacity
+	blamed       []string // parts of the prompt to which a crash of the target of this attempt is due
 }
 
 // step makes one attempt and returns the answer, or the failure and the action to
@@ -39,6 +43,14 @@
 	if verdict == strike.Refused {
 		return nil, retry.GiveUp, r.failure(CodeCrashesTargets, nil)
 	}
+	decision := r.d.cfg.Poison.Admit(r.req.SharedParts, everyTurn, now)
+	if !decision.MaySend() {
+		return nil, retry.GiveUp, r.barred(decision)
+	}
+	if decision.Trial {
+		defer r.d.cfg.Poison.EndTrial(r.req.SharedParts)
+	}
+	r.blamed = decision.Blamed
 	member := r.pickOrWait(ctx, now)
 	if member == nil {
 		return nil, retry.GiveUp, r.noTarget(ctx)
@@ -56,6 +68,36 @@
 	return r.decideNext(ctx, member, result)
 }
 
+// everyTurn makes each entry send trials of suspect parts at any time: entries do not
+// know which others are alive.
+func everyTurn(int64) bool { return true }
+
+// barred returns the failure of a request that may not be sent for a part of its prompt.
+func (r *run) barred(decision poison.Decision) *Failure {
+	code := CodePartCrashes
+	if decision.Verdict == poison.Suspect {
+		code = CodePartSuspect
+	}
+	failure := r.failure(code, errors.New("part "+decision.Part))
+	failure.RetryAfter = decision.RetryAfter
+	return failure
+}
+
+// recordCrash records that a target has died before it had begun to answer the request.
+func (r *run) recordCrash(member *routing.Member, now time.Time) {
+	if len(r.req.SharedParts) == 0 {
+		return
+	}
+	loss := poison.Loss{Parts: r.req.SharedParts, Blamed: r.blamed}
+	// Requests that are lost in one crash are lost in the same second, or count at the same
+	// time at least.
+	crash := rendezvous.Hash(member.Target.Name, strconv.FormatInt(now.Unix(), 10))
+	r.d.cfg.Poison.RecordCrash([]poison.Loss{loss}, crash, now)
+	if r.d.cfg.OnCrash != nil {
+		r.d.cfg.OnCrash()
+	}
+}
+
 // decideNext decides what to do after an attempt without a complete answer.
 func (r *run) decideNext(ctx context.Context, member *routing.Member, result result) (*Answer, retry.Action, *Failure) {
 	now := r.d.cfg.Now()
@@ -106,6 +148,9 @@
 	if result.strikes == 0 {
 		return
 	}
+	if result.unanswered && result.strikes == strike.TargetDied {
+		r.recordCrash(member, now)
+	}
 	count := r.d.cfg.Strikes.Strike(r.req.Fingerprint, result.strikes, now)
 	r.d.cfg.Counter.Count(Strikes)
 	if r.d.cfg.OnStrike != nil {
