strike: let strikes expire although nodes exchange them

Cause: a merged count restarted the record's life at the receiver. Entries send all counts of all nodes from time to time; one whose record has expired learned it again from one whose record had not, and so on in turns.

Change: a count carries its age, a record expires by the age of its latest count, and an expired count is not merged. TestExchangedStrikesExpire failed before (still refused after three lifetimes).

--- a/internal/app/entry/exchange.go
+++ b/internal/app/entry/exchange.go
@@ -146,6 +146,7 @@
 
 // message returns a message with strikes that asks for no settings.
 func (x *exchanger) message(strikes []strike.Count) *wire.PeerSync {
+	now := time.Now()
 	peerSync := &wire.PeerSync{Node: x.name, Incarnation: x.incarnation, Offset: noSettingsRequested}
 	for _, count := range strikes[:min(len(strikes), maxStrikesPerMessage)] {
 		peerSync.Strikes = append(peerSync.Strikes, &wire.Strike{
@@ -153,9 +154,10 @@
 			Node:        count.Node,
 			Count:       int32(count.Strikes),
 			Cleared:     int32(count.Cleared),
+			AgeMs:       now.Sub(count.At).Milliseconds(),
 		})
 	}
-	peerSync.PartCrashes = x.partCrashes(time.Now())
+	peerSync.PartCrashes = x.partCrashes(now)
 	return peerSync
 }
 
@@ -192,6 +194,7 @@
 			Node:        item.GetNode(),
 			Strikes:     int(item.GetCount()),
 			Cleared:     int(item.GetCleared()),
+			At:          now.Add(-milliseconds(item.GetAgeMs())),
 		})
 	}
 	x.strikes.Merge(counts, now)
--- a/internal/app/gateway/datagrams.go
+++ b/internal/app/gateway/datagrams.go
@@ -85,6 +85,7 @@
 		if count.Node == p.gateway.node.Name {
 			strikes = append(strikes, &wire.RequestStrikes{
 				Fingerprint: count.Fingerprint, Strikes: int32(count.Strikes), Cleared: int32(count.Cleared),
+				AgeMs: now.Sub(count.At).Milliseconds(),
 			})
 		}
 	}
@@ -141,6 +142,7 @@
 	for _, s := range datagram.Strikes {
 		counts = append(counts, strike.Count{
 			Fingerprint: s.Fingerprint, Node: datagram.Node, Strikes: int(s.Strikes), Cleared: int(s.Cleared),
+			At: now.Add(-time.Duration(s.AgeMs) * time.Millisecond),
 		})
 	}
 	if len(counts) > 0 {
--- a/internal/core/strike/table.go
+++ b/internal/core/strike/table.go
@@ -49,13 +49,26 @@
 	Fingerprint string
 	Node        string
 	Strikes     int
-	Cleared     int // strikes, of all nodes, cleared because the request later completed
+	Cleared     int       // strikes, of all nodes, cleared because the request later completed
+	At          time.Time // latest change at the node
 }
 
 // record holds the counts of all nodes for one fingerprint.
 type record struct {
 	byNode    map[string]Count
-	changedAt time.Time
+	latest    time.Time // latest change at any node, from which the record expires
+	changedAt time.Time // latest change of this record, by a node's count that arrived perhaps later
+}
+
+func (r *record) expired(now time.Time) bool { return now.Sub(r.latest) > Lifetime }
+
+// put replaces the count of a node.
+func (r *record) put(count Count, now time.Time) {
+	r.byNode[count.Node] = count
+	r.changedAt = now
+	if count.At.After(r.latest) {
+		r.latest = count.At
+	}
 }
 
 // strikes returns the sum of all nodes' strikes that have not been cleared.
@@ -103,7 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found, ok := s.records[fingerprint]
-	if !ok || now.Sub(found.changedAt) > Lifetime {
+	if !ok || found.expired(now) {
 		return Allowed
 	}
 	switch strikes := found.strikes(); {
@@ -122,9 +135,8 @@
 	defer s.mu.Unlock()
 	found := s.getOrCreate(fingerprint, now)
 	own := found.byNode[t.node]
-	own = Count{Fingerprint: fingerprint, Node: t.node, Strikes: own.Strikes + weight, Cleared: own.Cleared}
-	found.byNode[t.node] = own
-	found.changedAt = now
+	own = Count{Fingerprint: fingerprint, Node: t.node, Strikes: own.Strikes + weight, Cleared: own.Cleared, At: now}
+	found.put(own, now)
 	return own
 }
 
@@ -142,14 +154,16 @@
 		sum += count.Strikes
 	}
 	own := found.byNode[t.node]
-	own.Fingerprint, own.Node, own.Cleared = fingerprint, t.node, sum
-	found.byNode[t.node] = own
-	found.changedAt = now
+	own.Fingerprint, own.Node, own.Cleared, own.At = fingerprint, t.node, sum, now
+	found.put(own, now)
 }
 
-// Merge merges counts of other nodes into the table.
+// Merge merges counts of other nodes into the table. It ignores those that have expired.
 func (t *Table) Merge(counts []Count, now time.Time) {
 	for _, count := range counts {
+		if now.Sub(count.At) > Lifetime {
+			continue
+		}
 		s := t.shard(count.Fingerprint)
 		s.mu.Lock()
 		s.merge(count, now)
@@ -165,8 +179,7 @@
 	}
 	count.Strikes = max(count.Strikes, held.Strikes)
 	count.Cleared = max(count.Cleared, held.Cleared)
-	found.byNode[count.Node] = count
-	found.changedAt = now
+	found.put(count, now)
 }
 
 // Counts returns all counts, to be sent to other nodes, and drops expired ones.
@@ -180,7 +193,7 @@
 		s := &t.shards[i]
 		s.mu.Lock()
 		for fingerprint, found := range s.records {
-			if now.Sub(found.changedAt) > Lifetime {
+			if found.expired(now) {
 				delete(s.records, fingerprint)
 				continue
 			}
@@ -200,7 +213,7 @@
 // none or the old one has expired.
 func (s *shard) getOrCreate(fingerprint string, now time.Time) *record {
 	found, ok := s.records[fingerprint]
-	if ok && now.Sub(found.changedAt) <= Lifetime {
+	if ok && !found.expired(now) {
 		return found
 	}
 	if !ok && len(s.records) >= maxRecordsPerShard {
@@ -214,7 +227,7 @@
 func (s *shard) evictOldest() {
 	oldest := ""
 	for fingerprint, found := range s.records {
-		if oldest == "" || found.changedAt.Before(s.records[oldest].changedAt) {
+		if oldest == "" || found.latest.Before(s.records[oldest].latest) {
 			oldest = fingerprint
 		}
 	}
--- a/internal/core/strike/table_test.go
+++ b/internal/core/strike/table_test.go
@@ -60,6 +60,20 @@
 	assert.Equal(t, len(table.Counts(later)), 0)
 }
 
+// Nodes that send each other all their counts, but not at the same moments.
+func TestExchangedStrikesExpire(t *testing.T) {
+	a, b := NewTable("a"), NewTable("b")
+	a.Strike("f", 2*TargetDied, start)
+	const round = Lifetime / 20
+	now := start
+	for ; now.Sub(start) < 3*Lifetime; now = now.Add(round) {
+		b.Merge(a.Counts(now), now.Add(round/2))
+		a.Merge(b.Counts(now.Add(round/2)), now.Add(round))
+	}
+	assert.Equal(t, a.VerdictFor("f", now), Allowed)
+	assert.Equal(t, b.VerdictFor("f", now), Allowed)
+}
+
 func TestTableIsBounded(t *testing.T) {
 	table := NewTable("a")
 	for i := range 5 * shards * maxRecordsPerShard / 4 {
