gateway tests: leave the silent target's streams time before the callers' deadline

TestSilentTargetIsLeftWhileOthersGoOn was red beside load. Traced: a silent target is left after 0.9 s, and the streams that go on elsewhere lasted 60 x 50 ms, together 3.9 s of a deadline of 4 s. Passing runs took 3.98 to 4.07 s, failing ones ended at 4.0 s: the gateway kept the deadline. The streams now last 1.5 s; deadline and checks stay, so a gateway that leaves a silent target 1.5 s later than now fails as before.

--- a/internal/app/gateway/streams_test.go
+++ b/internal/app/gateway/streams_test.go
@@ -92,7 +92,7 @@
 	silent := platformtest.NewTarget(t, "i-1", platformtest.Hang, platformtest.Hang)
 	two, three := platformtest.NewTarget(t, "i-2"), platformtest.NewTarget(t, "i-3")
 	for _, target := range []*platformtest.Target{two, three} {
-		target.Events = 60
+		target.Events = 30 // 1.5 s, of the deadline of 4 s; the silent target is left after 0.9 s
 		target.EventGap = 50 * time.Millisecond
 	}
 	b := newTestbed(t, silent, two, three)
