admission tests: see a limit that rose at any time, not only at the end of a run

It now takes the highest limit after each action. That cold engines never run too much is checked as before.

With a controller whose limit never grows it fails, as it did.

--- a/internal/core/admission/machine_test.go
+++ b/internal/core/admission/machine_test.go
@@ -42,6 +42,7 @@
 	finished          []uint64          // not known to the controller yet
 	report            *Report           // sampled but not delivered yet
 	maxRunningCold    int               // most requests that ran while cold
+	highestLimit      int               // highest limit after any action
 }
 
 func newTargetMachine() *targetMachine {
@@ -199,6 +200,7 @@
 }
 
 func (m *targetMachine) Check(t *rapid.T) {
+	m.highestLimit = max(m.highestLimit, m.controller.Limit())
 	if m.maxRunningCold > machineColdLimit {
 		t.Fatalf("a cold engine ran %d requests", m.maxRunningCold)
 	}
@@ -211,7 +213,7 @@
 		for range rounds {
 			t.Repeat(rapid.StateMachineActions(m))
 		}
-		highestLimit = max(highestLimit, m.controller.Limit())
+		highestLimit = max(highestLimit, m.highestLimit)
 	})
 	assert.Assert(t, highestLimit > machineColdLimit, "the limit never rose above the cold limit")
 }
