gateway: remember requests that crash targets when all gateways restart

Cause: the strikes of a request are kept in the gateways' memories alone, the same fault as with parts of prompts before; and what was kept there began with the second verdict, refused.

Change: a request as a whole counts as one more part of itself (core/poison); it is suspect after three crashes at any time, since it is hardly in flight at several targets by chance. The store keeps suspect parts, too. An attempt that the watchdog has left no longer causes a check of its target: a crash ends the attempt by itself.

TestRequestThatCrashesTargetsIsNotTriedAnewAfterAllGatewaysHaveRestarted failed before (sent 5 times later than 3 s after the third of 8 crashes).

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -72,6 +72,7 @@
 	switch o {
 	case delivered:
 		x.attempts++
+		x.recordAnswered()
 		x.gateway.strikes.ClearStrikes(x.fingerprint, now)
 		return true
 	case notSent, refused:
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,7 +37,8 @@
 	account     *fleet.Account
 	service     string
 	body        []byte
-	fingerprint string // identifies the request in the table of failures attributed to it, see package strike
+	fingerprint string   // identifies the request in the table of failures attributed to it, see package strike
+	parts       []string // what may crash targets: the shared parts of the prompt, and the request as a whole
 
 	tried         map[string]bool   // targets to which an attempt was made
 	attempts      int               // number of times that the request was sent to a target
@@ -116,6 +118,7 @@
 	x.account = account
 	x.service = x.route.Service(rand.Float64())
 	x.fingerprint = strike.Fingerprint(account.Name+" "+x.request.Method+" "+x.request.URL.RequestURI(), x.body)
+	x.parts = append(slices.Clone(x.caller.SharedParts), poison.RequestPart(x.fingerprint))
 	x.setDeadline()
 	x.gateway.requests.Inc(1)
 	return true
@@ -176,7 +179,7 @@
 // tryTarget makes one attempt, if the parts of the prompt allow it and a target is found.
 // It reports false once the request is complete.
 func (x *exchange) tryTarget(ctx context.Context) bool {
-	decision := x.gateway.poison.admit(x.caller.SharedParts, time.Now())
+	decision := x.gateway.poison.admit(x.parts, time.Now())
 	if !decision.MaySend() {
 		x.barred = decision
 		return true
@@ -241,6 +244,8 @@
 
 func (x *exchange) refusalReason() string {
 	switch {
+	case x.barred.Verdict == poison.Refused && poison.IsRequest(x.barred.Part):
+		return "kills_targets"
 	case x.barred.Verdict == poison.Refused:
 		return "part_kills_targets"
 	case !x.barred.MaySend():
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -33,7 +33,7 @@
 	log    *eventlog.Log
 	peers  *peers
 
-	refused chan struct{} // receives when this gateway has observed what makes a part refused
+	barred chan struct{} // receives when this gateway has observed what makes a part suspect or refused
 
 	mu          sync.Mutex
 	checking    map[uint64]bool // targets whose connections are being checked
@@ -44,7 +44,7 @@
 	return &poisonGuard{
 		table: poison.NewTable(), losses: poison.NewLosses(),
 		dialer: dialer, log: log, peers: peers,
-		refused:  make(chan struct{}, 1),
+		barred:   make(chan struct{}, 1),
 		checking: make(map[uint64]bool),
 	}
 }
@@ -59,7 +59,7 @@
 	return poison.Tries(turn, g.peers.gateway.node.Name, g.peers.alive(time.Now()))
 }
 
-func (g *poisonGuard) endTrial(x *exchange) { g.table.EndTrial(x.caller.SharedParts) }
+func (g *poisonGuard) endTrial(x *exchange) { g.table.EndTrial(x.parts) }
 
 // incarnationHash identifies an incarnation of a target. One that restarts may keep its
 // id.
@@ -75,24 +75,26 @@
 	switch {
 	case o == refused:
 		x.gateway.poison.crashed(target, now)
-	case o.lost() && len(x.caller.SharedParts) > 0 && !x.answered:
-		loss := poison.Loss{Parts: x.caller.SharedParts, Blamed: x.blamed}
-		x.gateway.poison.lost(target, loss, x.request.Context().Err() == nil, now)
+	case o.lost() && !x.answered:
+		// A target that the watchdog has left, or that a caller has, is silent or busy: the
+		// end of a crashed one ends the attempt.
+		check := o != timedOut && x.request.Context().Err() == nil
+		x.gateway.poison.lost(target, poison.Loss{Parts: x.parts, Blamed: x.blamed}, check, now)
 	}
 }
 
 // recordAnswered records, once, that a target goes on with the answer to the request.
 func (x *exchange) recordAnswered() {
-	if x.answered || len(x.caller.SharedParts) == 0 {
+	if x.answered {
 		return
 	}
 	x.answered = true
 	g := x.gateway.poison
-	g.logChanges(g.table.RecordAnswered(x.caller.SharedParts, time.Now()))
+	g.logChanges(g.table.RecordAnswered(x.parts, time.Now()))
 }
 
 // lost records that a request was lost at a target. If check is set, it finds out whether
-// the target has crashed; that is needless for a caller that left.
+// the target has crashed.
 func (g *poisonGuard) lost(target registry.Usable, loss poison.Loss, check bool, now time.Time) {
 	incarnation := incarnationHash(target)
 	if g.losses.Add(incarnation, loss, now) {
@@ -118,9 +120,9 @@
 	}
 	changes := g.table.RecordCrash(losses, incarnationHash(target), now)
 	g.logChanges(changes)
-	if slices.ContainsFunc(changes, func(c poison.Change) bool { return c.To == poison.Refused }) {
+	if slices.ContainsFunc(changes, func(c poison.Change) bool { return c.To != poison.Allowed }) {
 		select {
-		case g.refused <- struct{}{}:
+		case g.barred <- struct{}{}:
 		default: // the writer has not yet handled the last one
 		}
 	}
--- a/internal/app/gateway/poison_test.go
+++ b/internal/app/gateway/poison_test.go
@@ -202,3 +202,32 @@
 		})
 	}
 }
+
+// One request crashes each target that runs it, and is repeated. All gateways restart.
+func TestRequestThatCrashesTargetsIsNotTriedAnewAfterAllGatewaysHaveRestarted(t *testing.T) {
+	p := newPoisonBed(t, 2, 3)
+	repeat := func(b *testbed) reply {
+		request := b.request(p.t.Context(), http.MethodPost, "/stream/", "the same")
+		request.Header.Set("Prompt-Prefix", poisonPart+":20")
+		return b.do(request)
+	}
+	p.wait("targets have crashed and the request is refused", func() bool {
+		return repeat(p.gateway0()).status == http.StatusServiceUnavailable && len(p.crashTimes()) >= 3
+	})
+	for _, b := range p.gateways {
+		b.stop()
+		assert.NilError(t, <-b.ended)
+	}
+	p.gateways = nil
+	p.addGateway("new-gateway")
+	ends := time.Now().Add(8 * time.Second)
+	p.wait("the request was repeated for some seconds", func() bool {
+		repeat(p.gateway0())
+		return time.Now().After(ends)
+	})
+	crashes := p.crashTimes()
+	late := p.sentAfter(crashes[2].Add(toldAfter))
+	assert.Assert(t, late <= lateSends, "sent %d times later than %s after the third of %d crashes", late, toldAfter, len(crashes))
+}
+
+func (p *poisonBed) gateway0() *testbed { return p.gateways[0] }
--- a/internal/app/gateway/poisonstore.go
+++ b/internal/app/gateway/poisonstore.go
@@ -13,17 +13,17 @@
 	"quetzalbend/platform"
 )
 
-// poisonStore keeps the refused parts of prompts in the store, for gateways that start
-// when no other one is left to tell them.
+// poisonStore keeps the suspect and refused parts of prompts in the store, for gateways
+// that start when no other one is left to tell them.
 type poisonStore struct {
 	guard *poisonGuard
 	store *platform.Store
 	log   *eventlog.Log
-	known map[string]bool // parts in the store when it was last read or written
+	known map[string]poison.Verdict // by part: verdict on what the store holds, when it was last read or written
 }
 
 // run reads the parts in the store repeatedly, and writes those that it lacks as soon as
-// this gateway refuses them.
+// this gateway observes what makes them suspect or refused.
 func (s *poisonStore) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		wait := listInterval
@@ -35,13 +35,13 @@
 	return nil
 }
 
-// writeUntil writes newly refused parts until a time.
+// writeUntil writes parts that are not allowed any more until a time.
 func (s *poisonStore) writeUntil(ctx context.Context, end time.Time) {
 	timer := time.NewTimer(time.Until(end))
 	defer timer.Stop()
 	for {
 		select {
-		case <-s.guard.refused:
+		case <-s.guard.barred:
 			s.write(ctx)
 		case <-timer.C:
 			return
@@ -58,13 +58,17 @@
 	batch, err := s.store.Newest(readCtx, platform.TopicParts)
 	cancel()
 	if err != nil {
-		s.log.Decision("refused parts not read", eventlog.Fields{"error": err.Error()})
+		s.log.Decision("parts not read", eventlog.Fields{"error": err.Error()})
 		return false
 	}
-	s.known = make(map[string]bool, len(batch.Records))
+	s.known = make(map[string]poison.Verdict, len(batch.Records))
 	for _, record := range batch.Records {
-		s.known[record.Key] = true
-		s.guard.merge(s.decode(record), time.Now())
+		now := time.Now()
+		crashes := s.decode(record)
+		s.guard.merge(crashes, now)
+		stored := poison.NewTable()
+		stored.Merge(poisonwire.Decode(crashes, now), now)
+		s.known[record.Key] = stored.Verdict(record.Key, now)
 	}
 	s.write(ctx)
 	s.deleteAllowed(ctx)
@@ -75,7 +79,7 @@
 func (s *poisonStore) decode(record platform.Record) []*wire.PartCrashes {
 	stored := &wire.StoredPart{}
 	if err := proto.Unmarshal(record.Value, stored); err != nil {
-		s.log.Problem("invalid record of a refused part", err, eventlog.Fields{"part": record.Key})
+		s.log.Problem("invalid record of a part", err, eventlog.Fields{"part": record.Key})
 		return nil
 	}
 	sinceWritten := max(time.Now().UnixMilli()-stored.GetWrittenUnixMs(), 0)
@@ -85,11 +89,12 @@
 	return []*wire.PartCrashes{stored.GetEvidence()}
 }
 
-// write writes the refused parts that the store lacks.
+// write writes the parts that are not allowed and of which the store does not know so.
 func (s *poisonStore) write(ctx context.Context) {
 	now := time.Now()
-	for _, evidence := range poisonwire.Encode(s.guard.table.Refused(now), now) {
-		if s.known[evidence.Part] {
+	for _, evidence := range poisonwire.Encode(s.guard.table.NotAllowed(now), now) {
+		verdict := s.guard.table.Verdict(evidence.Part, now)
+		if s.known[evidence.Part] == verdict {
 			continue
 		}
 		value, err := proto.Marshal(&wire.StoredPart{Evidence: evidence, WrittenUnixMs: now.UnixMilli()})
@@ -97,10 +102,10 @@
 			err = s.put(ctx, evidence.Part, value)
 		}
 		if err != nil {
-			s.log.Problem("refused part not written", err, eventlog.Fields{"part": evidence.Part})
+			s.log.Problem("part not written", err, eventlog.Fields{"part": evidence.Part})
 			continue
 		}
-		s.known[evidence.Part] = true
+		s.known[evidence.Part] = verdict
 	}
 }
 
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -184,7 +184,6 @@
 
 func (x *exchange) finishStream(response *http.Response) outcome {
 	x.startStream(response.Header)
-	x.recordAnswered()
 	x.observeLatency()
 	x.logOutcome("streamed", http.StatusOK)
 	return delivered
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,13 +13,26 @@
 	// may have one cause, such as the loss of a failure domain.
 	occasionSpacing  = time.Second
 	suspectOccasions = 2
-	refusedTrials    = 2
+	// suspectRequestCrashes applies to a request as a whole. Unlike a part of many prompts,
+	// it is hardly at several targets by chance that crash at the same time.
+	suspectRequestCrashes = 3
+	refusedTrials         = 2
 	// Lifetime is the time after a part's latest crash in which its crashes count.
 	Lifetime        = 10 * time.Minute
 	maxParts        = 4096
 	maxCrashesAPart = 16
 )
 
+// requestPrefix begins the names of requests among the parts.
+const requestPrefix = "request/"
+
+// RequestPart returns the part that stands for a request as a whole, which may be what
+// crashes targets. fingerprint identifies the request.
+func RequestPart(fingerprint string) string { return requestPrefix + fingerprint }
+
+// IsRequest reports whether a part stands for a request as a whole.
+func IsRequest(part string) bool { return strings.HasPrefix(part, requestPrefix) }
+
 // Verdict says how requests with a part may be sent.
 type Verdict int
 
@@ -61,6 +75,7 @@
 
 // record is what is known of one part.
 type record struct {
+	request bool             // see IsRequest
 	crashes map[uint64]Crash // by target
 	ownAt   time.Time        // latest change that this gateway has observed itself
 	trial   trial
@@ -177,11 +192,6 @@
 	return r.verdict(now)
 }
 
-// Refused returns the evidence against the parts that are refused.
-func (t *Table) Refused(now time.Time) []Evidence {
-	return t.evidence(func(r *record) bool { return r.verdict(now) == Refused })
-}
-
 func (t *Table) evidence(include func(*record) bool) []Evidence {
 	if t.size.Load() == 0 {
 		return nil
@@ -204,7 +214,7 @@
 		if len(t.records) >= maxParts {
 			t.evict(now)
 		}
-		r = &record{crashes: make(map[uint64]Crash)}
+		r = &record{request: IsRequest(part), crashes: make(map[uint64]Crash)}
 		t.records[part] = r
 		t.size.Store(int64(len(t.records)))
 	}
@@ -284,7 +294,7 @@
 	switch {
 	case r.blamed() >= refusedTrials:
 		return Refused
-	case r.occasions() >= suspectOccasions:
+	case r.occasions() >= suspectOccasions, r.request && r.uncleared() >= suspectRequestCrashes:
 		return Suspect
 	}
 	return Allowed
@@ -301,6 +311,17 @@
 	return count
 }
 
+// uncleared returns the number of crashes that are not cleared.
+func (r *record) uncleared() int {
+	count := 0
+	for _, crash := range r.crashes {
+		if !crash.Cleared {
+			count++
+		}
+	}
+	return count
+}
+
 // occasions returns the number of times, at least occasionSpacing apart, at which targets
 // crashed and that are not cleared.
 func (r *record) occasions() int {
--- a/internal/core/poison/table_test.go
+++ b/internal/core/poison/table_test.go
@@ -55,6 +55,18 @@
 	assert.Equal(t, verdict(table, "a", now.Add(Lifetime)), Allowed)
 }
 
+// A request that is repeated at once crashes several targets within a second.
+func TestRequestIsSuspectAfterThreeCrashesAtAnyTime(t *testing.T) {
+	table := NewTable()
+	request := RequestPart("f")
+	for target := range uint64(suspectRequestCrashes) {
+		assert.Equal(t, verdict(table, request, start), Allowed)
+		table.RecordCrash(lost("first", request), target, start.Add(time.Duration(target)))
+	}
+	assert.Equal(t, verdict(table, request, start), Suspect)
+	assert.Equal(t, verdict(table, "first", start), Allowed)
+}
+
 func TestAnsweredPartIsNoLongerSuspect(t *testing.T) {
 	table, now := suspected("a", "b")
 	changes := table.RecordAnswered([]string{"a"}, now)
