soak: crash targets beside the other faults

Gateways tell crashed targets from lost answers by a refused connection; the soak had no target that refuses connections. Three crashes a run, drawn apart from the other faults, so that those of a seed stay what they were.

--- a/scenarios/soak_faults_test.go
+++ b/scenarios/soak_faults_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"syscall"
 	"time"
@@ -55,6 +56,17 @@
 	return f
 }
 
+// drawCrash returns a crash of a target, which runs again after soakDowntime.
+func (s *soak) drawCrash(random *rand.Rand) fault {
+	target := s.targets[random.IntN(len(s.targets))]
+	return fault{
+		delay:    time.Duration(random.Int64N(int64(soakFaultTime - soakDowntime))),
+		duration: soakDowntime,
+		begin:    target.Crash,
+		end:      func() {},
+	}
+}
+
 func (s *soak) impairLink(f *fault, l *soakLink) {
 	kinds := []impairment{{delay: 80 * time.Millisecond}, {reset: true}, {holdTo: true}, {holdFrom: true}, {holdTo: true, holdFrom: true}}
 	kind := kinds[s.random.IntN(len(kinds))]
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -44,6 +44,8 @@
 	soakTargets     = 4
 	soakCallers     = 12
 	soakFaults      = 14
+	soakCrashes     = 3                       // of targets
+	soakDowntime    = 500 * time.Millisecond  // of a crashed target
 	soakFaultTime   = 5 * time.Second         // in which all faults begin and end
 	soakMaxFault    = 2 * time.Second         // longest duration of a fault
 	soakRecovery    = 4 * time.Second         // from the last fault until every gateway must serve
@@ -133,6 +135,7 @@
 	for i := range soakTargets {
 		target := platformtest.NewTarget(t, fmt.Sprint("i-", i))
 		target.Events, target.EventGap = soakEvents, soakEventGap
+		target.CrashOn("", soakDowntime, nil)
 		s.targets = append(s.targets, target)
 		s.targetLinks = append(s.targetLinks, newSoakLink(t, target.Address()))
 		s.putTarget(i, "ready")
@@ -278,6 +281,12 @@
 		f := s.drawFault()
 		faults.Go(func() { s.inject(f) })
 	}
+	// Drawn apart, so that the other faults of a seed stay what they were.
+	crashes := rand.New(rand.NewPCG(s.seed, 1))
+	for range soakCrashes {
+		f := s.drawCrash(crashes)
+		faults.Go(func() { s.inject(f) })
+	}
 	faults.Wait()
 	s.putSettings(100)
 	s.putTarget(0, "draining")
