--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -115,6 +115,29 @@
 	return g, cancel, ended
 }
 
+// startGateways starts gateways beside the first one, at the same store, and waits until
+// all know each other. It returns all of them.
+func startGateways(first *testbed, count int) []*testbed {
+	first.t.Helper()
+	beds := []*testbed{first}
+	for i := 1; i < count; i++ {
+		beds = append(beds, first.addGateway(fmt.Sprint("gateway-", i+1)))
+	}
+	for _, b := range beds {
+		b.wait("the gateways know each other", func() bool { return len(b.gateway.peers.others()) == count-1 })
+	}
+	return beds
+}
+
+// addGateway starts another gateway at the same store and waits until it is ready.
+func (b *testbed) addGateway(name string) *testbed {
+	b.t.Helper()
+	g, stop, ended := startGateway(b.t, name, b.store.Address(), nil)
+	added := &testbed{t: b.t, store: b.store, gateway: g, stop: stop, ended: ended}
+	added.waitReady()
+	return added
+}
+
 // Ports below those that systems give to connections and to listeners without a port of
 // their own, so that no other process gets one between the test's choice and its use.
 const (
--- a/internal/app/gateway/limit_test.go
+++ b/internal/app/gateway/limit_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -53,26 +52,11 @@
 	callers.Wait()
 }
 
-func newLimitBed(t *testing.T, gateways int, targets ...*platformtest.Target) []*testbed {
-	first := newTestbed(t, targets...)
-	beds := []*testbed{first}
-	for i := 1; i < gateways; i++ {
-		g, stop, ended := startGateway(t, fmt.Sprint("gateway-", i+1), first.store.Address(), nil)
-		b := &testbed{t: t, store: first.store, gateway: g, stop: stop, ended: ended}
-		b.waitReady()
-		beds = append(beds, b)
-	}
-	for _, b := range beds {
-		b.wait("the gateways know each other", func() bool { return len(b.gateway.peers.others()) == gateways-1 })
-	}
-	return beds
-}
-
 // One target in need among others that are not, at several gateways.
 func TestTargetThatNamesALimitGetsNoMoreFromAllGatewaysTogether(t *testing.T) {
 	const limit = 2.0
 	needy, other := platformtest.NewTarget(t, "i-1"), platformtest.NewTarget(t, "i-2")
-	beds := newLimitBed(t, 3, needy, other)
+	beds := startGateways(newTestbed(t, needy, other), 3)
 	needy.SetLimit(limit)
 	started := time.Now()
 	const length = 10 * time.Second
--- a/internal/app/gateway/poison_test.go
+++ b/internal/app/gateway/poison_test.go
@@ -39,23 +39,10 @@
 			p.store.PutJSON(t, "keyed.servers", target.ID, targetRecord(target, object{"born": 1 + restarts}))
 		})
 	}
-	p.gateways = []*testbed{p.testbed}
-	for i := 1; i < gateways; i++ {
-		p.addGateway(fmt.Sprint("gateway-", i+1))
-	}
-	for _, b := range p.gateways {
-		b.wait("the gateways know each other", func() bool { return len(b.gateway.peers.others()) == gateways-1 })
-	}
+	p.gateways = startGateways(p.testbed, gateways)
 	return p
 }
 
-func (p *poisonBed) addGateway(name string) {
-	g, stop, ended := startGateway(p.t, name, p.store.Address(), nil)
-	b := &testbed{t: p.t, store: p.store, gateway: g, stop: stop, ended: ended}
-	b.waitReady()
-	p.gateways = append(p.gateways, b)
-}
-
 // prompt sends a request whose prompt has the given shared parts and one of its own.
 func (b *testbed) prompt(parts string, number int) reply {
 	b.t.Helper()
@@ -180,7 +167,7 @@
 	sent := p.sentAfter(time.Time{})
 	p.gateways = nil
 	for i := range 2 {
-		p.addGateway(fmt.Sprint("new-gateway-", i))
+		p.gateways = append(p.gateways, p.addGateway(fmt.Sprint("new-gateway-", i)))
 	}
 	for _, b := range p.gateways {
 		b.wait("the part is refused", func() bool {
@@ -212,22 +199,19 @@
 		return b.do(request)
 	}
 	p.wait("targets have crashed and the request is refused", func() bool {
-		return repeat(p.gateway0()).status == http.StatusServiceUnavailable && len(p.crashTimes()) >= 3
+		return repeat(p.testbed).status == http.StatusServiceUnavailable && len(p.crashTimes()) >= 3
 	})
 	for _, b := range p.gateways {
 		b.stop()
 		assert.NilError(t, <-b.ended)
 	}
-	p.gateways = nil
-	p.addGateway("new-gateway")
+	restarted := p.addGateway("new-gateway")
 	ends := time.Now().Add(8 * time.Second)
 	p.wait("the request was repeated for some seconds", func() bool {
-		repeat(p.gateway0())
+		repeat(restarted)
 		return time.Now().After(ends)
 	})
 	crashes := p.crashTimes()
 	late := p.sentAfter(crashes[2].Add(toldAfter))
 	assert.Assert(t, late <= lateSends, "sent %d times later than %s after the third of %d crashes", late, toldAfter, len(crashes))
 }
-
-func (p *poisonBed) gateway0() *testbed { return p.gateways[0] }
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -9,18 +9,9 @@
 )
 
 const (
-	// occasionSpacing separates crashes that count one by one. Crashes closer together
-	// may have one cause, such as the loss of a failure domain.
-	occasionSpacing  = time.Second
-	suspectOccasions = 2
-	// suspectRequestCrashes applies to a request as a whole. Unlike a part of many prompts,
-	// it is hardly at several targets by chance that crash at the same time.
-	suspectRequestCrashes = 3
-	refusedTrials         = 2
 	// Lifetime is the time after a part's latest crash in which its crashes count.
-	Lifetime        = 10 * time.Minute
-	maxParts        = 4096
-	maxCrashesAPart = 16
+	Lifetime = 10 * time.Minute
+	maxParts = 4096
 )
 
 // requestPrefix begins the names of requests among the parts.
@@ -73,15 +64,6 @@
 	From, To Verdict
 }
 
-// record is what is known of one part.
-type record struct {
-	request bool             // see IsRequest
-	crashes map[uint64]Crash // by target
-	ownAt   time.Time        // latest change that this gateway has observed itself
-	trial   trial
-	aloneAt time.Time // when a request in which this was the only suspect part was last seen
-}
-
 // Table holds the evidence against all parts that are under crashes. It has one lock,
 // which a request takes once unless targets crash.
 type Table struct {
@@ -237,104 +219,3 @@
 		delete(t.records, oldest)
 	}
 }
-
-// add adds a crash and reports whether it changed the record.
-func (r *record) add(crash Crash) bool {
-	known, ok := r.crashes[crash.Target]
-	if !ok && len(r.crashes) >= maxCrashesAPart {
-		delete(r.crashes, r.sorted()[0].Target)
-	}
-	if ok {
-		crash.Cleared = crash.Cleared || known.Cleared
-		crash.Blamed = crash.Blamed || known.Blamed
-		if known.At.Before(crash.At) {
-			crash.At = known.At
-		}
-	}
-	r.crashes[crash.Target] = crash
-	return !ok || crash != known
-}
-
-// clear clears all crashes and reports whether any was not cleared before.
-func (r *record) clear() bool {
-	changed := false
-	for target, crash := range r.crashes {
-		changed = changed || !crash.Cleared
-		crash.Cleared = true
-		r.crashes[target] = crash
-	}
-	return changed
-}
-
-// sorted returns the crashes in the order of their times.
-func (r *record) sorted() []Crash {
-	crashes := make([]Crash, 0, len(r.crashes))
-	for _, crash := range r.crashes {
-		crashes = append(crashes, crash)
-	}
-	slices.SortFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	return crashes
-}
-
-// latest returns the time of the latest crash.
-func (r *record) latest() time.Time {
-	var latest time.Time
-	for _, crash := range r.crashes {
-		if crash.At.After(latest) {
-			latest = crash.At
-		}
-	}
-	return latest
-}
-
-func (r *record) verdict(now time.Time) Verdict {
-	if now.Sub(r.latest()) > Lifetime {
-		return Allowed
-	}
-	switch {
-	case r.blamed() >= refusedTrials:
-		return Refused
-	case r.occasions() >= suspectOccasions, r.request && r.uncleared() >= suspectRequestCrashes:
-		return Suspect
-	}
-	return Allowed
-}
-
-// blamed returns the number of trials of the part that ended in a crash.
-func (r *record) blamed() int {
-	count := 0
-	for _, crash := range r.crashes {
-		if crash.Blamed && !crash.Cleared {
-			count++
-		}
-	}
-	return count
-}
-
-// uncleared returns the number of crashes that are not cleared.
-func (r *record) uncleared() int {
-	count := 0
-	for _, crash := range r.crashes {
-		if !crash.Cleared {
-			count++
-		}
-	}
-	return count
-}
-
-// occasions returns the number of times, at least occasionSpacing apart, at which targets
-// crashed and that are not cleared.
-func (r *record) occasions() int {
-	count := 0
-	var begun time.Time
-	for _, crash := range r.sorted() {
-		if crash.Cleared {
-			continue
-		}
-		if count == 0 || crash.At.Sub(begun) >= occasionSpacing {
-			count++
-			begun = crash.At
-		}
-	}
-	return count
-}
