--- a/internal/core/poison/load_test.go
+++ b/internal/core/poison/load_test.go
@@ -369,6 +369,8 @@
 	"domains lost":               {gateways: 6, replicas: 16, sound: 80, poison: 2 * time.Second, domainLoss: 5 * time.Second, hotParts: 40},
 	"gateways restart":           {gateways: 6, replicas: 16, sound: 80, poison: time.Second, restarts: 2 * time.Second},
 	"gateways cut off":           {gateways: 6, replicas: 16, sound: 80, poison: time.Second, cutOff: 4 * time.Second, lostDatagrams: 0.3},
+	"very often in lock step":    {gateways: 6, replicas: 16, lockStep: true, sound: 80, poison: 50 * time.Millisecond},
+	"restarts in lock step":      {gateways: 8, replicas: 16, lockStep: true, sound: 80, poison: 300 * time.Millisecond, restarts: 5 * time.Second, cutOff: 10 * time.Second},
 	"one gateway":                {gateways: 1, replicas: 4, sound: 80, poison: time.Second, cutAnswers: 0.05},
 	"many gateways":              {gateways: 34, replicas: 72, sound: 300, poison: 500 * time.Millisecond, lostDatagrams: 0.1, hotParts: 100},
 	"no such part":               {gateways: 6, replicas: 16, sound: 80, crashes: 700 * time.Millisecond, domainLoss: 4 * time.Second, cutAnswers: 0.2, hotParts: 30},
