poisonwire: ignore a stored part without evidence

A record in the store without evidence, such as an empty one, made each gateway that read it panic, at every start. Found by reading; no such record has been seen. TestRecordWithoutEvidenceIsIgnored failed before (nil pointer dereference).

--- a/internal/adapter/poisonwire/poisonwire.go
+++ b/internal/adapter/poisonwire/poisonwire.go
@@ -29,8 +29,8 @@
 func Decode(crashes []*wire.PartCrashes, now time.Time) []poison.Evidence {
 	evidence := make([]poison.Evidence, 0, len(crashes))
 	for _, part := range crashes {
-		e := poison.Evidence{Part: part.Part}
-		for _, c := range part.Crashes {
+		e := poison.Evidence{Part: part.GetPart()}
+		for _, c := range part.GetCrashes() {
 			at := now.Add(-time.Duration(max(c.AgeMs, 0)) * time.Millisecond)
 			e.Crashes = append(e.Crashes, poison.Crash{Target: c.Target, At: at, Cleared: c.Cleared, Blamed: c.Blamed})
 		}
