poison: do not count expired crashes again with a new one

Callers would see a part refused or suspect again after its ten minutes, for one crash that it was under by chance: the old crashes stayed in the record, and a new one made all of them count. TestExpiredCrashesDoNotCountWithANewOne failed before.

--- a/internal/core/poison/record.go
+++ b/internal/core/poison/record.go
@@ -75,11 +75,13 @@
 	return latest
 }
 
+// expired reports whether none of the crashes counts any more.
+func (r *record) expired(now time.Time) bool { return now.Sub(r.latest()) > Lifetime }
+
 func (r *record) verdict(now time.Time) Verdict {
-	if now.Sub(r.latest()) > Lifetime {
-		return Allowed
-	}
 	switch {
+	case r.expired(now):
+		return Allowed
 	case r.blamed() >= refusedTrials:
 		return Refused
 	case r.occasions() >= suspectOccasions, r.request && r.uncleared() >= suspectRequestCrashes:
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -189,11 +189,12 @@
 	return list
 }
 
-// getOrCreate returns the record of a part. The caller holds the lock.
+// getOrCreate returns the record of a part. It creates one if there is none or the old one
+// has expired. The caller holds the lock.
 func (t *Table) getOrCreate(part string, now time.Time) *record {
 	r := t.records[part]
-	if r == nil {
-		if len(t.records) >= maxParts {
+	if r == nil || r.expired(now) {
+		if r == nil && len(t.records) >= maxParts {
 			t.evict(now)
 		}
 		r = &record{request: IsRequest(part), crashes: make(map[uint64]Crash)}
@@ -208,10 +209,9 @@
 func (t *Table) evict(now time.Time) {
 	oldest, oldestAt := "", time.Time{}
 	for part, r := range t.records {
-		latest := r.latest()
-		if now.Sub(latest) > Lifetime {
+		if r.expired(now) {
 			delete(t.records, part)
-		} else if oldest == "" || latest.Before(oldestAt) {
+		} else if latest := r.latest(); oldest == "" || latest.Before(oldestAt) {
 			oldest, oldestAt = part, latest
 		}
 	}
--- a/internal/core/poison/table_test.go
+++ b/internal/core/poison/table_test.go
@@ -136,6 +136,13 @@
 	assert.Equal(t, len(b.NotAllowed(now)), 0)
 }
 
+func TestExpiredCrashesDoNotCountWithANewOne(t *testing.T) {
+	table, _ := suspected("a")
+	later := start.Add(2 * Lifetime)
+	table.RecordCrash(lost("a"), 3, later)
+	assert.Equal(t, verdict(table, "a", later), Allowed)
+}
+
 func TestEachGatewaySendsTrialsInSomeTurn(t *testing.T) {
 	names := []string{"a", "b", "c", "d"}
 	turns := make(map[string]int)
