gateway: write a part to the store again that was deleted there

After all gateways restart, callers would see a part crash targets anew that had been suspect, was answered and became suspect again within the 12 s between two reads of the store: the deleted record still counted as written.

--- a/internal/app/gateway/poison_test.go
+++ b/internal/app/gateway/poison_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"quetzalbend/internal/core/poison"
+	"quetzalbend/platform"
 	"quetzalbend/platform/platformtest"
 )
 
@@ -215,3 +217,30 @@
 	late := p.sentAfter(crashes[2].Add(toldAfter))
 	assert.Assert(t, late <= lateSends, "sent %d times later than %s after the third of %d crashes", late, toldAfter, len(crashes))
 }
+
+// A part is suspect, is answered, and becomes suspect again between two reads of the store.
+func TestPartThatIsSuspectAgainIsWrittenToTheStoreAgain(t *testing.T) {
+	b := newTestbed(t)
+	g := b.gateway
+	s := &poisonStore{guard: g.poison, store: g.store, log: g.log}
+	suspect := func(firstTarget uint64) {
+		for i := range uint64(2) {
+			at := time.Now().Add(time.Duration(i)*2*time.Second - time.Minute)
+			g.poison.table.RecordCrash([]poison.Loss{{Parts: []string{"p"}}}, firstTarget+i, at)
+		}
+	}
+	stored := func() int {
+		batch, err := g.store.Newest(t.Context(), platform.TopicParts)
+		assert.NilError(t, err)
+		return len(batch.Records)
+	}
+	suspect(1)
+	assert.Assert(t, s.sync(t.Context()))
+	assert.Equal(t, stored(), 1)
+	g.poison.table.RecordAnswered([]string{"p"}, time.Now())
+	assert.Assert(t, s.sync(t.Context()))
+	assert.Equal(t, stored(), 0)
+	suspect(3)
+	s.write(t.Context())
+	assert.Equal(t, stored(), 1)
+}
--- a/internal/app/gateway/poisonstore.go
+++ b/internal/app/gateway/poisonstore.go
@@ -35,7 +35,7 @@
 	return nil
 }
 
-// writeUntil writes parts that are not allowed any more until a time.
+// writeUntil writes, until a time, the parts that become suspect or refused.
 func (s *poisonStore) writeUntil(ctx context.Context, end time.Time) {
 	timer := time.NewTimer(time.Until(end))
 	defer timer.Stop()
@@ -118,7 +118,9 @@
 		}
 		if err := s.put(ctx, part, nil); err != nil {
 			s.log.Problem("allowed part not deleted", err, eventlog.Fields{"part": part})
+			continue
 		}
+		delete(s.known, part)
 	}
 }
 
