poisonwire: send the crashes that decide on a part, not the latest four

A gateway that starts would allow or merely suspect a part that others refuse: it was told the latest four crashes, and the trials may be older. Found by reading. TestReceiverReachesTheSendersVerdictWhateverCrashedSince failed before (suspect for refused). Six crashes are sent, those of trials first. Datagrams are received up to the size that UDP carries: with 48 parts, 72 limits and strikes they could exceed 8 KB, and would have been dropped whole.

--- a/internal/adapter/poisonwire/poisonwire.go
+++ b/internal/adapter/poisonwire/poisonwire.go
@@ -10,14 +10,14 @@
 )
 
 // maxCrashes is the number of crashes sent of a part, more than a verdict needs.
-const maxCrashes = 4
+const maxCrashes = 6
 
-// Encode encodes the latest crashes of each part.
+// Encode encodes those crashes of each part that decide on it.
 func Encode(evidence []poison.Evidence, now time.Time) []*wire.PartCrashes {
 	encoded := make([]*wire.PartCrashes, 0, len(evidence))
 	for _, e := range evidence {
 		part := &wire.PartCrashes{Part: e.Part}
-		for _, c := range e.Crashes[max(len(e.Crashes)-maxCrashes, 0):] {
+		for _, c := range e.Weightiest(maxCrashes) {
 			part.Crashes = append(part.Crashes, &wire.PartCrash{Target: c.Target, AgeMs: now.Sub(c.At).Milliseconds(), Cleared: c.Cleared, Blamed: c.Blamed})
 		}
 		encoded = append(encoded, part)
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -31,7 +31,7 @@
 	storeTimeout     = time.Second
 	loadInterval     = 60 * time.Millisecond  // between datagrams while requests run
 	idleInterval     = 300 * time.Millisecond // between datagrams while none run; less than readers.MaxReadAge, since peers rely on a reported read only up to that age
-	datagramBytes    = 8 << 10
+	datagramBytes    = 64 << 10               // the largest that UDP carries
 	maxStateBytes    = 32 << 20
 	aliveAge         = time.Second // after its last datagram, a gateway counts as alive
 	gatewayHeadroom  = 3           // gateways that may be added at any moment
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -58,6 +59,26 @@
 	Crashes []Crash
 }
 
+// Weightiest returns at most n of the crashes: those of trials that are not cleared before
+// others that are not, and later ones before earlier ones.
+func (e Evidence) Weightiest(n int) []Crash {
+	crashes := slices.Clone(e.Crashes)
+	slices.SortFunc(crashes, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(b.weight(), a.weight()), b.At.Compare(a.At))
+	})
+	return crashes[:min(n, len(crashes))]
+}
+
+func (c Crash) weight() int {
+	switch {
+	case c.Cleared:
+		return 0
+	case c.Blamed:
+		return 2
+	}
+	return 1
+}
+
 // Change is a new verdict on a part.
 type Change struct {
 	Part     string
