fleetsync: log records of the store that are ignored as older than those read

The log could not tell a store that came back older from one that answers nothing: batches that end before the known offset were dropped silently. They are logged with their era, which the store's answers name (Store-Era). No change of logic.

--- a/internal/fleetsync/state.go
+++ b/internal/fleetsync/state.go
@@ -75,6 +75,7 @@
 	defer s.mu.Unlock()
 	s.settingsReadFailed = false
 	if batch.Next < s.settingsNext {
+		s.logIgnored("settings", batch, s.settingsNext)
 		return
 	}
 	s.settingsAsOf = s.now()
@@ -98,6 +99,7 @@
 
 func (s *State) replaceSettings(batch platform.Batch, asOf time.Time) {
 	if batch.Next < s.settingsNext {
+		s.logIgnored("settings", batch, s.settingsNext)
 		return
 	}
 	s.settingsAsOf = later(s.settingsAsOf, asOf)
@@ -110,6 +112,13 @@
 	s.publish()
 }
 
+// logIgnored logs that records were ignored since they end before the offset next.
+func (s *State) logIgnored(of string, batch platform.Batch, next int64) {
+	s.log.Decision("older records ignored", eventlog.Fields{
+		"of": of, "era": batch.Era, "end": batch.Next, "next": next, "records": len(batch.Records),
+	})
+}
+
 func applySettingsRecord(records map[string][]byte, record platform.Record) {
 	if len(record.Value) == 0 {
 		delete(records, record.Key)
@@ -143,6 +152,7 @@
 	defer s.mu.Unlock()
 	s.targetsReadFailed = false
 	if batch.Next < s.targetsNext {
+		s.logIgnored("registry", batch, s.targetsNext)
 		return
 	}
 	now := s.now()
@@ -159,6 +169,7 @@
 	defer s.mu.Unlock()
 	s.targetsReadFailed = false
 	if batch.Next < s.targetsNext {
+		s.logIgnored("registry", batch, s.targetsNext)
 		return
 	}
 	now := s.now()
