fleetsync: qualify places in the store's topics by the store's era

Callers saw: a confirmed change of settings not in force for seconds, added routes answered 404 (CONFIG, DENIED).

Cause: a gateway remembers how far it has read by an offset and takes offsets for an order that lasts. When the store comes back from an older copy, offsets go back and are given out again: a gateway past the end ignored all it read, one at the end went on from there and missed the records below. Gateways compared these offsets among each other and followed a reader that was behind.

Change: a place is an era and an offset, and eras order first. Records of a new era are never appended to those of an earlier one: the topic is read as a whole. Gateways tell each other eras with offsets, share all with a peer of an earlier era, and do not follow a gateway that has not read the newest era they know.

--- a/internal/app/gateway/datagrams.go
+++ b/internal/app/gateway/datagrams.go
@@ -51,7 +51,8 @@
 // recently.
 func (s *sender) sendIfDue(now time.Time) {
 	read := s.peers.gateway.state.ReadState()
-	advanced := read.SettingsNext != s.lastRead.SettingsNext || read.TargetsChanged != s.lastRead.TargetsChanged
+	advanced := read.SettingsNext != s.lastRead.SettingsNext || read.TargetsChanged != s.lastRead.TargetsChanged ||
+		read.SettingsEra != s.lastRead.SettingsEra || read.TargetsEra != s.lastRead.TargetsEra
 	if s.idle && !advanced && now.Sub(s.lastSent) < idleInterval && !s.peers.gateway.loads.inUse() {
 		return
 	}
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/url"
 	"sort"
 	"sync"
 	"time"
@@ -227,19 +228,22 @@
 }
 
 // FetchFromPeer fetches from the next peer (round robin) the state that is newer than
-// the given offsets. It returns nil if there is no peer.
-func (p *peers) FetchFromPeer(ctx context.Context, settingsNext, targetsNext int64) (*wire.FleetState, error) {
+// the given places. It returns nil if there is no peer.
+func (p *peers) FetchFromPeer(ctx context.Context, settings, targets platform.Position) (*wire.FleetState, error) {
 	address := p.nextAddress()
 	if address == "" {
 		return nil, nil
 	}
-	return p.fetch(ctx, address, settingsNext, targetsNext)
+	return p.fetch(ctx, address, settings, targets)
 }
 
 // fetch fetches the state of the gateway whose control address is given.
-func (p *peers) fetch(ctx context.Context, address string, settingsNext, targetsNext int64) (*wire.FleetState, error) {
-	url := fmt.Sprintf("http://%s%s?settings=%d&targets=%d", address, peerStatePath, settingsNext, targetsNext)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+func (p *peers) fetch(ctx context.Context, address string, settings, targets platform.Position) (*wire.FleetState, error) {
+	query := make(url.Values)
+	setPosition(query, "settings", settings)
+	setPosition(query, "targets", targets)
+	target := fmt.Sprintf("http://%s%s?%s", address, peerStatePath, query.Encode())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/app/gateway/readers.go
+++ b/internal/app/gateway/readers.go
@@ -8,6 +8,7 @@
 	"quetzalbend/internal/core/readers"
 	"quetzalbend/internal/fleetsync"
 	"quetzalbend/internal/wire"
+	"quetzalbend/platform"
 )
 
 // readerState is the latest read progress that a gateway of this failure domain
@@ -38,8 +39,8 @@
 	p.readers[datagram.Node] = readerState{
 		Reader: fleetsync.Reader{
 			Address:        datagram.ControlAddress,
-			SettingsNext:   read.SettingsNext,
-			TargetsNext:    read.TargetsNext,
+			SettingsAt:     platform.Position{Era: read.SettingsEra, Next: read.SettingsNext},
+			TargetsAt:      platform.Position{Era: read.TargetsEra, Next: read.TargetsNext},
 			TargetsChanged: read.TargetsChanged,
 			SettingsAsOf:   fleetsync.TimeFromAge(read.SettingsAgeMs, now),
 			TargetsAsOf:    fleetsync.TimeFromAge(read.TargetsAgeMs, now),
@@ -52,18 +53,27 @@
 // Reader returns the gateway that reads the store on behalf of this one, or
 // reports false if this gateway must read the store itself.
 func (p *peers) Reader() (fleetsync.Reader, bool) {
+	era := p.gateway.newestEra()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	others := make([]readers.Gateway, 0, len(p.readers))
 	for name, r := range p.readers {
-		others = append(others, readers.Gateway{Name: name, SettingsAsOf: r.SettingsAsOf, TargetsAsOf: r.TargetsAsOf})
+		others = append(others, readers.Gateway{
+			Name: name, SettingsAsOf: r.SettingsAsOf, TargetsAsOf: r.TargetsAsOf, Era: min(r.SettingsAt.Era, r.TargetsAt.Era),
+		})
 	}
-	chosen, found := readers.Choose(p.gateway.node.Name, others, time.Now())
+	chosen, found := readers.Choose(p.gateway.node.Name, era, others, time.Now())
 	return p.readers[chosen.Name].Reader, found
 }
 
 // FetchFromReader fetches from the given gateway the state that is newer than the
-// given offsets.
-func (p *peers) FetchFromReader(ctx context.Context, r fleetsync.Reader, settingsNext, targetsNext int64) (*wire.FleetState, error) {
-	return p.fetch(ctx, r.Address, settingsNext, targetsNext)
+// given places.
+func (p *peers) FetchFromReader(ctx context.Context, r fleetsync.Reader, settings, targets platform.Position) (*wire.FleetState, error) {
+	return p.fetch(ctx, r.Address, settings, targets)
+}
+
+// newestEra returns the newest era of the store that this gateway knows of, from the
+// store itself or from another gateway.
+func (g *Gateway) newestEra() int64 {
+	return max(g.store.Era(), g.state.SettingsAt().Era, g.state.TargetsAt().Era)
 }
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/pause"
+	"quetzalbend/platform"
 )
 
 const (
@@ -121,16 +123,33 @@
 	return mux
 }
 
-// serveState sends a peer the state that is newer than the offsets in the request, up
+// setPosition adds a place in a topic to a request for a peer's state.
+func setPosition(query url.Values, topic string, at platform.Position) {
+	query.Set(topic, strconv.FormatInt(at.Next, 10))
+	query.Set(topic+"-era", strconv.FormatInt(at.Era, 10))
+}
+
+// position returns the place that setPosition has added. Gateways of earlier versions
+// name no era.
+func position(query url.Values, topic string) (platform.Position, error) {
+	next, err := strconv.ParseInt(query.Get(topic), 10, 64)
+	if err != nil || !query.Has(topic+"-era") {
+		return platform.Position{Next: next}, err
+	}
+	era, err := strconv.ParseInt(query.Get(topic+"-era"), 10, 64)
+	return platform.Position{Era: era, Next: next}, err
+}
+
+// serveState sends a peer the state that is newer than the places in the request, up
 // to which the peer has read the store.
 func (g *Gateway) serveState(w http.ResponseWriter, r *http.Request) {
-	settingsNext, errSettings := strconv.ParseInt(r.URL.Query().Get("settings"), 10, 64)
-	targetsNext, errTargets := strconv.ParseInt(r.URL.Query().Get("targets"), 10, 64)
+	settings, errSettings := position(r.URL.Query(), "settings")
+	targets, errTargets := position(r.URL.Query(), "targets")
 	if errSettings != nil || errTargets != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	data, err := proto.Marshal(g.state.Share(settingsNext, targetsNext))
+	data, err := proto.Marshal(g.state.Share(settings, targets))
 	if err != nil {
 		g.log.Problem("state not encoded", err, nil)
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -12,6 +12,14 @@
 	Draining      bool
 	Born          int64         // start of this incarnation, in Unix milliseconds; 0: unknown
 	ColdRemaining time.Duration // rest of the cold period
+	Heartbeat     int64         // number of the record among those of this incarnation
+}
+
+// SameExceptHeartbeat reports whether two records differ in nothing but the number of
+// the heartbeat.
+func (t Target) SameExceptHeartbeat(other Target) bool {
+	t.Heartbeat = other.Heartbeat
+	return t == other
 }
 
 // Node is the start-up configuration of a quetzalbend process.
--- a/internal/core/readers/readers.go
+++ b/internal/core/readers/readers.go
@@ -13,20 +13,21 @@
 	Name         string
 	SettingsAsOf time.Time // when it last knew all settings
 	TargetsAsOf  time.Time // when it last knew the whole registry
+	Era          int64     // era of the store that it has read
 }
 
-func (g Gateway) fresh(now time.Time) bool {
-	return now.Sub(g.SettingsAsOf) <= MaxReadAge && now.Sub(g.TargetsAsOf) <= MaxReadAge
+func (g Gateway) fresh(era int64, now time.Time) bool {
+	return g.Era >= era && now.Sub(g.SettingsAsOf) <= MaxReadAge && now.Sub(g.TargetsAsOf) <= MaxReadAge
 }
 
 // Choose returns the gateway that reads the store for self: the first by name of
-// those before self whose reads are recent enough. It reports false if self is to
-// read the store.
-func Choose(self string, others []Gateway, now time.Time) (Gateway, bool) {
+// those before self whose reads are recent enough, and not from an era of the store
+// before the given one. It reports false if self is to read the store.
+func Choose(self string, era int64, others []Gateway, now time.Time) (Gateway, bool) {
 	var chosen Gateway
 	found := false
 	for _, g := range others {
-		if g.Name >= self || !g.fresh(now) {
+		if g.Name >= self || !g.fresh(era, now) {
 			continue
 		}
 		if !found || g.Name < chosen.Name {
--- a/internal/core/readers/readers_test.go
+++ b/internal/core/readers/readers_test.go
@@ -14,10 +14,10 @@
 }
 
 func TestFirstGatewayByNameReads(t *testing.T) {
-	_, found := Choose("a", []Gateway{gateway("b", 0, 0), gateway("c", 0, 0)}, now)
+	_, found := Choose("a", 0, []Gateway{gateway("b", 0, 0), gateway("c", 0, 0)}, now)
 	assert.Assert(t, !found)
 	for _, self := range []string{"b", "c", "d"} {
-		reader, found := Choose(self, []Gateway{gateway("c", 0, 0), gateway("a", time.Second, 0)}, now)
+		reader, found := Choose(self, 0, []Gateway{gateway("c", 0, 0), gateway("a", time.Second, 0)}, now)
 		assert.Assert(t, found)
 		assert.Equal(t, reader.Name, "a")
 	}
@@ -26,9 +26,9 @@
 func TestGatewayWithOldReadsIsNotChosen(t *testing.T) {
 	const old = MaxReadAge + time.Millisecond
 	others := []Gateway{gateway("a", old, 0), gateway("b", 0, old)}
-	_, found := Choose("c", others, now)
+	_, found := Choose("c", 0, others, now)
 	assert.Assert(t, !found)
-	reader, found := Choose("d", append(others, gateway("c", 0, 0)), now)
+	reader, found := Choose("d", 0, append(others, gateway("c", 0, 0)), now)
 	assert.Assert(t, found)
 	assert.Equal(t, reader.Name, "c")
 }
@@ -45,10 +45,21 @@
 					others = append(others, gateway(name, 0, 0))
 				}
 			}
-			if _, found := Choose(self, others, now); !found {
+			if _, found := Choose(self, 0, others, now); !found {
 				readers++
 			}
 		}
 		assert.Assert(t, readers > 0, "nobody reads; gateways with recent reads: %b", fresh)
 	}
 }
+
+// A gateway that had not yet read the store's newest era was followed with old settings.
+func TestGatewayThatReadAnEarlierEraIsNotFollowed(t *testing.T) {
+	first, second := gateway("a", 0, 0), gateway("b", 0, 0)
+	first.Era, second.Era = 1, 2
+	reader, found := Choose("c", 2, []Gateway{first, second}, now)
+	assert.Assert(t, found)
+	assert.Equal(t, reader.Name, "b")
+	_, found = Choose("c", 3, []Gateway{first, second}, now)
+	assert.Assert(t, !found)
+}
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -35,27 +35,33 @@
 // Peers fetches from other gateways what they have read.
 type Peers interface {
 	// FetchFromPeer fetches from the next peer (round robin) what is newer than the
-	// given offsets.
-	FetchFromPeer(ctx context.Context, settingsNext, targetsNext int64) (*wire.FleetState, error)
+	// given places.
+	FetchFromPeer(ctx context.Context, settings, targets platform.Position) (*wire.FleetState, error)
 	// Reader returns the gateway that reads the store for this one, or reports
 	// false if this gateway must read the store itself.
 	Reader() (Reader, bool)
-	// FetchFromReader fetches from that gateway what is newer than the given offsets.
-	FetchFromReader(ctx context.Context, reader Reader, settingsNext, targetsNext int64) (*wire.FleetState, error)
+	// FetchFromReader fetches from that gateway what is newer than the given places.
+	FetchFromReader(ctx context.Context, reader Reader, settings, targets platform.Position) (*wire.FleetState, error)
 }
 
 // Reader is a gateway that reads the store for others of its failure domain.
 type Reader struct {
-	Address      string // of its control interface
-	SettingsNext int64  // offset up to which it has read the settings
-	TargetsNext  int64  // offset up to which it has read the registry
-	// TargetsChanged is the offset up to which it had read the registry at the last
-	// change of a target other than a heartbeat.
+	Address    string            // of its control interface
+	SettingsAt platform.Position // up to which it has read the settings
+	TargetsAt  platform.Position // up to which it has read the registry
+	// TargetsChanged is the offset, in the era of TargetsAt, up to which it had read the
+	// registry at the last change of a target other than a heartbeat.
 	TargetsChanged int64
 	SettingsAsOf   time.Time // when it last knew all settings
 	TargetsAsOf    time.Time // when it last knew the whole registry
 }
 
+// offersMore reports whether the gateway has read changes after the given places.
+func (r Reader) offersMore(settings, targets platform.Position) bool {
+	changed := platform.Position{Era: r.TargetsAt.Era, Next: r.TargetsChanged}
+	return settings.Before(r.SettingsAt) || targets.Before(changed) || targets.Era < r.TargetsAt.Era
+}
+
 // Follower keeps a State up to date.
 type Follower struct {
 	Store Store
@@ -94,14 +100,14 @@
 // syncFrom brings the state up to that of the reader, and reports whether that
 // succeeded.
 func (f *Follower) syncFrom(ctx context.Context, reader Reader) bool {
-	settingsNext, targetsNext := f.State.SettingsNext(), f.State.TargetsNext()
-	if reader.SettingsNext <= settingsNext && reader.TargetsChanged <= targetsNext {
+	settings, targets := f.State.SettingsAt(), f.State.TargetsAt()
+	if !reader.offersMore(settings, targets) {
 		f.State.RecordReaderProgress(reader)
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	shared, err := f.Peers.FetchFromReader(ctx, reader, settingsNext, targetsNext)
+	shared, err := f.Peers.FetchFromReader(ctx, reader, settings, targets)
 	if err != nil {
 		f.Log.Decision("reader did not answer", eventlog.Fields{"reader": reader.Address, "error": err.Error()})
 		return false
@@ -142,15 +148,14 @@
 	}
 	readCtx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
-	batch, err := f.Store.Read(readCtx, platform.TopicSettings, f.State.SettingsNext(), settingsWait)
+	batch, err := f.Store.Read(readCtx, platform.TopicSettings, f.State.SettingsAt().Next, settingsWait)
 	if errors.Is(err, platform.ErrExpired) {
 		return false, nil
 	}
 	if err != nil {
 		return true, err
 	}
-	f.State.AddSettings(batch)
-	return true, nil
+	return f.State.AddSettings(batch), nil
 }
 
 func (f *Follower) followTargets(ctx context.Context) error {
@@ -186,14 +191,16 @@
 	}
 	readCtx, cancel := context.WithTimeout(ctx, targetsTimeout)
 	defer cancel()
-	batch, err := f.Store.Read(readCtx, platform.TopicTargets, f.State.TargetsNext(), 0)
+	batch, err := f.Store.Read(readCtx, platform.TopicTargets, f.State.TargetsAt().Next, 0)
 	if errors.Is(err, platform.ErrExpired) {
 		return f.readTargets(ctx, false)
 	}
 	if err != nil {
 		return true, err
 	}
-	f.State.AddTargets(batch)
+	if !f.State.AddTargets(batch) {
+		return f.readTargets(ctx, false)
+	}
 	return true, nil
 }
 
@@ -218,7 +225,7 @@
 func (f *Follower) mergeFromPeer(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	shared, err := f.Peers.FetchFromPeer(ctx, f.State.SettingsNext(), f.State.TargetsNext())
+	shared, err := f.Peers.FetchFromPeer(ctx, f.State.SettingsAt(), f.State.TargetsAt())
 	if err != nil || shared == nil {
 		return // the next peer is tried after peerInterval
 	}
--- /dev/null
+++ b/internal/fleetsync/registry.go
@@ -0,0 +1,96 @@
+package fleetsync
+
+import (
+	"time"
+
+	"quetzalbend/platform"
+)
+
+// AddTargets applies registry records that follow those applied before. It reports false
+// if it cannot, since the batch is from a newer era: the whole registry must then be read.
+func (s *State) AddTargets(batch platform.Batch) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targetsReadFailed = false
+	if s.isOlder("registry", batch, s.targetsAt) {
+		return true
+	}
+	if batch.Era > s.targetsAt.Era {
+		return false
+	}
+	now := s.now()
+	s.recordTargetsRead(batch.Position(), now, now)
+	for _, record := range batch.Records {
+		s.applyTarget(record, now)
+	}
+	s.publish()
+	return true
+}
+
+// ReplaceTargets replaces the registry by the newest records of all targets.
+func (s *State) ReplaceTargets(batch platform.Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targetsReadFailed = false
+	if s.isOlder("registry", batch, s.targetsAt) {
+		return
+	}
+	now := s.now()
+	s.beginComplete(batch.Next)
+	s.recordTargetsRead(batch.Position(), now, now)
+	s.replaceTargets(batch.Records, now)
+	s.publish()
+}
+
+// beginComplete records, before the first whole registry is applied, that all changes
+// from an offset on will be known.
+func (s *State) beginComplete(next int64) {
+	if s.targetsAt.Next == 0 {
+		s.records.completeSince = next
+	}
+}
+
+// recordTargetsRead records that the registry was read up to a place.
+func (s *State) recordTargetsRead(at platform.Position, now, asOf time.Time) {
+	if at.Era > s.targetsAt.Era && !s.targetsAsOf.IsZero() {
+		s.logNewEra("registry", platform.Batch{Next: at.Next, Era: at.Era}, s.targetsAt)
+		s.records.beginEra(at.Next)
+	}
+	s.targetsAt = at
+	s.targetsAsOf = later(s.targetsAsOf, asOf)
+	s.targets.ReadSucceeded(now)
+}
+
+func (s *State) replaceTargets(records []platform.Record, now time.Time) {
+	listed := make(map[string]bool, len(records))
+	for _, record := range records {
+		if s.applyTarget(record, now) {
+			listed[record.Key] = true
+		}
+	}
+	for _, id := range s.records.missing(listed) {
+		s.removeTarget(id, now)
+	}
+}
+
+// applyTarget applies one registry record. It reports false if the record removes a
+// target or cannot be decoded.
+func (s *State) applyTarget(record platform.Record, now time.Time) bool {
+	if len(record.Value) == 0 {
+		s.removeTarget(record.Key, now)
+		return false
+	}
+	target, err := platform.DecodeTarget(record.Key, record.Value)
+	if err != nil {
+		s.log.Problem("registry record rejected", err, nil)
+		return false
+	}
+	s.records.put(record.Value, target, s.targetsAt.Next)
+	s.targets.Put(target, now)
+	return true
+}
+
+func (s *State) removeTarget(id string, now time.Time) {
+	s.records.remove(id, s.targetsAt.Next)
+	s.targets.Remove(id, now)
+}
--- a/internal/fleetsync/state.go
+++ b/internal/fleetsync/state.go
@@ -1,7 +1,6 @@
 package fleetsync
 
 import (
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,11 +29,12 @@
 
 	mu              sync.Mutex
 	settings        *fleet.Settings
+	settingsRaw     []byte            // the record of the settings in force
 	settingsRecords map[string][]byte // newest record of each key
-	settingsNext    int64             // offset from which to continue reading; 0: nothing read yet
+	settingsAt      platform.Position // place from which to continue reading; zero: nothing read yet
 	targets         *registry.Table
 	records         targetRecords
-	targetsNext     int64
+	targetsAt       platform.Position
 	settingsAsOf    time.Time // when all settings were last known; zero: never
 	targetsAsOf     time.Time // when the whole registry was last known; zero: never
 
@@ -55,173 +55,40 @@
 // View returns the current view, or nil until settings and targets are known.
 func (s *State) View() *View { return s.view.Load() }
 
-// SettingsNext returns the offset from which to continue reading settings.
-func (s *State) SettingsNext() int64 {
+// SettingsAt returns the place from which to continue reading settings.
+func (s *State) SettingsAt() platform.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.settingsNext
+	return s.settingsAt
 }
 
-// TargetsNext returns the offset from which to continue reading the registry.
-func (s *State) TargetsNext() int64 {
+// TargetsAt returns the place from which to continue reading the registry.
+func (s *State) TargetsAt() platform.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.targetsNext
+	return s.targetsAt
 }
 
-// AddSettings applies settings records that follow those applied before.
-func (s *State) AddSettings(batch platform.Batch) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.settingsReadFailed = false
-	if batch.Next < s.settingsNext {
-		s.logIgnored("settings", batch, s.settingsNext)
-		return
-	}
-	s.settingsAsOf = s.now()
-	for _, record := range batch.Records {
-		applySettingsRecord(s.settingsRecords, record)
-	}
-	s.settingsNext = batch.Next
-	if len(batch.Records) > 0 {
-		s.decodeSettings()
-		s.publish()
-	}
-}
-
-// ReplaceSettings replaces all settings records by the newest records of all keys.
-func (s *State) ReplaceSettings(batch platform.Batch) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.settingsReadFailed = false
-	s.replaceSettings(batch, s.now())
-}
-
-func (s *State) replaceSettings(batch platform.Batch, asOf time.Time) {
-	if batch.Next < s.settingsNext {
-		s.logIgnored("settings", batch, s.settingsNext)
-		return
+// isOlder reports, and logs, whether a batch ends before the place up to which its topic
+// was read.
+func (s *State) isOlder(of string, batch platform.Batch, known platform.Position) bool {
+	older := batch.Position().Before(known)
+	if older {
+		s.log.Decision("older records ignored", eventlog.Fields{
+			"of": of, "era": batch.Era, "end": batch.Next, "known_era": known.Era, "next": known.Next, "records": len(batch.Records),
+		})
 	}
-	s.settingsAsOf = later(s.settingsAsOf, asOf)
-	s.settingsRecords = make(map[string][]byte)
-	for _, record := range batch.Records {
-		applySettingsRecord(s.settingsRecords, record)
-	}
-	s.settingsNext = batch.Next
-	s.decodeSettings()
-	s.publish()
+	return older
 }
 
-// logIgnored logs that records were ignored since they end before the offset next.
-func (s *State) logIgnored(of string, batch platform.Batch, next int64) {
-	s.log.Decision("older records ignored", eventlog.Fields{
-		"of": of, "era": batch.Era, "end": batch.Next, "next": next, "records": len(batch.Records),
+// logNewEra logs that a topic was read in a newer era of the store, which may have
+// lost what was acknowledged in the era before.
+func (s *State) logNewEra(of string, batch platform.Batch, known platform.Position) {
+	s.log.State("store came back from a copy", eventlog.Fields{
+		"of": of, "era": batch.Era, "end": batch.Next, "known_era": known.Era, "next": known.Next,
 	})
 }
 
-func applySettingsRecord(records map[string][]byte, record platform.Record) {
-	if len(record.Value) == 0 {
-		delete(records, record.Key)
-		return
-	}
-	records[record.Key] = record.Value
-}
-
-// decodeSettings decodes the newest settings and puts them in force if their version
-// is newer. An older version never replaces a newer one.
-func (s *State) decodeSettings() {
-	raw := s.settingsRecords[platform.KeySettings]
-	if len(raw) == 0 {
-		return
-	}
-	settings, err := platform.DecodeSettings(raw)
-	if err != nil {
-		s.log.Problem("settings rejected", err, eventlog.Fields{"offset": s.settingsNext})
-		return
-	}
-	if s.settings != nil && settings.Version <= s.settings.Version {
-		return
-	}
-	s.settings = settings
-	s.log.State("settings in force", eventlog.Fields{"version": settings.Version, "offset": s.settingsNext})
-}
-
-// AddTargets applies registry records that follow those applied before.
-func (s *State) AddTargets(batch platform.Batch) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.targetsReadFailed = false
-	if batch.Next < s.targetsNext {
-		s.logIgnored("registry", batch, s.targetsNext)
-		return
-	}
-	now := s.now()
-	s.recordTargetsRead(batch.Next, now, now)
-	for _, record := range batch.Records {
-		s.applyTarget(record, now)
-	}
-	s.publish()
-}
-
-// ReplaceTargets replaces the registry by the newest records of all targets.
-func (s *State) ReplaceTargets(batch platform.Batch) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.targetsReadFailed = false
-	if batch.Next < s.targetsNext {
-		s.logIgnored("registry", batch, s.targetsNext)
-		return
-	}
-	now := s.now()
-	if s.targetsNext == 0 {
-		s.records.completeSince = batch.Next
-	}
-	s.recordTargetsRead(batch.Next, now, now)
-	s.replaceTargets(batch.Records, now)
-	s.publish()
-}
-
-// recordTargetsRead records that the registry was read up to an offset.
-func (s *State) recordTargetsRead(next int64, now, asOf time.Time) {
-	s.targetsNext = next
-	s.targetsAsOf = later(s.targetsAsOf, asOf)
-	s.targets.ReadSucceeded(now)
-}
-
-func (s *State) replaceTargets(records []platform.Record, now time.Time) {
-	var targets []fleet.Target
-	for _, record := range records {
-		if target, ok := s.applyTarget(record, now); ok {
-			targets = append(targets, target)
-		}
-	}
-	for _, id := range s.records.missing(targets) {
-		s.removeTarget(id, now)
-	}
-}
-
-// applyTarget applies one registry record. It returns the target, or false if the
-// record removes a target or cannot be decoded.
-func (s *State) applyTarget(record platform.Record, now time.Time) (fleet.Target, bool) {
-	if len(record.Value) == 0 {
-		s.removeTarget(record.Key, now)
-		return fleet.Target{}, false
-	}
-	target, err := platform.DecodeTarget(record.Key, record.Value)
-	if err != nil {
-		s.log.Problem("registry record rejected", err, nil)
-		return fleet.Target{}, false
-	}
-	s.records.put(record.Value, target, s.targetsNext)
-	s.targets.Put(target, now)
-	return target, true
-}
-
-func (s *State) removeTarget(id string, now time.Time) {
-	s.records.remove(id, s.targetsNext)
-	s.targets.Remove(id, now)
-}
-
 // RecordSettingsReadFailure records that the settings could not be read from the store.
 func (s *State) RecordSettingsReadFailure() {
 	s.mu.Lock()
@@ -242,12 +109,7 @@
 	if s.settings == nil || s.targetsAsOf.IsZero() {
 		return
 	}
-	evacuated := make(map[string]bool)
-	for key := range s.settingsRecords {
-		if domain, found := strings.CutPrefix(key, platform.PrefixEvacuated); found {
-			evacuated[domain] = true
-		}
-	}
+	evacuated := s.evacuated()
 	s.view.Store(&View{
 		Settings:  s.settings,
 		Targets:   s.targets.Usable(evacuated),
@@ -256,21 +118,27 @@
 	})
 }
 
-// Share returns what is newer than the offsets up to which a peer has read.
-func (s *State) Share(settingsNext, targetsNext int64) *wire.FleetState {
+// nothingRead is the offset of a peer that has read nothing of the registry in this era.
+const nothingRead = -1
+
+// Share returns what is newer than the places up to which a peer has read.
+func (s *State) Share(settingsAt, targetsAt platform.Position) *wire.FleetState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	shared := &wire.FleetState{
-		SettingsNext:      s.settingsNext,
-		TargetsNext:       s.targetsNext,
+		SettingsNext:      s.settingsAt.Next,
+		TargetsNext:       s.targetsAt.Next,
 		Read:              s.readState(),
 		TargetsSettlingMs: s.targets.GraceRemaining(s.now()).Milliseconds(),
 	}
-	if s.settingsNext > settingsNext {
+	if settingsAt.Before(s.settingsAt) {
 		shared.Settings = storedRecords(s.settingsRecords)
 	}
-	if s.targetsNext > targetsNext {
-		s.records.share(shared, targetsNext)
+	switch {
+	case targetsAt.Era < s.targetsAt.Era:
+		s.records.share(shared, nothingRead)
+	case targetsAt.Before(s.targetsAt):
+		s.records.share(shared, targetsAt.Next)
 	}
 	return shared
 }
@@ -283,7 +151,7 @@
 	return records
 }
 
-// ReadState returns up to which offsets the store has been read, and how long ago, for
+// ReadState returns up to which places the store has been read, and how long ago, for
 // the choice of the gateway that reads for others. While own reads fail, it reports the
 // age of data that was never read: what peers have told is older than what they know,
 // and two gateways could rely on each other.
@@ -303,8 +171,10 @@
 func (s *State) readState() *wire.ReadState {
 	now := s.now()
 	return &wire.ReadState{
-		SettingsNext:   s.settingsNext,
-		TargetsNext:    s.targetsNext,
+		SettingsNext:   s.settingsAt.Next,
+		SettingsEra:    s.settingsAt.Era,
+		TargetsNext:    s.targetsAt.Next,
+		TargetsEra:     s.targetsAt.Era,
 		TargetsChanged: s.records.lastChange,
 		SettingsAgeMs:  ageMS(s.settingsAsOf, now),
 		TargetsAgeMs:   ageMS(s.targetsAsOf, now),
@@ -337,21 +207,24 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	read := shared.GetRead()
-	if shared.SettingsNext > s.settingsNext {
-		batch := platform.Batch{Records: records(shared.Settings), Next: shared.SettingsNext}
+	settingsAt := platform.Position{Era: read.GetSettingsEra(), Next: shared.SettingsNext}
+	if s.settingsAt.Before(settingsAt) {
+		batch := platform.Batch{Records: records(shared.Settings), Next: settingsAt.Next, Era: settingsAt.Era}
 		s.replaceSettings(batch, TimeFromAge(read.GetSettingsAgeMs(), now))
 	}
-	if shared.TargetsNext > s.targetsNext {
-		s.mergeTargets(shared, now)
+	targetsAt := platform.Position{Era: read.GetTargetsEra(), Next: shared.TargetsNext}
+	if s.targetsAt.Before(targetsAt) {
+		s.mergeTargets(shared, targetsAt, now)
 	}
 }
 
-func (s *State) mergeTargets(shared *wire.FleetState, now time.Time) {
-	if s.targetsNext == 0 {
-		s.records.completeSince = shared.TargetsNext
+func (s *State) mergeTargets(shared *wire.FleetState, at platform.Position, now time.Time) {
+	if at.Era > s.targetsAt.Era && !shared.TargetsWhole {
+		return // changes since a place in another era
 	}
+	s.beginComplete(at.Next)
 	s.targets.ExtendGrace(now.Add(time.Duration(shared.TargetsSettlingMs) * time.Millisecond))
-	s.recordTargetsRead(shared.TargetsNext, now, TimeFromAge(shared.GetRead().GetTargetsAgeMs(), now))
+	s.recordTargetsRead(at, now, TimeFromAge(shared.GetRead().GetTargetsAgeMs(), now))
 	if shared.TargetsWhole {
 		s.replaceTargets(records(shared.Targets), now)
 	} else {
@@ -373,7 +246,9 @@
 	defer s.mu.Unlock()
 	s.settingsAsOf = later(s.settingsAsOf, reader.SettingsAsOf)
 	s.targetsAsOf = later(s.targetsAsOf, reader.TargetsAsOf)
-	s.targetsNext = max(s.targetsNext, reader.TargetsNext)
+	if s.targetsAt.Before(reader.TargetsAt) {
+		s.targetsAt = reader.TargetsAt
+	}
 	if s.targets.ReadSucceeded(s.now()) {
 		s.publish()
 	}
--- a/internal/fleetsync/state_test.go
+++ b/internal/fleetsync/state_test.go
@@ -30,6 +30,9 @@
 	return platform.Record{Key: id, Value: []byte(value)}
 }
 
+// at returns a place in the first era.
+func at(next int64) platform.Position { return platform.Position{Next: next} }
+
 func usable(s *State) int { return len(s.View().Targets["app"]) }
 
 func TestReplaceTargetsRemovesMissingTargets(t *testing.T) {
@@ -50,13 +53,13 @@
 	assert.Equal(t, s.ReadState().TargetsNext, int64(8))
 	s.AddTargets(platform.Batch{Next: 10, Records: []platform.Record{target("d", 1), {Key: "c"}}})
 
-	shared := s.Share(1, 8)
+	shared := s.Share(at(1), at(8))
 	assert.Assert(t, !shared.TargetsWhole)
 	assert.Equal(t, len(shared.Targets), 1)
 	assert.DeepEqual(t, shared.TargetsGone, []string{"c"})
 	// Removals before the first read are not known, so the whole registry is shared.
-	assert.Assert(t, s.Share(1, 4).TargetsWhole)
-	assert.Equal(t, len(s.Share(1, 4).Targets), 3)
+	assert.Assert(t, s.Share(at(1), at(4)).TargetsWhole)
+	assert.Equal(t, len(s.Share(at(1), at(4)).Targets), 3)
 }
 
 // A gateway that merges a peer's changes repeatedly knows the same targets as the peer,
@@ -81,7 +84,7 @@
 			known[id] = true
 		}
 		if step%5 == 0 {
-			other.Merge(reader.Share(other.SettingsNext(), other.TargetsNext()))
+			other.Merge(reader.Share(other.SettingsAt(), other.TargetsAt()))
 			assert.Equal(t, usable(other), len(known), "step %d", step)
 		}
 	}
@@ -93,7 +96,7 @@
 		id := fmt.Sprint("i-", i)
 		s.AddTargets(platform.Batch{Next: int64(10 + i), Records: []platform.Record{target(id, 1), {Key: id}}})
 	}
-	assert.Assert(t, s.Share(1, 20).TargetsWhole)
+	assert.Assert(t, s.Share(at(1), at(20)).TargetsWhole)
 }
 
 func TestMergeKeepsTheAgeOfThePeersState(t *testing.T) {
@@ -101,12 +104,12 @@
 	reader, other := newTestState(c), newTestState(c)
 	reader.AddTargets(platform.Batch{Next: 5, Records: []platform.Record{target("a", 1)}})
 	c.now = start.Add(2 * time.Second)
-	other.Merge(reader.Share(1, 0))
+	other.Merge(reader.Share(at(1), at(0)))
 	assert.Equal(t, other.ReadState().TargetsAgeMs, int64(2000))
-	other.RecordReaderProgress(Reader{SettingsAsOf: c.now, TargetsAsOf: c.now.Add(-time.Second), TargetsNext: 9})
+	other.RecordReaderProgress(Reader{SettingsAsOf: c.now, TargetsAsOf: c.now.Add(-time.Second), TargetsAt: platform.Position{Next: 9}})
 	assert.Equal(t, other.ReadState().TargetsAgeMs, int64(1000))
 	assert.Equal(t, other.ReadState().SettingsAgeMs, int64(0))
-	assert.Equal(t, other.TargetsNext(), int64(9))
+	assert.Equal(t, other.TargetsAt().Next, int64(9))
 }
 
 // A target whose record expired in an outage of the store that only the peer has seen
@@ -119,16 +122,16 @@
 	rejected.AddTargets(platform.Batch{Next: 1})
 	rejected.RecordTargetsReadFailure()
 	peer.AddTargets(platform.Batch{Records: []platform.Record{target("a", 1)}, Next: 2})
-	rejected.Merge(peer.Share(0, 1))
+	rejected.Merge(peer.Share(at(0), at(1)))
 	assert.Equal(t, rejected.ReadState().TargetsNext, int64(2))
 	assert.Equal(t, rejected.ReadState().TargetsAgeMs, int64(neverRead))
-	assert.Equal(t, rejected.Share(0, 0).Read.TargetsAgeMs, int64(0), "peers must learn the true age of what is shared")
+	assert.Equal(t, rejected.Share(at(0), at(0)).Read.TargetsAgeMs, int64(0), "peers must learn the true age of what is shared")
 	rejected.AddTargets(platform.Batch{Next: 2})
 	assert.Equal(t, rejected.ReadState().TargetsAgeMs, int64(0))
 
 	rejected.RecordSettingsReadFailure()
 	assert.Equal(t, rejected.ReadState().SettingsAgeMs, int64(neverRead))
-	rejected.AddSettings(platform.Batch{Next: rejected.SettingsNext()})
+	rejected.AddSettings(platform.Batch{Next: rejected.SettingsAt().Next})
 	assert.Equal(t, rejected.ReadState().SettingsAgeMs, int64(0))
 }
 
@@ -136,13 +139,13 @@
 	c := &clock{start}
 	reader, other := newTestState(c), newTestState(c)
 	reader.AddTargets(platform.Batch{Next: 5, Records: []platform.Record{target("a", 1)}})
-	other.Merge(reader.Share(1, 0))
+	other.Merge(reader.Share(at(1), at(0)))
 	reader.RecordTargetsReadFailure()
 	c.now = start.Add(time.Second)
 	reader.AddTargets(platform.Batch{Next: 7, Records: []platform.Record{{Key: "a"}}})
-	other.Merge(reader.Share(1, other.TargetsNext()))
+	other.Merge(reader.Share(at(1), other.TargetsAt()))
 	assert.Equal(t, usable(other), 1)
 	c.now = c.now.Add(3 * time.Second)
-	other.RecordReaderProgress(Reader{SettingsAsOf: c.now, TargetsAsOf: c.now, TargetsNext: 8})
+	other.RecordReaderProgress(Reader{SettingsAsOf: c.now, TargetsAsOf: c.now, TargetsAt: platform.Position{Next: 8}})
 	assert.Equal(t, usable(other), 0)
 }
--- a/internal/fleetsync/targets.go
+++ b/internal/fleetsync/targets.go
@@ -9,31 +9,53 @@
 const maxGone = 1000
 
 // knownTarget is the newest record that changed a target. Later records that
-// decode to the same target are heartbeats and do not replace it.
+// decode to the same target are heartbeats and replace only their number.
 type knownTarget struct {
 	raw       []byte
 	target    fleet.Target
 	changedAt int64 // registry offset reached when the record was read
 }
 
+// goneTarget is a target whose record was removed.
+type goneTarget struct {
+	knownTarget
+	removedAt int64 // registry offset reached when the removal was read
+}
+
 // targetRecords holds the registry's records, so that a peer can get just those that
 // have changed since it last read the registry.
 type targetRecords struct {
 	known         map[string]knownTarget
-	gone          map[string]int64 // by id: registry offset reached when the removal was read
-	completeSince int64            // all changes after this offset are known
-	lastChange    int64            // offset reached when the newest change was read
+	gone          map[string]goneTarget
+	completeSince int64 // all changes after this offset are known
+	lastChange    int64 // offset reached when the newest change was read
 }
 
 func newTargetRecords() targetRecords {
-	return targetRecords{known: make(map[string]knownTarget), gone: make(map[string]int64)}
+	return targetRecords{known: make(map[string]knownTarget), gone: make(map[string]goneTarget)}
+}
+
+// beginEra makes all that is known count as changed at an offset of a new era, in which
+// the offsets so far mean nothing.
+func (t *targetRecords) beginEra(offset int64) {
+	for id, known := range t.known {
+		known.changedAt = offset
+		t.known[id] = known
+	}
+	for id, gone := range t.gone {
+		gone.removedAt = offset
+		t.gone[id] = gone
+	}
+	t.completeSince, t.lastChange = offset, offset
 }
 
 // put applies a target's record. offset is the registry offset reached when the
 // record was read.
 func (t *targetRecords) put(raw []byte, target fleet.Target, offset int64) {
 	known, ok := t.known[target.ID]
-	if ok && known.target == target {
+	if ok && known.target.SameExceptHeartbeat(target) {
+		known.target = target
+		t.known[target.ID] = known
 		return
 	}
 	t.known[target.ID] = knownTarget{raw, target, offset}
@@ -44,7 +66,8 @@
 // remove applies the removal of a target. offset is the registry offset reached when
 // the removal was read.
 func (t *targetRecords) remove(id string, offset int64) {
-	if _, ok := t.known[id]; !ok {
+	known, ok := t.known[id]
+	if !ok {
 		return
 	}
 	delete(t.known, id)
@@ -52,16 +75,12 @@
 		clear(t.gone)
 		t.completeSince = offset
 	}
-	t.gone[id] = offset
+	t.gone[id] = goneTarget{known, offset}
 	t.lastChange = offset
 }
 
-// missing returns the ids of the known targets that are not in the given list.
-func (t *targetRecords) missing(targets []fleet.Target) []string {
-	listed := make(map[string]bool, len(targets))
-	for _, target := range targets {
-		listed[target.ID] = true
-	}
+// missing returns the ids of the known targets that are not among those listed.
+func (t *targetRecords) missing(listed map[string]bool) []string {
 	var missing []string
 	for id := range t.known {
 		if !listed[id] {
@@ -80,8 +99,8 @@
 			shared.Targets = append(shared.Targets, &wire.StoredRecord{Key: id, Value: known.raw})
 		}
 	}
-	for id, offset := range t.gone {
-		if !shared.TargetsWhole && offset > since {
+	for id, gone := range t.gone {
+		if !shared.TargetsWhole && gone.removedAt > since {
 			shared.TargetsGone = append(shared.TargetsGone, id)
 		}
 	}
