fleetsync: tell peers the settings in force, not older ones of the store's copy

Callers saw: a gateway that started just after the store's return could serve settings older than those in force. Cause: the records that a gateway shares are those last read, and the copy's replaced newer ones there, though never in force. The record of the version in force is kept. The new test fails without the change.

--- a/internal/fleetsync/restored_test.go
+++ b/internal/fleetsync/restored_test.go
@@ -28,3 +28,14 @@
 	assert.Assert(t, s.AddSettings(inEra(1, 12, settingsRecord(9))))
 	assert.Equal(t, s.settings.Version, int64(8), "a late answer of the earlier era is void")
 }
+
+// Peers were told the older settings of the store's copy although a newer version was in
+// force.
+func TestPeersAreToldTheSettingsInForceNotThoseOfTheCopy(t *testing.T) {
+	c := &clock{start}
+	s, other := newTestState(c), newTestState(c)
+	s.ReplaceSettings(inEra(1, 9, settingsRecord(7)))
+	s.ReplaceSettings(inEra(2, 4, settingsRecord(3)))
+	other.Merge(s.Share(other.SettingsAt(), other.TargetsAt()))
+	assert.Equal(t, other.settings.Version, int64(7))
+}
--- a/internal/fleetsync/settings.go
+++ b/internal/fleetsync/settings.go
@@ -78,10 +78,12 @@
 }
 
 // decodeSettings decodes the newest settings and puts them in force if their version
-// is newer. An older version never replaces a newer one.
+// is newer. An older version never replaces a newer one, neither in force nor in what
+// peers are told.
 func (s *State) decodeSettings() {
 	raw := s.settingsRecords[platform.KeySettings]
 	if len(raw) == 0 {
+		s.keepSettingsInForce()
 		return
 	}
 	settings, err := platform.DecodeSettings(raw)
@@ -90,6 +92,7 @@
 		return
 	}
 	if s.settings != nil && settings.Version <= s.settings.Version {
+		s.keepSettingsInForce()
 		return
 	}
 	s.putInForce(settings, raw)
@@ -101,3 +104,9 @@
 		"version": settings.Version, "offset": s.settingsAt.Next, "era": s.settingsAt.Era,
 	})
 }
+
+func (s *State) keepSettingsInForce() {
+	if s.settings != nil {
+		s.settingsRecords[platform.KeySettings] = s.settingsRaw
+	}
+}
