--- a/internal/core/registry/table.go
+++ b/internal/core/registry/table.go
@@ -83,6 +83,10 @@
 	return max(0, t.graceUntil.Sub(now))
 }
 
+// StoreRestored records that the store came back from an older copy, in which records
+// are missing that live targets will rewrite.
+func (t *Table) StoreRestored(now time.Time) { t.ExtendGrace(now.Add(gracePeriod)) }
+
 // ExtendGrace extends the grace period to the given time, for an outage of the store
 // that another gateway has seen.
 func (t *Table) ExtendGrace(until time.Time) {
--- a/internal/fleetsync/registry.go
+++ b/internal/fleetsync/registry.go
@@ -55,6 +55,7 @@
 	if at.Era > s.targetsAt.Era && !s.targetsAsOf.IsZero() {
 		s.logNewEra("registry", platform.Batch{Next: at.Next, Era: at.Era}, s.targetsAt)
 		s.records.beginEra(at.Next)
+		s.targets.StoreRestored(now)
 	}
 	s.targetsAt = at
 	s.targetsAsOf = later(s.targetsAsOf, asOf)
--- a/internal/fleetsync/restored_test.go
+++ b/internal/fleetsync/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -17,6 +18,11 @@
 	return platform.Record{Key: platform.KeySettings, Value: fmt.Appendf(nil, `{"version":%d}`, version)}
 }
 
+func targetIn(state, id string, heartbeat int) platform.Record {
+	value := fmt.Sprintf(`{"service":"app","address":"10.0.0.1:80","zone":"d1","slots":6,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":5}`, state, heartbeat)
+	return platform.Record{Key: id, Value: []byte(value)}
+}
+
 // A gateway that was past the end of the restored store never applied a record again.
 func TestRecordsOfANewEraAreReadFromTheStart(t *testing.T) {
 	s := newTestState(&clock{start})
@@ -39,3 +45,15 @@
 	other.Merge(s.Share(other.SettingsAt(), other.TargetsAt()))
 	assert.Equal(t, other.settings.Version, int64(7))
 }
+
+// A live target that the store's copy lacks was dropped until it had written again.
+func TestTargetThatTheCopyLacksStaysUsableUntilItCanHaveWrittenAgain(t *testing.T) {
+	c := &clock{start}
+	s := newTestState(c)
+	s.ReplaceTargets(inEra(1, 9, targetIn("ready", "a", 8), targetIn("ready", "b", 1)))
+	s.ReplaceTargets(inEra(2, 4, targetIn("ready", "a", 3)))
+	assert.Equal(t, usable(s), 2)
+	c.now = start.Add(3 * time.Second)
+	s.AddTargets(inEra(2, 4))
+	assert.Equal(t, usable(s), 1)
+}
