fleetsync: ignore registry records that a target has already replaced

Callers saw: requests sent to targets that leave (DRAIN). Cause: the copy holds an earlier record of a target that is known to drain or to be gone, and the registry believed the store's order alone. A target numbers its own records; one with a lower number of the same incarnation is ignored, also when it comes from a peer and when the target's removal is known.

--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -15,6 +15,11 @@
 	Heartbeat     int64         // number of the record among those of this incarnation
 }
 
+// Outdated reports whether t is an earlier record of the same incarnation than known.
+func (t Target) Outdated(known Target) bool {
+	return t.Born != 0 && t.Born == known.Born && t.Heartbeat < known.Heartbeat
+}
+
 // SameExceptHeartbeat reports whether two records differ in nothing but the number of
 // the heartbeat.
 func (t Target) SameExceptHeartbeat(other Target) bool {
--- a/internal/fleetsync/registry.go
+++ b/internal/fleetsync/registry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalbend/internal/eventlog"
 	"quetzalbend/platform"
 )
 
@@ -86,6 +87,10 @@
 		s.log.Problem("registry record rejected", err, nil)
 		return false
 	}
+	if s.records.outdated(target) {
+		s.log.Decision("outdated registry record ignored", eventlog.Fields{"target": target.ID, "heartbeat": target.Heartbeat, "era": s.targetsAt.Era})
+		return true
+	}
 	s.records.put(record.Value, target, s.targetsAt.Next)
 	s.targets.Put(target, now)
 	return true
--- a/internal/fleetsync/targets.go
+++ b/internal/fleetsync/targets.go
@@ -49,6 +49,15 @@
 	t.completeSince, t.lastChange = offset, offset
 }
 
+// outdated reports whether a record is older than one that was read before the store
+// came back from a copy, by this gateway or by the peer that has told it.
+func (t *targetRecords) outdated(target fleet.Target) bool {
+	if known, ok := t.known[target.ID]; ok {
+		return target.Outdated(known.target)
+	}
+	return target.Outdated(t.gone[target.ID].target)
+}
+
 // put applies a target's record. offset is the registry offset reached when the
 // record was read.
 func (t *targetRecords) put(raw []byte, target fleet.Target, offset int64) {
