fleetsync: keep evacuations in force that the store's copy lacks

Callers saw: requests sent to an evacuated failure domain once the store was back (EVAC). Cause: an evacuation lost with the store's records counted as lifted. It stays in force until it is written again, or for 2.2 s. The new test fails without the change.

--- a/internal/fleetsync/restored_test.go
+++ b/internal/fleetsync/restored_test.go
@@ -72,6 +72,27 @@
 	assert.Equal(t, usable(s), 1)
 }
 
+// A domain was in use again when the store's copy lacked its evacuation.
+func TestEvacuationThatTheCopyLacksStaysInForceUntilItCanHaveBeenWrittenAgain(t *testing.T) {
+	c := &clock{start}
+	s := newTestState(c)
+	evacuation := platform.Record{Key: platform.PrefixEvacuated + "d1", Value: []byte("{}")}
+	lifted := platform.Record{Key: evacuation.Key}
+	s.ReplaceTargets(inEra(1, 1, targetIn("ready", "a", 1)))
+	s.ReplaceSettings(inEra(1, 9, settingsRecord(7), evacuation))
+	s.ReplaceSettings(inEra(2, 4, settingsRecord(7)))
+	assert.Equal(t, usable(s), 0)
+	s.AddSettings(inEra(2, 6, evacuation, lifted))
+	assert.Equal(t, usable(s), 1, "it was written again and lifted")
+
+	s.AddSettings(inEra(2, 7, evacuation))
+	s.ReplaceSettings(inEra(3, 6, settingsRecord(7)))
+	assert.Equal(t, usable(s), 0)
+	c.now = start.Add(3 * time.Second)
+	s.AddSettings(inEra(3, 6))
+	assert.Equal(t, usable(s), 1, "it was not written again")
+}
+
 // world is a store that goes back, with an operator and targets that write what was lost
 // again, and gateways that read it late and tell each other what they know.
 type world struct {
--- a/internal/fleetsync/settings.go
+++ b/internal/fleetsync/settings.go
@@ -9,6 +9,27 @@
 	"quetzalbend/platform"
 )
 
+// rewritePeriod is how long after the store came back from a copy a record may be missing
+// only because its writer has not written it again.
+const rewritePeriod = 2200 * time.Millisecond
+
+// heldEvacuations holds the evacuations that were in force when the store came back from
+// a copy that lacks them.
+type heldEvacuations struct {
+	domains map[string]bool
+	until   time.Time
+}
+
+// expire drops the evacuations that were not written again, and reports whether there
+// were any.
+func (h *heldEvacuations) expire(now time.Time) bool {
+	if len(h.domains) == 0 || now.Before(h.until) {
+		return false
+	}
+	h.domains = nil
+	return true
+}
+
 // AddSettings applies settings records that follow those applied before. It reports false
 // if it cannot, since the batch is from a newer era: all settings must then be read.
 func (s *State) AddSettings(batch platform.Batch) bool {
@@ -21,13 +42,17 @@
 	if batch.Era > s.settingsAt.Era {
 		return false
 	}
-	s.settingsAsOf = s.now()
+	now := s.now()
+	s.settingsAsOf = now
 	for _, record := range batch.Records {
 		s.applySettingsRecord(record)
 	}
 	s.settingsAt = batch.Position()
+	expired := s.held.expire(now)
 	if len(batch.Records) > 0 {
 		s.decodeSettings()
+	}
+	if len(batch.Records) > 0 || expired {
 		s.publish()
 	}
 	return true
@@ -45,8 +70,11 @@
 	if s.isOlder("settings", batch, s.settingsAt) {
 		return
 	}
+	now := s.now()
+	s.held.expire(now)
 	if batch.Era > s.settingsAt.Era && s.settings != nil {
 		s.logNewEra("settings", batch, s.settingsAt)
+		s.held = heldEvacuations{domains: s.evacuated(), until: now.Add(rewritePeriod)}
 	}
 	s.settingsAsOf = later(s.settingsAsOf, asOf)
 	s.settingsRecords = make(map[string][]byte)
@@ -59,6 +87,9 @@
 }
 
 func (s *State) applySettingsRecord(record platform.Record) {
+	if domain, found := strings.CutPrefix(record.Key, platform.PrefixEvacuated); found {
+		delete(s.held.domains, domain)
+	}
 	if len(record.Value) == 0 {
 		delete(s.settingsRecords, record.Key)
 		return
@@ -69,6 +100,9 @@
 // evacuated returns the failure domains whose targets get no requests.
 func (s *State) evacuated() map[string]bool {
 	evacuated := make(map[string]bool)
+	for domain := range s.held.domains {
+		evacuated[domain] = true
+	}
 	for key := range s.settingsRecords {
 		if domain, found := strings.CutPrefix(key, platform.PrefixEvacuated); found {
 			evacuated[domain] = true
--- a/internal/fleetsync/state.go
+++ b/internal/fleetsync/state.go
@@ -32,6 +32,7 @@
 	settingsRaw     []byte            // the record of the settings in force
 	settingsRecords map[string][]byte // newest record of each key
 	settingsAt      platform.Position // place from which to continue reading; zero: nothing read yet
+	held            heldEvacuations
 	targets         *registry.Table
 	records         targetRecords
 	targetsAt       platform.Position
@@ -249,7 +250,9 @@
 	if s.targetsAt.Before(reader.TargetsAt) {
 		s.targetsAt = reader.TargetsAt
 	}
-	if s.targets.ReadSucceeded(s.now()) {
+	now := s.now()
+	gone := s.targets.ReadSucceeded(now)
+	if s.held.expire(now) || gone {
 		s.publish()
 	}
 }
