maplead: fencing tokens rise with the era of the store

Callers saw: expert maps that stay as they are, and so skewed ranks, after the store came back from a copy; two leaders could use one token. Cause: the group's generation served as fencing token. It goes back with the store and is assigned again, while ranks keep the highest token they have seen.

The token is era x 2^24 + generation; a leader that goes on in a new era takes a new token.

The fake of a group now fences by the highest token it has seen, as ranks do.

--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -27,6 +27,8 @@
 	countInterval  = 80 * time.Millisecond // between reads of counts
 	changeInterval = 25 * time.Millisecond // between reads of the ranks during a change
 	standbyPause   = 100 * time.Millisecond
+
+	generationsPerEra = 1 << 24 // fencing tokens reserved for each era of the store
 )
 
 // Election elects the member that leads. platform.Store implements it.
@@ -52,7 +54,8 @@
 	Targets func() map[*fleet.Service][]fleet.Target
 
 	mu          sync.Mutex
-	generation  int64 // last generation that the election reported
+	era         int64 // of the store that holds the election
+	generation  int64 // last generation that the election reported in that era
 	token       int64 // fencing token while this member leads; 0: it does not lead
 	fencedToken int64 // highest token that a rank has refused as out of date
 
@@ -98,19 +101,24 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.generation = membership.Generation
+	newEra := membership.Era != l.era
+	l.era, l.generation = membership.Era, membership.Generation
 	previous := l.token
-	switch {
+	switch token := fencingToken(membership); {
 	case !membership.Leads:
 		l.token = 0
-	case l.token == 0 && membership.Generation > l.fencedToken:
-		l.token = membership.Generation // stays the same while this member leads
+	case (l.token == 0 || newEra) && token > l.fencedToken:
+		l.token = token // stays the same while this member leads in this era
 	}
-	if (l.token == 0) != (previous == 0) {
+	if l.token != previous {
 		l.Log.State("map leadership changed", eventlog.Fields{"leads": l.token != 0, "token": l.token})
 	}
 }
 
+// fencingToken returns the token of a member that leads. Generations are assigned again
+// in a new era of the store, so its tokens are higher than all of earlier ones.
+func fencingToken(m platform.Membership) int64 { return m.Era*generationsPerEra + m.Generation }
+
 // leaderToken returns the fencing token, or 0 if this member does not lead.
 func (l *Leader) leaderToken() int64 {
 	l.mu.Lock()
--- a/internal/maplead/leader_test.go
+++ b/internal/maplead/leader_test.go
@@ -123,6 +123,7 @@
 	if order.Token < g.minToken {
 		return platform.OrderFenced, nil
 	}
+	g.minToken = order.Token
 	r := &g.ranks[target.Slots]
 	switch order.Operation {
 	case mapchange.Prepare:
@@ -171,16 +172,24 @@
 	return g.ranks[index]
 }
 
-// fakeElection always elects its caller, in the configured generation.
+// fakeElection always elects its caller, in the configured era and generation.
 type fakeElection struct {
 	mu         sync.Mutex
+	era        int64
 	generation int64
 }
 
+// set sets the era and generation that the next calls report.
+func (e *fakeElection) set(era, generation int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.era, e.generation = era, generation
+}
+
 func (e *fakeElection) Join(context.Context, string, string, string, int64, time.Duration) (platform.Membership, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return platform.Membership{Generation: e.generation, Leads: true}, nil
+	return platform.Membership{Generation: e.generation, Era: e.era, Leads: true}, nil
 }
 
 func (e *fakeElection) Leave(context.Context, string, string) error { return nil }
