gateway: announce the node again in a new era of the store

Callers saw: common limits exceeded when gateways start after the store came back from a copy. Cause: a node's record was taken for kept once written, and written again only every 15 s; the copy's older records of nodes that are gone counted as signs of life. The record is written, and the others' are read, at once in a new era; a record with a lower revision than the known one is no sign of life.

Both new tests failed before (15.0 s for at most 3; the node is still known).

--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -108,10 +108,12 @@
 	return p.maxSeen + gatewayHeadroom
 }
 
+// announceRepeatedly writes this node's record at times, and at once in a new era of the
+// store, which may have lost it.
 func (p *peers) announceRepeatedly(ctx context.Context) error {
-	wait := announceInterval
-	for pause.For(ctx, wait) {
-		wait = announceInterval
+	era, wait := p.gateway.store.Era(), announceInterval
+	for p.gateway.waitInEra(ctx, era, wait) {
+		era, wait = p.gateway.store.Era(), announceInterval
 		if !p.announce(ctx) {
 			wait = announceRetry
 		}
@@ -119,6 +121,18 @@
 	return nil
 }
 
+// waitInEra waits for a time, or until the store names an era newer than the given one.
+// It reports whether ctx has not ended.
+func (g *Gateway) waitInEra(ctx context.Context, era int64, wait time.Duration) bool {
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	select {
+	case <-g.store.EraChanged(era):
+	case <-waitCtx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // announce writes this node's record and reports whether that succeeded.
 func (p *peers) announce(ctx context.Context) bool {
 	record := peerRecord{
@@ -143,6 +157,7 @@
 func (p *peers) list(ctx context.Context) error {
 	wait := listRetry
 	for ctx.Err() == nil {
+		era := p.gateway.store.Era()
 		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		batch, err := p.gateway.store.Newest(readCtx, platform.TopicNodes)
 		cancel()
@@ -152,7 +167,7 @@
 			continue
 		}
 		p.recordNodes(batch.Records, time.Now())
-		pause.For(ctx, wait)
+		p.gateway.waitInEra(ctx, max(era, batch.Era), wait)
 		wait = listInterval
 	}
 	return nil
@@ -168,7 +183,8 @@
 			p.gateway.log.Problem("invalid node record", err, eventlog.Fields{"node": r.Key})
 			continue
 		}
-		if known, ok := p.nodes[r.Key]; !ok || known.record.Revision != record.Revision {
+		// A lower revision is from before the store came back from a copy.
+		if known, ok := p.nodes[r.Key]; !ok || known.record.Revision < record.Revision {
 			p.nodes[r.Key] = peerNode{record: record, lastSeen: now, heard: known.heard}
 		}
 	}
--- a/internal/app/gateway/restored_test.go
+++ b/internal/app/gateway/restored_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quetzalbend/platform"
 	"quetzalbend/platform/platformtest"
 )
 
@@ -41,3 +42,36 @@
 		})
 	}
 }
+
+// A gateway that started after the store had come back from a copy did not know of one
+// whose record the copy lacked, and used shares of common limits that were too large.
+func TestNodeIsAnnouncedAgainWhenTheStoreCameBackWithoutIt(t *testing.T) {
+	b := newTestbed(t)
+	announced := func() bool {
+		batch, err := b.gateway.store.Newest(t.Context(), platform.TopicNodes)
+		return err == nil && len(batch.Records) == 1
+	}
+	empty := platformtest.NewStore(t).Copy()
+	b.wait("the node is announced", announced)
+	b.store.Restore(empty)
+	restored := time.Now()
+	b.wait("the node is announced again", announced)
+	assert.Assert(t, time.Since(restored) < 3*time.Second, "took %s", time.Since(restored))
+}
+
+// A record of a node that the store's copy held counted as a sign of life of the node.
+func TestNodeRecordOfTheCopyIsNoSignOfLife(t *testing.T) {
+	b := newTestbed(t)
+	record := func(revision int) []platform.Record {
+		value := fmt.Appendf(nil, `{"control":"127.0.0.1:1","loads":"127.0.0.1:2","revision":%d}`, revision)
+		return []platform.Record{{Key: "gone", Value: value}}
+	}
+	now := time.Now()
+	b.gateway.peers.recordNodes(record(5), now)
+	b.gateway.peers.recordNodes(record(3), now.Add(nodeLifetime-time.Second))
+	b.gateway.peers.recordNodes(nil, now.Add(nodeLifetime+time.Second))
+	b.gateway.peers.mu.Lock()
+	defer b.gateway.peers.mu.Unlock()
+	_, known := b.gateway.peers.nodes["gone"]
+	assert.Assert(t, !known)
+}
