gateway: write refused parts again in a new era of the store

Callers saw: a part of prompts that crashes targets is tried anew after the store came back from a copy and all gateways restarted. Cause: what a gateway had written counted as kept until the next read, up to 12 s later. The parts are read, and those that the store lacks written, at once in a new era.

--- a/internal/app/gateway/poisonstore.go
+++ b/internal/app/gateway/poisonstore.go
@@ -26,23 +26,26 @@
 // this gateway observes what makes them suspect or refused.
 func (s *poisonStore) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait := listInterval
+		era, wait := s.store.Era(), listInterval
 		if !s.sync(ctx) {
 			wait = listRetry
 		}
-		s.writeUntil(ctx, time.Now().Add(wait))
+		s.writeUntil(ctx, time.Now().Add(wait), s.store.EraChanged(era))
 	}
 	return nil
 }
 
-// writeUntil writes, until a time, the parts that become suspect or refused.
-func (s *poisonStore) writeUntil(ctx context.Context, end time.Time) {
+// writeUntil writes, until a time, the parts that become suspect or refused. It returns at
+// once in a new era of the store, which may have lost what was written.
+func (s *poisonStore) writeUntil(ctx context.Context, end time.Time, newEra <-chan struct{}) {
 	timer := time.NewTimer(time.Until(end))
 	defer timer.Stop()
 	for {
 		select {
 		case <-s.guard.barred:
 			s.write(ctx)
+		case <-newEra:
+			return
 		case <-timer.C:
 			return
 		case <-ctx.Done():
--- a/internal/app/gateway/restored_test.go
+++ b/internal/app/gateway/restored_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quetzalbend/internal/core/poison"
 	"quetzalbend/platform"
 	"quetzalbend/platform/platformtest"
 )
@@ -75,3 +76,27 @@
 	_, known := b.gateway.peers.nodes["gone"]
 	assert.Assert(t, !known)
 }
+
+// A part that crashes targets was tried anew after the store had come back from a copy that
+// lacked it and all gateways had restarted.
+func TestRefusedPartIsWrittenAgainWhenTheStoreCameBackWithoutIt(t *testing.T) {
+	b := newTestbed(t)
+	held := b.store.Copy()
+	for i := range uint64(2) {
+		at := time.Now().Add(time.Duration(i)*2*time.Second - time.Minute)
+		b.gateway.poison.table.RecordCrash([]poison.Loss{{Parts: []string{"p"}}}, i, at)
+	}
+	select {
+	case b.gateway.poison.barred <- struct{}{}:
+	default:
+	}
+	stored := func() bool {
+		batch, err := b.gateway.store.Newest(t.Context(), platform.TopicParts)
+		return err == nil && len(batch.Records) == 1
+	}
+	b.wait("the part is written", stored)
+	b.store.Restore(held)
+	restored := time.Now()
+	b.wait("the part is written again", stored)
+	assert.Assert(t, time.Since(restored) < 3*time.Second, "took %s", time.Since(restored))
+}
