claimlog: do not run a call again when the log came back without its claim

Callers saw, in the product's own interface: a call that may not be repeated runs twice after the platform's log came back from an older copy, or its agent refuses for ever. Cause: a claim that was read back once counted as kept. Offsets went back below the agent's own, or named other records than those it had read.

The log names its era, which the client and the stand-in of the platform pass on. In a new era an agent refuses new keys, reads the stream from its start, appends again what it had read and the log lacks, and waits for twice the longest read, in which others do the same. An agent that starts waits as long if the log ever went back.

TestCallDoesNotRunAgainWhenTheLogCameBackWithoutItsClaim failed before with 1 to 4 records lost (a second run with 4, no answer for 10 s with 1 to 3).

--- a/internal/adapter/memorylog/log.go
+++ b/internal/adapter/memorylog/log.go
@@ -31,11 +31,13 @@
 
 	mu      sync.Mutex
 	streams map[string]*stream
+	era     int64
 }
 
 // stream holds the records of one stream. mu guards all its fields.
 type stream struct {
 	mu       sync.Mutex
+	era      int64
 	oldest   int64
 	records  []storedRecord
 	totals   Totals        // without Oldest and Next
@@ -59,7 +61,7 @@
 	defer l.mu.Unlock()
 	s, ok := l.streams[name]
 	if !ok {
-		s = &stream{appended: make(chan struct{})}
+		s = &stream{era: l.era, appended: make(chan struct{})}
 		l.streams[name] = s
 	}
 	return s
@@ -104,6 +106,27 @@
 	}
 }
 
+// LoseNewest brings each stream back to what it held before its newest n records, as a
+// log that comes back from an older copy, in a new era.
+func (l *Log) LoseNewest(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era++
+	for _, s := range l.streams {
+		s.loseNewest(n, l.era)
+	}
+}
+
+// loseNewest removes the newest n records, begins an era and wakes readers.
+func (s *stream) loseNewest(n int, era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+	s.records = s.records[:max(0, len(s.records)-n)]
+	close(s.appended)
+	s.appended = make(chan struct{})
+}
+
 // ExpireBefore removes the records of a stream below an offset.
 func (l *Log) ExpireBefore(name string, offset int64) {
 	s := l.stream(name)
@@ -141,7 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now, retention)
-	page := port.Page{Oldest: s.oldest, Next: s.next()}
+	page := port.Page{Oldest: s.oldest, Next: s.next(), Era: s.era}
 	if from < s.oldest {
 		return page, s.appended, port.ErrExpired
 	}
--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -136,7 +136,7 @@
 	if err := decode(response, &answer); err != nil {
 		return port.Page{}, errors.Wrapf(err, "read %s at %s", stream, c.base)
 	}
-	page := port.Page{Oldest: answer.Oldest, Next: answer.Next}
+	page := port.Page{Oldest: answer.Oldest, Next: answer.Next, Era: answer.Era}
 	if response.StatusCode == http.StatusGone {
 		return page, errors.Wrapf(port.ErrExpired, "read %s at %s", stream, c.base)
 	}
--- a/internal/adapter/platform/messages.go
+++ b/internal/adapter/platform/messages.go
@@ -28,6 +28,7 @@
 	Records []RecordAnswer `json:"records,omitempty"`
 	Oldest  int64          `json:"oldest"`
 	Next    int64          `json:"next"`
+	Era     int64          `json:"era,omitempty"` // how often the platform has come back from an older copy
 }
 
 // VMsAnswer answers a request for the list of VMs.
--- a/internal/app/standin/platform/handler.go
+++ b/internal/app/standin/platform/handler.go
@@ -110,7 +110,7 @@
 	if !answerable(faults, w, r) {
 		return
 	}
-	answer := client.ReadAnswer{Oldest: page.Oldest, Next: page.Next}
+	answer := client.ReadAnswer{Oldest: page.Oldest, Next: page.Next, Era: page.Era}
 	if errors.Is(err, port.ErrExpired) {
 		writeJSON(w, http.StatusGone, answer)
 		return
--- a/internal/app/standin/platform/platform.go
+++ b/internal/app/standin/platform/platform.go
@@ -43,6 +43,7 @@
 	Cut          *[]string        `json:"cut,omitempty"`             // nodes whose connections break
 	VMs          *[]port.VM       `json:"vms,omitempty"`             // new list of VMs
 	ExpireBefore map[string]int64 `json:"expire_before,omitempty"`   // oldest offset to keep, by stream
+	LoseNewest   *int             `json:"lose_newest,omitempty"`     // number of newest records that each stream loses, as it comes back from an older copy
 }
 
 // Truth is what really happened so far.
@@ -155,6 +156,9 @@
 			from: time.Now().Add(p.lag), vms: slices.Clone(*faults.VMs), version: p.vms[len(p.vms)-1].version + 1,
 		})
 	}
+	if faults.LoseNewest != nil {
+		p.log.LoseNewest(*faults.LoseNewest)
+	}
 	for stream, offset := range faults.ExpireBefore {
 		p.log.ExpireBefore(stream, offset)
 	}
--- a/internal/claimlog/log.go
+++ b/internal/claimlog/log.go
@@ -23,6 +23,7 @@
 	readBatchSize = 256 // largest number of records in one read
 	readWait      = time.Second
 	retryDelay    = 100 * time.Millisecond
+	settlePoll    = 20 * time.Millisecond // between reads while other agents append lost records again
 	maxBatchOps   = 512
 	maxBatchBytes = 256 << 10 // no further op is added to a record with this many answer bytes
 )
@@ -46,6 +47,7 @@
 
 	lock          sync.Mutex
 	claimant      *claims.Claimant
+	era           eraState
 	queue         []claims.Op
 	appending     bool                         // an append with ops is in progress
 	waiters       map[claims.Key]chan struct{} // closed when the key's state may have changed
@@ -121,6 +123,7 @@
 	for ctx.Err() == nil {
 		page, err := l.config.Log.Read(ctx, l.config.Stream, l.nextOffset(), readBatchSize, l.readTimeout())
 		switch {
+		case (err == nil || errors.Is(err, port.ErrExpired)) && l.beginEra(page):
 		case errors.Is(err, port.ErrExpired):
 			l.reset(page.Oldest)
 		case ctx.Err() != nil:
@@ -130,6 +133,7 @@
 			sleep(ctx, retryDelay)
 		default:
 			l.applyPage(page)
+			l.catchUp(ctx, page)
 		}
 	}
 }
@@ -174,6 +178,7 @@
 		}
 		touched, releases := l.claimant.Apply(record.Offset, batch)
 		l.enqueue(releases...)
+		l.era.remember(record.Data, l.config.Now())
 		for _, key := range touched {
 			l.wakeKey(key)
 		}
@@ -181,13 +186,40 @@
 	replica := l.claimant.Replica()
 	l.enqueue(l.claimant.Expire(page.Oldest)...)
 	replica.DropAnswers(l.config.Now().Add(-l.window()).UnixMilli())
-	if !l.caughtUp && replica.Next() >= page.Next {
-		l.caughtUp = true
+}
+
+// catchUp accepts new keys once the stream has been read to its end and holds all that it
+// may have lost.
+func (l *Log) catchUp(ctx context.Context, page port.Page) {
+	if l.Ready() {
+		return
+	}
+	if err := l.rewriteLost(ctx, page); err != nil {
+		log.WithField("stream", l.config.Stream).WithError(err).Warn("lost claims cannot be appended again")
+		sleep(ctx, retryDelay)
+		return
+	}
+	l.lock.Lock()
+	atEnd := l.claimant.Replica().Next() >= page.Next
+	l.caughtUp = atEnd && l.recovered()
+	caughtUp := l.caughtUp
+	l.lock.Unlock()
+	switch {
+	case caughtUp:
 		l.wakeAppender()
-		l.wakeAll()
+		l.wakeWaiters()
+	case atEnd:
+		sleep(ctx, settlePoll)
 	}
 }
 
+// wakeWaiters wakes the requests that wait for any key.
+func (l *Log) wakeWaiters() {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.wakeAll()
+}
+
 func (l *Log) window() time.Duration { return l.config.Window() }
 
 // setReadOK records whether the last read succeeded and logs a change.
--- a/internal/port/log.go
+++ b/internal/port/log.go
@@ -25,6 +25,9 @@
 	Records []Record
 	Oldest  int64 // offset of the oldest record still kept
 	Next    int64 // offset that the next append will get
+	// Era rises each time the log comes back from an older copy of itself: what it
+	// acknowledged after that copy is gone, and its offsets are assigned again.
+	Era int64
 }
 
 // Log is the platform's append-only log service.
