settingssync: restore accepted settings when the log came back without them

Operators and callers saw, in the product's own interface: accepted settings gone for nodes that start after the platform's log came back from an older copy, and nodes that read past its end for ever and accept no write. Cause: a write that was read back once counted as kept, and a node's offset as a place in any log.

In a new era a node compares the newest records with those it has read, writes again what is lost of the settings in force, unless a path was written anew, and loads the state. The history of records moved to a package that claimlog shares.

--- a/internal/claimlog/era.go
+++ b/internal/claimlog/era.go
@@ -6,12 +6,11 @@
 
 	"github.com/apex/log"
 
+	"quetzalbend/internal/core/logera"
 	"quetzalbend/internal/port"
 )
 
 const (
-	maxHistory   = 4096         // records kept to append them again
-	historyAge   = time.Minute  // for how long; longer than a copy of the log is old
 	settlePeriod = 2 * readWait // time in which other agents append lost records again; a read of theirs may be waiting
 	maxRewrite   = 64           // records in one append
 )
@@ -21,39 +20,8 @@
 type eraState struct {
 	known     bool // a page has been read
 	current   int64
-	history   []appliedRecord // of this era, oldest first
-	lost      []appliedRecord // of earlier eras, to append again unless the log still has them
-	settledAt time.Time       // from which on other agents have appended again what this one lacks
-}
-
-// appliedRecord is a record as it was read.
-type appliedRecord struct {
-	data string
-	at   time.Time
-}
-
-func (e *eraState) remember(data []byte, now time.Time) {
-	expired := 0
-	for expired < len(e.history) && now.Sub(e.history[expired].at) > historyAge {
-		expired++
-	}
-	expired = max(expired, len(e.history)+1-maxHistory)
-	e.history = append(e.history[expired:], appliedRecord{string(data), now})
-}
-
-// missing returns the lost records that the log does not have in this era.
-func (e *eraState) missing() [][]byte {
-	present := make(map[string]bool, len(e.history))
-	for _, record := range e.history {
-		present[record.data] = true
-	}
-	var missing [][]byte
-	for _, record := range e.lost {
-		if !present[record.data] {
-			missing = append(missing, []byte(record.data))
-		}
-	}
-	return missing
+	history   logera.History
+	settledAt time.Time // from which on other agents have appended again what this one lacks
 }
 
 // beginEra makes the agent read the stream again from its oldest record if the page is
@@ -76,9 +44,9 @@
 		return false
 	}
 	log.WithFields(log.Fields{
-		"stream": l.config.Stream, "era": page.Era, "next": page.Next, "read_to": l.claimant.Replica().Next(), "records": len(e.history),
+		"stream": l.config.Stream, "era": page.Era, "next": page.Next, "read_to": l.claimant.Replica().Next(), "records": e.history.Len(),
 	}).Warn("log of claims came back from a copy")
-	e.lost, e.history = append(e.lost, e.history...), nil
+	e.history.BeginEra()
 	l.caughtUp = false
 	l.enqueue(l.claimant.Reset(page.Oldest)...)
 	l.wakeAll()
@@ -91,7 +59,7 @@
 	l.lock.Lock()
 	var missing [][]byte
 	if l.claimant.Replica().Next() >= page.Next {
-		missing = l.era.missing()
+		missing = l.era.history.Missing()
 	}
 	l.lock.Unlock()
 	if len(missing) == 0 {
@@ -113,9 +81,9 @@
 // recovered reports whether no record that an agent knows is missing from the log. The
 // caller holds the lock.
 func (l *Log) recovered() bool {
-	if len(l.era.missing()) > 0 || l.config.Now().Before(l.era.settledAt) {
+	if len(l.era.history.Missing()) > 0 || l.config.Now().Before(l.era.settledAt) {
 		return false
 	}
-	l.era.lost = nil
+	l.era.history.Forget()
 	return true
 }
--- a/internal/claimlog/log.go
+++ b/internal/claimlog/log.go
@@ -178,7 +178,7 @@
 		}
 		touched, releases := l.claimant.Apply(record.Offset, batch)
 		l.enqueue(releases...)
-		l.era.remember(record.Data, l.config.Now())
+		l.era.history.Remember(record.Data, l.config.Now())
 		for _, key := range touched {
 			l.wakeKey(key)
 		}
--- /dev/null
+++ b/internal/core/logera/history.go
@@ -0,0 +1,75 @@
+package logera
+
+import "time"
+
+const (
+	maxRecords = 4096
+	maxAge     = time.Minute // longer than a copy of the log is old
+)
+
+// record is a record as it was read.
+type record struct {
+	data string
+	at   time.Time
+}
+
+// History holds the newest records of a log. It is not safe for concurrent use.
+type History struct {
+	current []record // read in this era, oldest first
+	lost    []record // read in earlier eras
+}
+
+// Remember adds a record that was read in this era.
+func (h *History) Remember(data []byte, now time.Time) {
+	expired := max(0, len(h.current)+1-maxRecords)
+	for expired < len(h.current) && now.Sub(h.current[expired].at) > maxAge {
+		expired++
+	}
+	h.current = append(h.current[expired:], record{string(data), now})
+}
+
+// BeginEra makes all records count as lost until they are read again.
+func (h *History) BeginEra() {
+	h.lost = append(h.lost, h.current...)
+	h.current = nil
+}
+
+// Len returns the number of records of this era.
+func (h *History) Len() int { return len(h.current) }
+
+// Missing returns the records of earlier eras that were not read again, in their order.
+func (h *History) Missing() [][]byte {
+	if len(h.lost) == 0 {
+		return nil
+	}
+	present := make(map[string]bool, len(h.current))
+	for _, r := range h.current {
+		present[r.data] = true
+	}
+	var missing [][]byte
+	for _, r := range h.lost {
+		if !present[r.data] {
+			present[r.data] = true
+			missing = append(missing, []byte(r.data))
+		}
+	}
+	return missing
+}
+
+// New returns the records of this era that are not among those of earlier eras.
+func (h *History) New() [][]byte {
+	known := make(map[string]bool, len(h.lost))
+	for _, r := range h.lost {
+		known[r.data] = true
+	}
+	var found [][]byte
+	for _, r := range h.current {
+		if !known[r.data] {
+			found = append(found, []byte(r.data))
+		}
+	}
+	return found
+}
+
+// Forget forgets the records of earlier eras.
+func (h *History) Forget() { h.lost = nil }
--- a/internal/settingssync/follow.go
+++ b/internal/settingssync/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
@@ -41,6 +42,9 @@
 		return n.load(ctx)
 	}
 	page, err := n.cfg.Log.Read(ctx, port.SettingsStream, offset+1, maxReadRecords, n.cfg.ReadWait)
+	if (err == nil || errors.Is(err, port.ErrExpired)) && page.Era != n.era {
+		return n.recover(ctx, page.Era)
+	}
 	if errors.Is(err, port.ErrExpired) {
 		n.counts.expired.Inc(1)
 		return n.load(ctx)
@@ -51,6 +55,9 @@
 	if page.Next <= offset {
 		return errors.Errorf("read %s: the log ends at offset %d, but the settings are at offset %d", port.SettingsStream, page.Next, offset)
 	}
+	for _, record := range page.Records {
+		n.history.Remember(record.Data, time.Now())
+	}
 	records := n.decodeRecords(page.Records)
 	accepted, rejected, err := n.store.apply(records)
 	n.counts.accepted.Inc(int64(accepted))
@@ -67,6 +74,10 @@
 		return err
 	}
 	n.store.install(result.state, result.replayedFrom, result.decided)
+	n.era = result.era
+	for _, data := range result.records {
+		n.history.Remember(data, time.Now())
+	}
 	n.recordLoaded(result)
 	n.markReady()
 	log.WithFields(log.Fields{"node": n.cfg.Name, "offset": result.state.Offset()}).Info("settings loaded from the log")
--- a/internal/settingssync/load.go
+++ b/internal/settingssync/load.go
@@ -23,6 +23,8 @@
 	decided      []settings.DecidedWrite   // writes of the replay
 	last         *settings.CheckpointClose // closing record of the newest checkpoint seen
 	oldest       int64                     // offset of the oldest record in the settings stream
+	era          int64                     // of the log when the load began
+	records      [][]byte                  // records of the replay
 }
 
 // Load returns the settings at the log's end, as a fresh node would load them.
@@ -37,11 +39,12 @@
 // loadFromLog returns the state at the log's end. It starts from the newest
 // usable checkpoint if records are gone or the log is long.
 func loadFromLog(ctx context.Context, log port.Log) (*loadResult, error) {
-	oldest, next, err := streamBounds(ctx, log, port.SettingsStream)
+	bounds, err := firstPage(ctx, log, port.SettingsStream)
 	if err != nil {
 		return nil, err
 	}
-	result := &loadResult{oldest: oldest, state: settings.NewState()}
+	oldest, next := bounds.Oldest, bounds.Next
+	result := &loadResult{oldest: oldest, era: bounds.Era, state: settings.NewState()}
 	if oldest > 0 || next > maxReplayWithoutCheckpoint {
 		state, closing, err := newestCheckpoint(ctx, log, oldest, next)
 		if err != nil && (oldest > 0 || !errors.Is(err, errNoCheckpoint)) {
@@ -63,6 +66,7 @@
 		if err != nil {
 			return err
 		}
+		l.records = append(l.records, r.Data)
 		if decided != nil {
 			l.decided = append(l.decided, *decided)
 		}
@@ -76,11 +80,17 @@
 // streamBounds returns the offset of the oldest record of a stream and the
 // offset of the next append.
 func streamBounds(ctx context.Context, log port.Log, stream string) (oldest, next int64, err error) {
+	page, err := firstPage(ctx, log, stream)
+	return page.Oldest, page.Next, err
+}
+
+// firstPage returns a page with the bounds of a stream and the log's era.
+func firstPage(ctx context.Context, log port.Log, stream string) (port.Page, error) {
 	page, err := log.Read(ctx, stream, 0, 1, 0)
 	if err != nil && !errors.Is(err, port.ErrExpired) {
-		return 0, 0, err
+		return port.Page{}, err
 	}
-	return page.Oldest, page.Next, nil
+	return page, nil
 }
 
 // scan calls visit for each record of a stream from offset from, which is
--- a/internal/settingssync/node.go
+++ b/internal/settingssync/node.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"quetzalbend/internal/core/logera"
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/port"
 	"quetzalbend/internal/wire"
@@ -61,6 +62,9 @@
 	checkpointWake  chan struct{} // makes runCheckpoints check at once
 	statusRequested chan struct{} // signals refreshTable that NodeStatuses was called
 
+	era     int64          // of the log; used by follow only
+	history logera.History // of the settings stream; used by follow only
+
 	mu         sync.Mutex
 	logHealthy bool
 	logTried   bool // a first read of the log has succeeded or failed
--- a/internal/settingssync/store.go
+++ b/internal/settingssync/store.go
@@ -81,6 +81,14 @@
 	s.publish()
 }
 
+// replace replaces the state by one of a new era of the log, whatever its offset.
+func (s *store) replace(state *settings.State, replayedFrom int64, decided []settings.DecidedWrite) {
+	s.mu.Lock()
+	s.state = nil
+	s.mu.Unlock()
+	s.install(state, replayedFrom, decided)
+}
+
 // apply applies records in offset order and skips those already applied. It
 // returns the numbers of accepted and rejected writes.
 func (s *store) apply(records []decodedRecord) (accepted, rejected int, err error) {
