gateway: leave targets alone that ask for rest

Cause: nothing read Retry-After in a target's rejection, and nothing marked a target after one. Targets that reject at once look idle and are chosen first, by all senders alike: attempts, retries, trials of suspect parts and streams choose in one place (loads.choose), which is also why one gate there binds them all.

A target that answers 503 with Retry-After gets nothing from this gateway until that time has passed, and then one request, whose answer shows whether it serves again. A rest belongs to an incarnation. While all targets of a service are at rest its requests are refused at once, and callers come back when the first rest ends or up to 0.5 s later.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -57,7 +57,8 @@
 	}
 	targets := view.Targets[x.service]
 	x.usableTargets = len(targets)
-	return x.gateway.loads.choose(service, targets, x.tried, x.gateway.admissionLimits(), x.gateway.limits, time.Now())
+	gates := targetGates{x.gateway.admissionLimits(), x.gateway.limits, x.gateway.rests}
+	return x.gateway.loads.choose(service, targets, x.tried, gates, time.Now())
 }
 
 // recordAttempt records how an attempt ended and reports whether the request is
@@ -123,6 +124,7 @@
 	})
 	response, err := x.gateway.transport.RoundTrip(x.targetRequest(ctx, target))
 	if err != nil {
+		x.gateway.rests.unanswered(target)
 		switch {
 		case !connected.Load() && refusedConnection(err):
 			return refused
@@ -172,6 +174,7 @@
 		return unknown // an answer to another request
 	}
 	x.gateway.limits.observe(target, decoded)
+	x.gateway.rests.observe(target, decoded, time.Now())
 	switch {
 	case decoded.NotRun:
 		x.faultyTarget = decoded.Faulty
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -12,7 +12,7 @@
 
 // choose picks a target of the service for a request and counts the request in
 // the target's load. It returns false if no target may be sent the request now.
-func (l *loads) choose(service *fleet.Service, targets []registry.Usable, tried map[string]bool, limits admissionLimits, named *targetLimits, now time.Time) (registry.Usable, bool) {
+func (l *loads) choose(service *fleet.Service, targets []registry.Usable, tried map[string]bool, limits targetGates, now time.Time) (registry.Usable, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	candidates := make([]pick.Candidate, len(targets))
@@ -22,7 +22,7 @@
 		candidates[i] = pick.Candidate{
 			Load:           t.ownRequests + l.peerRequests(targets[i].ID, now),
 			Slots:          targets[i].Slots,
-			Limited:        !t.admissions.CanSend(limits.of(service, cold), now) || !named.allow(targets[i], now),
+			Limited:        !t.admissions.CanSend(limits.admission.of(service, cold), now) || !limits.allow(targets[i], now),
 			RecentlyFailed: now.Before(t.suspectUntil),
 			Tried:          tried[targets[i].ID],
 		}
@@ -34,10 +34,26 @@
 	t := l.target(targets[best].ID, now)
 	t.ownRequests++
 	t.admissions.RecordSent(now)
-	named.recordSent(targets[best], now)
+	limits.recordSent(targets[best], now)
 	return targets[best], true
 }
 
+// targetGates holds all that may keep a request from a target.
+type targetGates struct {
+	admission admissionLimits
+	named     *targetLimits
+	rests     *targetRests
+}
+
+func (g targetGates) allow(target registry.Usable, now time.Time) bool {
+	return g.rests.allow(target, now) && g.named.allow(target, now)
+}
+
+func (g targetGates) recordSent(target registry.Usable, now time.Time) {
+	g.rests.recordSent(target, now)
+	g.named.recordSent(target, now)
+}
+
 // admissionLimits computes this gateway's share of the targets' admission rates.
 type admissionLimits struct {
 	bounds   fleet.Bounds
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -36,6 +36,7 @@
 	strikes       *strike.Table
 	poison        *poisonGuard
 	limits        *targetLimits
+	rests         *targetRests
 	transport     *http.Transport
 	metrics       *metrics.Registry
 	requests      gometrics.Counter
@@ -77,6 +78,7 @@
 	g.peers = newPeers(g)
 	g.poison = newPoisonGuard(dialer, log, g.peers)
 	g.limits = newTargetLimits(g.peers, log)
+	g.rests = newTargetRests(log)
 	return g
 }
 
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -47,6 +47,7 @@
 	faultyTarget  string            // target that a rejection named as the faulty one
 	usableTargets int               // number of usable targets of the service
 	noTarget      bool              // no target may be sent the request now
+	resting       time.Duration     // how long all targets of the service are at rest
 	fallback      *bufferedResponse // error answer of a target, sent if no attempt succeeds
 	stream        streamPosition
 	answered      bool // a target has begun to write an answer and went on
@@ -233,6 +234,8 @@
 		panic(http.ErrAbortHandler)
 	case x.fallback != nil:
 		x.deliver(x.fallback)
+	case !x.mayHaveRun && x.allResting():
+		x.refuse("targets_resting", spread(x.resting))
 	case !x.mayHaveRun:
 		x.refuse(x.refusalReason(), x.retryAfter())
 	case time.Now().Before(x.deadline):
@@ -242,6 +245,15 @@
 	}
 }
 
+// allResting reports whether all usable targets of the service are at rest, and sets
+// resting to how long the first of them still is.
+func (x *exchange) allResting() bool {
+	targets := x.gateway.state.View().Targets[x.service]
+	remaining, all := x.gateway.rests.allResting(targets, time.Now())
+	x.resting = remaining
+	return all
+}
+
 func (x *exchange) refusalReason() string {
 	switch {
 	case x.barred.Verdict == poison.Refused && poison.IsRequest(x.barred.Part):
