gateway: a target that says that it leaves gets no more requests

Callers could see: requests lost at targets that end (DRAIN), while the store is silent or late. Cause: only the registry told that a target drains; nothing read Server-Leaving, with which a leaving target marks all its answers.

It holds for the incarnation, whatever its record says later.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -170,6 +170,9 @@
 // a failure after which another attempt may follow.
 func (x *exchange) receive(response *http.Response, target registry.Usable, watch *watchdog) outcome {
 	decoded := platform.DecodeAnswer(response.StatusCode, response.Header)
+	if decoded.Leaving {
+		x.gateway.state.RecordLeaving(target.ID, target.Born)
+	}
 	if decoded.RequestID != "" && decoded.RequestID != x.caller.RequestID {
 		return unknown // an answer to another request
 	}
--- a/internal/core/registry/table.go
+++ b/internal/core/registry/table.go
@@ -12,6 +12,10 @@
 // records that expired during the outage.
 const gracePeriod = 2200 * time.Millisecond
 
+// maxLeaving is the number of leaving targets beyond which those without a record are
+// forgotten.
+const maxLeaving = 1000
+
 type entry struct {
 	target    fleet.Target
 	coldUntil time.Time
@@ -21,12 +25,15 @@
 // Table holds the targets by id. It is not safe for concurrent use.
 type Table struct {
 	entries     map[string]*entry
-	unavailable bool      // the last read failed
-	graceUntil  time.Time // end of the grace period after an outage of the store
+	leaving     map[string]int64 // start, by id, of the incarnations that have said that they leave
+	unavailable bool             // the last read failed
+	graceUntil  time.Time        // end of the grace period after an outage of the store
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: make(map[string]*entry)} }
+func NewTable() *Table {
+	return &Table{entries: make(map[string]*entry), leaving: make(map[string]int64)}
+}
 
 // Put adds or replaces a target.
 func (t *Table) Put(target fleet.Target, now time.Time) {
@@ -46,13 +53,31 @@
 	if e == nil {
 		return
 	}
-	if t.inGracePeriod(now) && !e.target.Draining {
+	if t.inGracePeriod(now) && !e.target.Draining && !t.isLeaving(e.target) {
 		e.missing = true
 		return
 	}
 	delete(t.entries, id)
 }
 
+// MarkLeaving records that an incarnation of a target, which started at the given time,
+// has said that it leaves, whatever its record says. It reports whether that is new.
+func (t *Table) MarkLeaving(id string, born int64) bool {
+	if known, ok := t.leaving[id]; ok && known == born {
+		return false
+	}
+	if len(t.leaving) >= maxLeaving {
+		maps.DeleteFunc(t.leaving, func(id string, _ int64) bool { return t.entries[id] == nil })
+	}
+	t.leaving[id] = born
+	return true
+}
+
+func (t *Table) isLeaving(target fleet.Target) bool {
+	born, ok := t.leaving[target.ID]
+	return ok && born == target.Born
+}
+
 // ReadFailed records that the registry could not be read.
 func (t *Table) ReadFailed() { t.unavailable = true }
 
@@ -102,11 +127,11 @@
 }
 
 // Usable returns the targets that may get requests, by service: those that are not
-// draining and whose failure domain is not evacuated, that is, taken out of service.
+// draining, have not said that they leave, and whose failure domain is not evacuated, that is, taken out of service.
 func (t *Table) Usable(evacuated map[string]bool) map[string][]Usable {
 	usable := make(map[string][]Usable)
 	for _, e := range t.entries {
-		if e.target.Draining || evacuated[e.target.Domain] {
+		if e.target.Draining || t.isLeaving(e.target) || evacuated[e.target.Domain] {
 			continue
 		}
 		usable[e.target.Service] = append(usable[e.target.Service], Usable{e.target, e.coldUntil})
--- a/internal/core/registry/table_test.go
+++ b/internal/core/registry/table_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -74,3 +75,32 @@
 	assert.Equal(t, len(table.Usable(map[string]bool{"d1": true})["app"]), 0)
 	assert.Equal(t, len(table.All()), 1)
 }
+
+// A target that says in its answers that it leaves got requests until its record said so.
+func TestTargetThatSaysItLeavesIsNotUsableWhateverItsRecordSays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	leaving := target("a")
+	leaving.Born = 5
+	table.Put(leaving, now)
+	assert.Equal(t, len(table.Usable(nil)["app"]), 1)
+	assert.Assert(t, table.MarkLeaving("a", 5))
+	assert.Assert(t, !table.MarkLeaving("a", 5))
+	assert.Equal(t, len(table.Usable(nil)["app"]), 0)
+	table.Put(leaving, now)
+	table.Remove("a", now)
+	table.Put(leaving, now)
+	assert.Equal(t, len(table.Usable(nil)["app"]), 0)
+	restarted := leaving
+	restarted.Born = 6
+	table.Put(restarted, now)
+	assert.Equal(t, len(table.Usable(nil)["app"]), 1)
+}
+
+func TestLeavingTargetsAreForgottenWithTheirRecords(t *testing.T) {
+	table := NewTable()
+	for i := range maxLeaving + 10 {
+		table.MarkLeaving(strconv.Itoa(i), 1)
+	}
+	assert.Equal(t, len(table.leaving), 10)
+}
--- a/internal/fleetsync/registry.go
+++ b/internal/fleetsync/registry.go
@@ -100,3 +100,15 @@
 	s.records.remove(id, s.targetsAt.Next)
 	s.targets.Remove(id, now)
 }
+
+// RecordLeaving records that an incarnation of a target has said in an answer that it
+// leaves.
+func (s *State) RecordLeaving(id string, born int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.targets.MarkLeaving(id, born) {
+		return
+	}
+	s.log.State("target says that it leaves", eventlog.Fields{"target": id, "born": born})
+	s.publish()
+}
