--- a/internal/app/gateway/maps.go
+++ b/internal/app/gateway/maps.go
@@ -18,7 +18,7 @@
 		Election: g.store,
 		Topic:    platform.TopicNodes,
 		Member:   fmt.Sprintf("%s.%d", g.node.Name, g.peers.started.UnixNano()),
-		Ranks:    newRankAccess(g.node.Ports[0]),
+		Ranks:    newRankAccess(g.node.Ports[0], g.state.RecordLeaving),
 		Log:      g.log,
 		Targets:  g.rankTargets,
 	}
@@ -44,14 +44,15 @@
 // agents: to other VMs, an engine reports a state that is some hundred milliseconds
 // old and may not include orders accepted since then.
 type rankAccess struct {
-	agents *ranklink.Client
+	agents  *ranklink.Client
+	leaving func(id string, born int64) // told of targets whose answers say that they leave
 
 	mu      sync.Mutex
 	engines map[string]*platform.Engine // by address
 }
 
-func newRankAccess(port int) *rankAccess {
-	return &rankAccess{agents: ranklink.NewClient(port), engines: make(map[string]*platform.Engine)}
+func newRankAccess(port int, leaving func(id string, born int64)) *rankAccess {
+	return &rankAccess{agents: ranklink.NewClient(port), leaving: leaving, engines: make(map[string]*platform.Engine)}
 }
 
 // State reads the state of a rank through its agent.
@@ -72,7 +73,12 @@
 		return platform.OrderRefused, err
 	}
 	if order.Operation == mapchange.Hold || order.Operation == mapchange.Release {
-		return a.engine(target.Address).SendOrder(ctx, order)
+		engine := a.engine(target.Address)
+		answer, err := engine.SendOrder(ctx, order)
+		if engine.TakeLeaving() {
+			a.leaving(target.ID, target.Born)
+		}
+		return answer, err
 	}
 	return a.agents.SendOrder(ctx, host, order)
 }
