soak: the store comes back from a copy, and targets ask for rest

Two of each in every run, beside the other faults. The operator's and the targets' records are written again after a return.

--- a/scenarios/soak_faults_test.go
+++ b/scenarios/soak_faults_test.go
@@ -67,6 +67,31 @@
 	}
 }
 
+// drawRestore returns a fault after which the store comes back from a copy that was made
+// when the fault began.
+func (s *soak) drawRestore(random *rand.Rand) fault {
+	duration := time.Duration(random.Int64N(int64(soakMaxFault)))
+	var held platformtest.Copy
+	return fault{
+		delay:    time.Duration(random.Int64N(int64(soakFaultTime - duration))),
+		duration: duration,
+		begin:    func() { held = s.store.Copy() },
+		end:      func() { s.store.RestoreWrittenAgain(held, platform.TopicSettings, platform.TopicTargets) },
+	}
+}
+
+// drawRest returns a fault in which a target rejects all and asks for rest.
+func (s *soak) drawRest(random *rand.Rand) fault {
+	target := s.targets[random.IntN(len(s.targets))]
+	duration := time.Duration(random.Int64N(int64(soakMaxFault)))
+	return fault{
+		delay:    time.Duration(random.Int64N(int64(soakFaultTime - duration))),
+		duration: duration,
+		begin:    func() { target.SetRest(soakRest) },
+		end:      func() { target.SetRest("") },
+	}
+}
+
 func (s *soak) impairLink(f *fault, l *soakLink) {
 	kinds := []impairment{{delay: 80 * time.Millisecond}, {reset: true}, {holdTo: true}, {holdFrom: true}, {holdTo: true, holdFrom: true}}
 	kind := kinds[s.random.IntN(len(kinds))]
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -45,6 +45,8 @@
 	soakCallers     = 12
 	soakFaults      = 14
 	soakCrashes     = 3                       // of targets
+	soakNotices     = 2                       // returns of the store from a copy, and targets that ask for rest
+	soakRest        = "0.6"                   // seconds of rest
 	soakDowntime    = 500 * time.Millisecond  // of a crashed target
 	soakFaultTime   = 5 * time.Second         // in which all faults begin and end
 	soakMaxFault    = 2 * time.Second         // longest duration of a fault
@@ -287,6 +289,12 @@
 		f := s.drawCrash(crashes)
 		faults.Go(func() { s.inject(f) })
 	}
+	notices := rand.New(rand.NewPCG(s.seed, 2))
+	for range soakNotices {
+		for _, f := range []fault{s.drawRestore(notices), s.drawRest(notices)} {
+			faults.Go(func() { s.inject(f) })
+		}
+	}
 	faults.Wait()
 	s.putSettings(100)
 	s.putTarget(0, "draining")
