--- a/internal/core/logera/history.go
+++ b/internal/core/logera/history.go
@@ -38,33 +38,24 @@
 func (h *History) Len() int { return len(h.current) }
 
 // Missing returns the records of earlier eras that were not read again, in their order.
-func (h *History) Missing() [][]byte {
-	if len(h.lost) == 0 {
-		return nil
-	}
-	present := make(map[string]bool, len(h.current))
-	for _, r := range h.current {
-		present[r.data] = true
-	}
-	var missing [][]byte
-	for _, r := range h.lost {
-		if !present[r.data] {
-			present[r.data] = true
-			missing = append(missing, []byte(r.data))
-		}
-	}
-	return missing
-}
+func (h *History) Missing() [][]byte { return without(h.lost, h.current) }
 
 // New returns the records of this era that are not among those of earlier eras.
-func (h *History) New() [][]byte {
-	known := make(map[string]bool, len(h.lost))
-	for _, r := range h.lost {
-		known[r.data] = true
+func (h *History) New() [][]byte { return without(h.current, h.lost) }
+
+// without returns the records that are not among others, each once.
+func without(records, others []record) [][]byte {
+	if len(records) == 0 {
+		return nil
+	}
+	seen := make(map[string]bool, len(others))
+	for _, r := range others {
+		seen[r.data] = true
 	}
 	var found [][]byte
-	for _, r := range h.current {
-		if !known[r.data] {
+	for _, r := range records {
+		if !seen[r.data] {
+			seen[r.data] = true
 			found = append(found, []byte(r.data))
 		}
 	}
