gateway: a request refused for its parts is not told to come back after a rest

Found while reading: with all targets at rest, a request whose part crashes targets was refused with the time of the rest, though it would be refused then as well. The new test failed before (targets_resting for part_kills_targets).

--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -47,7 +47,6 @@
 	faultyTarget  string            // target that a rejection named as the faulty one
 	usableTargets int               // number of usable targets of the service
 	noTarget      bool              // no target may be sent the request now
-	resting       time.Duration     // how long all targets of the service are at rest
 	fallback      *bufferedResponse // error answer of a target, sent if no attempt succeeds
 	stream        streamPosition
 	answered      bool // a target has begun to write an answer and went on
@@ -234,10 +233,8 @@
 		panic(http.ErrAbortHandler)
 	case x.fallback != nil:
 		x.deliver(x.fallback)
-	case !x.mayHaveRun && x.allResting():
-		x.refuse("targets_resting", spread(x.resting))
 	case !x.mayHaveRun:
-		x.refuse(x.refusalReason(), x.retryAfter())
+		x.refuseNotRun()
 	case time.Now().Before(x.deadline):
 		x.respond(http.StatusBadGateway, "outcome_unknown")
 	default:
@@ -245,13 +242,15 @@
 	}
 }
 
-// allResting reports whether all usable targets of the service are at rest, and sets
-// resting to how long the first of them still is.
-func (x *exchange) allResting() bool {
+// refuseNotRun refuses a request that no target has run.
+func (x *exchange) refuseNotRun() {
 	targets := x.gateway.state.View().Targets[x.service]
-	remaining, all := x.gateway.rests.allResting(targets, time.Now())
-	x.resting = remaining
-	return all
+	remaining, resting := x.gateway.rests.allResting(targets, time.Now())
+	if resting && x.barred.MaySend() {
+		x.refuse("targets_resting", spread(remaining))
+		return
+	}
+	x.refuse(x.refusalReason(), x.retryAfter())
 }
 
 func (x *exchange) refusalReason() string {
--- a/internal/app/gateway/rests_test.go
+++ b/internal/app/gateway/rests_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/pause"
 	"quetzalbend/platform/platformtest"
 )
@@ -115,3 +116,17 @@
 	b.wait("the new incarnation serves", func() bool { return b.get("/read/").status == http.StatusOK })
 	assert.Assert(t, time.Since(restarted) < 2*time.Second)
 }
+
+// A request that is refused for what it holds was told to come back when the rest ends.
+func TestRefusedPartIsNotToldToComeBackAfterARest(t *testing.T) {
+	one := platformtest.NewTarget(t, "i-1")
+	b := newTestbed(t, one)
+	one.SetRest(restSeconds)
+	assert.Equal(t, b.get("/read/").status, http.StatusServiceUnavailable)
+	for target := range uint64(2) {
+		at := time.Now().Add(time.Duration(target)*2*time.Second - time.Minute)
+		b.gateway.poison.table.RecordCrash([]poison.Loss{{Parts: []string{poisonPart}, Blamed: []string{poisonPart}}}, target, at)
+	}
+	got := b.prompt(poisonPart, 1)
+	assert.Equal(t, got.body, "part_kills_targets\n")
+}
