logera: bound the history in bytes

Found while reading: 4,096 records of the largest size would take more than the 32 MB that control may take on a node. The new test failed before (10 records for 4).

--- a/internal/core/logera/history.go
+++ b/internal/core/logera/history.go
@@ -4,6 +4,7 @@
 
 const (
 	maxRecords = 4096
+	maxBytes   = 4 << 20
 	maxAge     = time.Minute // longer than a copy of the log is old
 )
 
@@ -16,22 +17,29 @@
 // History holds the newest records of a log. It is not safe for concurrent use.
 type History struct {
 	current []record // read in this era, oldest first
+	bytes   int      // of current
 	lost    []record // read in earlier eras
 }
 
 // Remember adds a record that was read in this era.
 func (h *History) Remember(data []byte, now time.Time) {
-	expired := max(0, len(h.current)+1-maxRecords)
-	for expired < len(h.current) && now.Sub(h.current[expired].at) > maxAge {
-		expired++
+	h.current = append(h.current, record{string(data), now})
+	h.bytes += len(data)
+	for h.oldestIsDue(now) {
+		h.bytes -= len(h.current[0].data)
+		h.current = h.current[1:]
 	}
-	h.current = append(h.current[expired:], record{string(data), now})
+}
+
+// oldestIsDue reports whether the oldest record is to be forgotten.
+func (h *History) oldestIsDue(now time.Time) bool {
+	return len(h.current) > maxRecords || h.bytes > maxBytes || now.Sub(h.current[0].at) > maxAge
 }
 
 // BeginEra makes all records count as lost until they are read again.
 func (h *History) BeginEra() {
 	h.lost = append(h.lost, h.current...)
-	h.current = nil
+	h.current, h.bytes = nil, 0
 }
 
 // Len returns the number of records of this era.
--- a/internal/core/logera/history_test.go
+++ b/internal/core/logera/history_test.go
@@ -34,3 +34,13 @@
 	h.Remember([]byte("b"), now.Add(maxAge+time.Second))
 	assert.Equal(t, h.Len(), 1)
 }
+
+// Large records could take more memory than a process may have.
+func TestHistoryIsBoundedInBytes(t *testing.T) {
+	var h History
+	large := make([]byte, maxBytes/4)
+	for range 10 {
+		h.Remember(large, now)
+	}
+	assert.Equal(t, h.Len(), 4)
+}
