claimlog: the appender waits while the stream is read again

Found while reading: with ops queued, the loop ran without a pause from the log's return until the stream was read again, 2 s or more. No test of its own.

--- a/internal/claimlog/append.go
+++ b/internal/claimlog/append.go
@@ -23,7 +23,7 @@
 	started := false
 	interval := l.config.AppendInterval
 	for ctx.Err() == nil {
-		if !started || !l.hasQueuedOps() {
+		if !started || !l.Ready() || !l.hasQueuedOps() {
 			select {
 			case <-l.wake:
 			case <-ctx.Done():
