--- a/internal/core/rest/table_test.go
+++ b/internal/core/rest/table_test.go
@@ -1,6 +1,7 @@
 package rest
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -50,57 +51,91 @@
 	assert.Equal(t, len(table.targets), 1)
 }
 
-// Some targets reject all for a time. Each request is sent to the first target that may
-// get it and answered after a random time, as a gateway under load does.
+const (
+	settle       = 500 * time.Millisecond // after an answer, in which requests that are under way may arrive
+	restTime     = 3 * time.Second
+	restArrivals = 2 // that may reach a target between settle and the end of its rest
+	loadSeconds  = 20
+	rejecting    = 12 * time.Second // for which the first two of three targets reject all
+	maxTravel    = 200              // milliseconds until an answer
+	lostOneIn    = 20               // answers
+	sentOneIn    = 10               // milliseconds
+)
+
+// pendingAnswer is the answer of a target that has not arrived yet.
+type pendingAnswer struct {
+	target uint64
+	at     time.Time
+	lost   bool
+}
+
+// loadRun is a gateway under load before three targets. Each request goes to the first of
+// them that may get it, and is answered after a random time.
+type loadRun struct {
+	t        *testing.T
+	random   *rand.Rand
+	table    *Table
+	pending  []pendingAnswer
+	askedAt  map[uint64]time.Time
+	arrivals map[uint64]int // during the rest that was asked for last
+	served   int
+}
+
+func (r *loadRun) step(now time.Time) {
+	var later []pendingAnswer
+	for _, answer := range r.pending {
+		if answer.at.After(now) {
+			later = append(later, answer)
+			continue
+		}
+		r.receive(answer, now)
+	}
+	r.pending = later
+	if r.random.IntN(sentOneIn) == 0 {
+		r.send(now)
+	}
+}
+
+func (r *loadRun) receive(answer pendingAnswer, now time.Time) {
+	switch {
+	case answer.lost:
+		r.table.RecordUnanswered(answer.target)
+	case answer.target < 2 && now.Sub(start) < rejecting:
+		r.table.Ask(answer.target, restTime, now)
+		r.askedAt[answer.target], r.arrivals[answer.target] = now, 0
+	default:
+		r.table.RecordServed(answer.target, now)
+		r.served++
+	}
+}
+
+func (r *loadRun) send(now time.Time) {
+	for id := range uint64(3) {
+		if !r.table.Allow(id, now) {
+			continue
+		}
+		r.table.RecordSent(id, now)
+		if since := now.Sub(r.askedAt[id]); since > settle && since < restTime {
+			r.arrivals[id]++
+		}
+		assert.Assert(r.t, r.arrivals[id] <= restArrivals, "target %d at %s", id, now.Sub(start))
+		travel := time.Duration(1+r.random.IntN(maxTravel)) * time.Millisecond
+		r.pending = append(r.pending, pendingAnswer{id, now.Add(travel), r.random.IntN(lostOneIn) == 0})
+		return
+	}
+}
+
 func TestTargetsGetAtMostTwoRequestsDuringARest(t *testing.T) {
-	const settle = 500 * time.Millisecond // in which requests that are under way may arrive
 	for seed := range uint64(50) {
-		random := rand.New(rand.NewPCG(seed, 7))
-		table := NewTable()
-		type answer struct {
-			target uint64
-			at     time.Time
-			lost   bool
-		}
-		var answers []answer
-		restUntil, restFrom, inRest, served := map[uint64]time.Time{}, map[uint64]time.Time{}, map[uint64]int{}, 0
-		for ms := range 20000 {
-			now := start.Add(time.Duration(ms) * time.Millisecond)
-			for i := 0; i < len(answers); i++ {
-				a := answers[i]
-				if a.at.After(now) {
-					continue
-				}
-				answers = append(answers[:i], answers[i+1:]...)
-				i--
-				rejects := a.target < 2 && ms < 12000
-				switch {
-				case a.lost:
-					table.RecordUnanswered(a.target)
-				case rejects:
-					table.Ask(a.target, 3*time.Second, now)
-					restFrom[a.target], restUntil[a.target], inRest[a.target] = now.Add(settle), now.Add(3*time.Second), 0
-				default:
-					table.RecordServed(a.target, now)
-					served++
-				}
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			r := &loadRun{
+				t: t, random: rand.New(rand.NewPCG(seed, 7)), table: NewTable(),
+				askedAt: make(map[uint64]time.Time), arrivals: make(map[uint64]int),
 			}
-			if random.IntN(10) > 0 {
-				continue
+			for ms := range loadSeconds * 1000 {
+				r.step(start.Add(time.Duration(ms) * time.Millisecond))
 			}
-			for _, id := range []uint64{0, 1, 2} {
-				if !table.Allow(id, now) {
-					continue
-				}
-				table.RecordSent(id, now)
-				if now.After(restFrom[id]) && now.Before(restUntil[id]) {
-					inRest[id]++
-				}
-				assert.Assert(t, inRest[id] <= 2, "seed %d: target %d at %d ms", seed, id, ms)
-				answers = append(answers, answer{id, now.Add(time.Duration(1+random.IntN(200)) * time.Millisecond), random.IntN(20) == 0})
-				break
-			}
-		}
-		assert.Assert(t, served > 1500, "seed %d: served %d", seed, served)
+			assert.Assert(t, r.served > 1500, "served %d", r.served)
+		})
 	}
 }
