--- a/internal/app/gateway/restored_test.go
+++ b/internal/app/gateway/restored_test.go
@@ -100,3 +100,34 @@
 	b.wait("the part is written again", stored)
 	assert.Assert(t, time.Since(restored) < 3*time.Second, "took %s", time.Since(restored))
 }
+
+// A gateway that had read the store's new era followed another one that had not.
+func TestGatewayReadsTheStoreItselfUntilItsReaderHasMetTheNewEra(t *testing.T) {
+	one := platformtest.NewTarget(t, "i-1")
+	b := newTestbed(t, one)
+	store := platformtest.NewStore(t)
+	store.PutJSON(t, "keyed.op", "config", testSettings(1))
+	store.PutJSON(t, "keyed.servers", one.ID, targetRecord(one, nil))
+	store.Restore(store.Copy())
+	g, _, _ := startGateway(t, "gateway-2", store.Address(), nil)
+	copyRecord(t, store, b.gateway)
+	copyRecord(t, b.store, g)
+	other := &testbed{t: t, store: store, gateway: g}
+	other.waitReady()
+	other.wait("the gateway knows what the reader has read", func() bool {
+		g.peers.mu.Lock()
+		defer g.peers.mu.Unlock()
+		return len(g.peers.readers) == 1
+	})
+	_, found := g.peers.Reader()
+	assert.Assert(t, !found)
+	b.store.PutJSON(t, "keyed.op", "config", testSettings(9))
+	b.wait("the reader has a version of its era", func() bool { return b.gateway.state.View().Settings.Version == 9 })
+	store.PutJSON(t, "keyed.op", "config", testSettings(5))
+	other.wait("the new era's version is in force", func() bool { return g.state.View().Settings.Version == 5 })
+
+	b.store.Restore(store.Copy())
+	waitForReader(other, g, b.gateway.node.ControlAddress)
+	b.store.PutJSON(t, "keyed.op", "config", testSettings(11))
+	other.wait("the reader's version is in force", func() bool { return g.state.View().Settings.Version == 11 })
+}
