--- a/internal/app/gateway/rests.go
+++ b/internal/app/gateway/rests.go
@@ -26,6 +26,9 @@
 
 // observe records what an answer of a target says of a rest.
 func (r *targetRests) observe(target registry.Usable, answer platform.TargetAnswer, now time.Time) {
+	if answer.Rest == 0 && r.table.Empty() {
+		return
+	}
 	incarnation := incarnationHash(target)
 	if answer.Rest == 0 {
 		r.table.RecordServed(incarnation, now)
--- a/internal/claimlog/era.go
+++ b/internal/claimlog/era.go
@@ -62,9 +62,6 @@
 		missing = l.era.history.Missing()
 	}
 	l.lock.Unlock()
-	if len(missing) == 0 {
-		return nil
-	}
 	for len(missing) > 0 {
 		count := min(len(missing), maxRewrite)
 		appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
--- a/internal/claimlog/log.go
+++ b/internal/claimlog/log.go
@@ -203,23 +203,16 @@
 	atEnd := l.claimant.Replica().Next() >= page.Next
 	l.caughtUp = atEnd && l.recovered()
 	caughtUp := l.caughtUp
-	l.lock.Unlock()
-	switch {
-	case caughtUp:
+	if caughtUp {
 		l.wakeAppender()
-		l.wakeWaiters()
-	case atEnd:
+		l.wakeAll()
+	}
+	l.lock.Unlock()
+	if atEnd && !caughtUp {
 		sleep(ctx, settlePoll)
 	}
 }
 
-// wakeWaiters wakes the requests that wait for any key.
-func (l *Log) wakeWaiters() {
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	l.wakeAll()
-}
-
 func (l *Log) window() time.Duration { return l.config.Window() }
 
 // setReadOK records whether the last read succeeded and logs a change.
--- a/internal/core/registry/table.go
+++ b/internal/core/registry/table.go
@@ -7,10 +7,10 @@
 	"quetzalbend/internal/core/fleet"
 )
 
-// gracePeriod is how long a target whose record is missing stays usable after
+// GracePeriod is how long a target whose record is missing stays usable after
 // the store has become available again: by then, live targets have rewritten the
 // records that expired during the outage.
-const gracePeriod = 2200 * time.Millisecond
+const GracePeriod = 2200 * time.Millisecond
 
 // maxLeaving is the number of leaving targets beyond which those without a record are
 // forgotten.
@@ -86,7 +86,7 @@
 func (t *Table) ReadSucceeded(now time.Time) bool {
 	if t.unavailable {
 		t.unavailable = false
-		t.graceUntil = now.Add(gracePeriod)
+		t.graceUntil = now.Add(GracePeriod)
 	}
 	if t.inGracePeriod(now) {
 		return false
@@ -103,14 +103,14 @@
 // unavailable, that is the whole grace period.
 func (t *Table) GraceRemaining(now time.Time) time.Duration {
 	if t.unavailable {
-		return gracePeriod
+		return GracePeriod
 	}
 	return max(0, t.graceUntil.Sub(now))
 }
 
 // StoreRestored records that the store came back from an older copy, in which records
 // are missing that live targets will rewrite.
-func (t *Table) StoreRestored(now time.Time) { t.ExtendGrace(now.Add(gracePeriod)) }
+func (t *Table) StoreRestored(now time.Time) { t.ExtendGrace(now.Add(GracePeriod)) }
 
 // ExtendGrace extends the grace period to the given time, for an outage of the store
 // that another gateway has seen.
--- a/internal/core/registry/table_test.go
+++ b/internal/core/registry/table_test.go
@@ -40,7 +40,7 @@
 	table.Remove("gone", back)
 	assert.Equal(t, usable(table), 2)
 	table.Put(target("alive"), back.Add(time.Second))
-	table.ReadSucceeded(back.Add(gracePeriod))
+	table.ReadSucceeded(back.Add(GracePeriod))
 	assert.Equal(t, usable(table), 1)
 }
 
--- a/internal/core/settings/restore.go
+++ b/internal/core/settings/restore.go
@@ -14,9 +14,13 @@
 // Their offsets end no lower than those of the lost records: readers that had read these
 // ask for what follows them.
 func (l *Loss) Restore() []Record {
+	lost := make(map[string]bool, len(l.Lost)) // by operation
+	for i := range l.Lost {
+		lost[l.Lost[i].Operation] = true
+	}
 	var records []Record
 	for _, write := range l.lastInForce() {
-		if !l.writtenAnew(write) {
+		if !l.writtenAnew(write, lost) {
 			write.AsOf = l.Next - 1
 			records = append(records, Record{Write: &write})
 		}
@@ -54,11 +58,7 @@
 
 // writtenAnew reports whether the log has the write again, or another one of its path that
 // is not among the lost ones.
-func (l *Loss) writtenAnew(write Write) bool {
-	lost := make(map[string]bool, len(l.Lost))
-	for i := range l.Lost {
-		lost[l.Lost[i].Operation] = true
-	}
+func (l *Loss) writtenAnew(write Write, lost map[string]bool) bool {
 	for i := range l.Present {
 		present := &l.Present[i]
 		if present.Operation == write.Operation || present.Path == write.Path && !lost[present.Operation] {
--- a/internal/fleetsync/registry.go
+++ b/internal/fleetsync/registry.go
@@ -54,7 +54,7 @@
 // recordTargetsRead records that the registry was read up to a place.
 func (s *State) recordTargetsRead(at platform.Position, now, asOf time.Time) {
 	if at.Era > s.targetsAt.Era && !s.targetsAsOf.IsZero() {
-		s.logNewEra("registry", platform.Batch{Next: at.Next, Era: at.Era}, s.targetsAt)
+		s.logNewEra("registry", at, s.targetsAt)
 		s.records.beginEra(at.Next)
 		s.targets.StoreRestored(now)
 	}
--- a/internal/fleetsync/settings.go
+++ b/internal/fleetsync/settings.go
@@ -5,14 +5,11 @@
 	"time"
 
 	"quetzalbend/internal/core/fleet"
+	"quetzalbend/internal/core/registry"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/platform"
 )
 
-// rewritePeriod is how long after the store came back from a copy a record may be missing
-// only because its writer has not written it again.
-const rewritePeriod = 2200 * time.Millisecond
-
 // heldEvacuations holds the evacuations that were in force when the store came back from
 // a copy that lacks them.
 type heldEvacuations struct {
@@ -73,8 +70,8 @@
 	now := s.now()
 	s.held.expire(now)
 	if batch.Era > s.settingsAt.Era && s.settings != nil {
-		s.logNewEra("settings", batch, s.settingsAt)
-		s.held = heldEvacuations{domains: s.evacuated(), until: now.Add(rewritePeriod)}
+		s.logNewEra("settings", batch.Position(), s.settingsAt)
+		s.held = heldEvacuations{domains: s.evacuated(), until: now.Add(registry.GracePeriod)}
 	}
 	s.settingsAsOf = later(s.settingsAsOf, asOf)
 	s.settingsRecords = make(map[string][]byte)
--- a/internal/fleetsync/state.go
+++ b/internal/fleetsync/state.go
@@ -84,9 +84,9 @@
 
 // logNewEra logs that a topic was read in a newer era of the store, which may have
 // lost what was acknowledged in the era before.
-func (s *State) logNewEra(of string, batch platform.Batch, known platform.Position) {
+func (s *State) logNewEra(of string, at, known platform.Position) {
 	s.log.State("store came back from a copy", eventlog.Fields{
-		"of": of, "era": batch.Era, "end": batch.Next, "known_era": known.Era, "next": known.Next,
+		"of": of, "era": at.Era, "end": at.Next, "known_era": known.Era, "next": known.Next,
 	})
 }
 
