--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,7 +12,7 @@
 type play func(s *system, trouble bool) (held bool, err error)
 
 var plays = map[string]play{
-	"cold": playCold,
+	"cold": playCold, "upload": playUpload,
 }
 
 func main() {
