review: lookups that time out once are refused for good

What: a script that breaks RECOVER: all machines lose power and come back, replicas that have just started are slow for 5 s, and from then on all gateways refuse the same lookups as "kills_targets".

Why: an attempt that ends because its time is up counts as a strike, four strikes refuse a request for 10 minutes, and a lookup without a body is one request for all users.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 
 var plays = map[string]play{
 	"cold": playCold, "upload": playUpload,
+	"warm": playWarm,
 }
 
 func main() {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -14,6 +14,8 @@
 type replica struct {
 	id, address string
 	work        time.Duration
+	slowUntil   time.Time // until then a request takes slowWork
+	slowWork    time.Duration
 	server      *http.Server
 	stop        chan struct{}
 	onArrival   func()        // called with each request that runs; may be nil
@@ -86,8 +88,12 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	work := r.work
+	if time.Now().Before(r.slowUntil) {
+		work = r.slowWork
+	}
 	select {
-	case <-time.After(r.work):
+	case <-time.After(work):
 	case <-r.stop:
 		panic(http.ErrAbortHandler)
 	case <-request.Context().Done():
