--- /dev/null
+++ b/internal/app/gateway/cold_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzalbend/platform/platformtest"
+)
+
+// mostInASecond returns the largest number of requests that reached a target within a
+// second.
+func mostInASecond(target *platformtest.Target) int {
+	arrivals := target.Arrivals()
+	most, first := 0, 0
+	for i := range arrivals {
+		for arrivals[i].At.Sub(arrivals[first].At) >= time.Second {
+			first++
+		}
+		most = max(most, i+1-first)
+	}
+	return most
+}
+
+// coldSettings are settings in which the targets of the service bear perSecond requests
+// while they are cold.
+func coldSettings(version int, perSecond float64) object {
+	settings := testSettings(version)
+	settings["services"] = []object{{"name": "app", "maxConnections": 100, "coldStartS": 60, "coldPerS": perSecond}}
+	return settings
+}
+
+// coldLoad sends requests to all gateways at a pace, for a time. It returns how many were
+// served, and how many were refused without a time to come back.
+func coldLoad(gateways []*testbed, pace, length time.Duration) (served, untimed int) {
+	var ok, bare atomic.Int64
+	var callers sync.WaitGroup
+	for _, b := range gateways {
+		callers.Go(func() {
+			ticker := time.NewTicker(pace)
+			defer ticker.Stop()
+			for started := time.Now(); time.Since(started) < length; <-ticker.C {
+				answer := b.get("/read/")
+				wait, err := strconv.ParseFloat(answer.header.Get("Retry-After"), 64)
+				switch {
+				case answer.status == http.StatusOK:
+					ok.Add(1)
+				case err != nil || wait <= 0:
+					bare.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return int(ok.Load()), int(bare.Load())
+}
+
+// startColdGateways starts gateways before the targets, of which each bears perSecond
+// requests while it is cold.
+func startColdGateways(t *testing.T, count int, perSecond float64, remainingMs int, targets ...*platformtest.Target) []*testbed {
+	first := newTestbed(t)
+	first.store.PutJSON(t, "keyed.op", "config", coldSettings(2, perSecond))
+	for _, target := range targets {
+		first.store.PutJSON(t, "keyed.servers", target.ID, targetRecord(target, object{"coldRemainingMs": remainingMs}))
+	}
+	beds := startGateways(first, count)
+	for _, b := range beds {
+		b.wait("the targets are known", func() bool {
+			view := b.gateway.state.View()
+			return view.Settings.Version == 2 && len(view.Targets["app"]) == len(targets)
+		})
+	}
+	return beds
+}
+
+// Nine gateways, and a bound of 1 x 1.5 + 5: less than one request for each. The target is
+// cold, or has become cold and nobody knows it yet.
+func TestColdTargetGetsNoMoreThanItsBoundFromManyGateways(t *testing.T) {
+	const perSecond, allowed = 1, 6
+	for name, remainingMs := range map[string]int{"announced": 60000, "unannounced": 0} {
+		t.Run(name, func(t *testing.T) {
+			target := platformtest.NewTarget(t, "i-1")
+			beds := startColdGateways(t, 9, perSecond, remainingMs, target)
+			served, untimed := coldLoad(beds, 50*time.Millisecond, 5*time.Second)
+			most := mostInASecond(target)
+			assert.Assert(t, most <= allowed, "%d requests in a second, allowed %d", most, allowed)
+			assert.Assert(t, served > 0)
+			assert.Equal(t, untimed, 0, "refused without a time to come back")
+		})
+	}
+}
