Divide limits by rank among the gateways, and lend shares on demand

Callers saw: a target that was just back and cold got 28 to 33 requests in a second where 26 are allowed, crashed, and its group rejected all once more.

The number of gateways was assumed (30) until the first list, and only grew; a gateway that restarts forgot what it had sent, and had the whole slack of the retry budget again.

Change: package share gives each member its part by its rank for a target (rendezvous hashing), so that the parts add up to the limit at any size and for any bound; up to three members that others don't know of are counted. A gateway whose members are not known has no part; it learns them from the store or with the state of a peer. A gateway uses its part once a window has passed since its start, and once the others know it. One without a part left asks a gateway that has one for an admission. Refusals by the limit say when the next request may be sent. The retry slack is divided by the gateways of the moment, and a restarted gateway has none in its first window.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/core/registry"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/eventlog"
@@ -58,20 +57,21 @@
 	}
 	targets := view.Targets[x.service]
 	x.usableTargets = len(targets)
-	gates := targetGates{x.gateway.admissionLimits(), x.gateway.limits, x.gateway.rests}
 	now := time.Now()
+	gates := x.gateway.gates(now)
 	target, found := x.gateway.loads.choose(service, targets, x.tried, gates, now)
 	if found && now.Before(target.ColdUntil) {
-		x.logSentCold(target, gates.admission, service, now)
+		x.logSentCold(target, gates.admission, now)
 	}
 	return target, found
 }
 
-// logSentCold logs by which share of its limit a cold target is sent the request.
-func (x *exchange) logSentCold(target registry.Usable, limits admissionLimits, service *fleet.Service, now time.Time) {
+// logSentCold logs that a cold target is sent the request, and among how many gateways its
+// limit is divided.
+func (x *exchange) logSentCold(target registry.Usable, limits admissionLimits, now time.Time) {
 	x.gateway.log.Decision("sent to a cold target", eventlog.Fields{
-		"request": x.caller.RequestID, "target": target.ID, "born": target.Born, "cold_ms": target.ColdUntil.Sub(now).Milliseconds(),
-		"share": limits.of(service, true), "gateways": limits.gateways,
+		"request": x.caller.RequestID, "target": target.ID, "born": target.Born,
+		"cold_ms": target.ColdUntil.Sub(now).Milliseconds(), "gateways": limits.members.Count(),
 	})
 }
 
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -8,6 +8,7 @@
 	"quetzalbend/internal/core/pick"
 	"quetzalbend/internal/core/quota"
 	"quetzalbend/internal/core/registry"
+	"quetzalbend/internal/core/share"
 )
 
 // choose picks a target of the service for a request and counts the request in
@@ -18,14 +19,9 @@
 	candidates := make([]pick.Candidate, len(targets))
 	for i := range targets {
 		t := l.target(targets[i].ID, now)
-		cold := now.Before(targets[i].ColdUntil)
-		candidates[i] = pick.Candidate{
-			Load:           t.ownRequests + l.peerRequests(targets[i].ID, now),
-			Slots:          targets[i].Slots,
-			Limited:        !t.admissions.CanSend(limits.admission.of(service, cold), now) || !limits.allow(targets[i], now),
-			RecentlyFailed: now.Before(t.suspectUntil),
-			Tried:          tried[targets[i].ID],
-		}
+		candidates[i] = l.candidate(t, targets[i], tried, now)
+		admitted := t.admissions.CanSend(limits.admission.of(service, t, targets[i], now), now)
+		candidates[i].Limited = !admitted || !limits.allow(targets[i], now)
 	}
 	best := pick.Best(candidates, rand.Float64())
 	if best < 0 {
@@ -38,6 +34,17 @@
 	return targets[best], true
 }
 
+// candidate returns what is known of a target, without its limits. The caller holds the
+// lock.
+func (l *loads) candidate(t *targetLoad, target registry.Usable, tried map[string]bool, now time.Time) pick.Candidate {
+	return pick.Candidate{
+		Load:           t.ownRequests + l.peerRequests(t.hash, now),
+		Slots:          target.Slots,
+		RecentlyFailed: now.Before(t.suspectUntil),
+		Tried:          tried[target.ID],
+	}
+}
+
 // targetGates holds all that may keep a request from a target.
 type targetGates struct {
 	admission admissionLimits
@@ -56,12 +63,19 @@
 
 // admissionLimits computes this gateway's share of the targets' admission rates.
 type admissionLimits struct {
-	bounds   fleet.Bounds
-	gateways int
+	bounds  fleet.Bounds
+	members *share.Members // nil: this gateway has no share
+}
+
+// of returns the requests per second that this gateway may send to a target of the service.
+func (a admissionLimits) of(service *fleet.Service, t *targetLoad, target registry.Usable, now time.Time) int {
+	rank := 0
+	if service.ColdRate > 0 && a.members != nil {
+		rank = t.rankIn(a.members)
+	}
+	return a.bound(service).Share(a.members.Count(), gatewayHeadroom, rank, now.Before(target.ColdUntil))
 }
 
-// of returns the requests per second that this gateway may send to one target of
-// the service.
-func (a admissionLimits) of(service *fleet.Service, cold bool) int {
-	return quota.AdmissionLimit(service.ColdRate, a.bounds.ColdFactor, a.bounds.ColdSlack, a.gateways, cold)
+func (a admissionLimits) bound(service *fleet.Service) quota.AdmissionBounds {
+	return quota.AdmissionBounds{Rate: service.ColdRate, Factor: a.bounds.ColdFactor, Slack: a.bounds.ColdSlack}
 }
--- a/internal/app/gateway/cold_test.go
+++ b/internal/app/gateway/cold_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -10,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"quetzalbend/internal/core/quota"
+	"quetzalbend/platform"
 	"quetzalbend/platform/platformtest"
 )
 
@@ -94,3 +98,66 @@
 		})
 	}
 }
+
+// The target takes two requests in a second while it is cold: a share for two of nine
+// gateways, which lend them to the others.
+func TestGatewayWithoutAShareServesItsCallers(t *testing.T) {
+	target := platformtest.NewTarget(t, "i-1")
+	beds := startColdGateways(t, 9, 2, 60000, target)
+	beds[0].wait("all may admit", func() bool {
+		return !slices.ContainsFunc(beds, func(b *testbed) bool { return b.gateway.peers.admitters(time.Now()) == nil })
+	})
+	for _, b := range beds {
+		b.wait("its caller is served", func() bool { return b.get("/read/").status == http.StatusOK })
+	}
+	most := mostInASecond(target)
+	assert.Assert(t, most <= 8, "%d requests in a second", most)
+}
+
+// A gateway that restarts under its name does not know what was sent before.
+func TestRestartedGatewayAdmitsNothingForAWindow(t *testing.T) {
+	target := platformtest.NewTarget(t, "i-1")
+	beds := startColdGateways(t, 1, 1, 0, target)
+	b := beds[0]
+	b.wait("a caller is served", func() bool { return b.get("/read/").status == http.StatusOK })
+	sent := arrived(target)
+	b.stop()
+	started := time.Now()
+	g, _, _ := startGateway(t, b.gateway.node.Name, b.store.Address(), nil)
+	again := &testbed{t: t, store: b.store, gateway: g}
+	again.waitReady()
+	again.wait("a caller is served again", func() bool { return again.get("/read/").status == http.StatusOK })
+	later := target.Arrivals()[sent]
+	assert.Assert(t, later.At.Sub(started) >= quota.AdmissionWindow, "after %s", later.At.Sub(started))
+}
+
+// Gateways that start while the store is away learn from peers among how many the limits
+// are divided.
+func TestGatewayLearnsOfTheOthersFromAPeer(t *testing.T) {
+	beds := startColdGateways(t, 3, 1, 0, platformtest.NewTarget(t, "i-1"))
+	down := platformtest.NewStore(t)
+	down.SetDown(true)
+	g, _, _ := startGateway(t, "gateway-9", down.Address(), []string{beds[0].gateway.node.ControlAddress})
+	other := &testbed{t: t, store: down, gateway: g}
+	other.waitReady()
+	assert.Assert(t, g.peers.gateways() >= len(beds)+gatewayHeadroom, "%d gateways", g.peers.gateways())
+}
+
+// Records of gateways that are gone for good.
+func TestRecordsOfGoneGatewaysAreDeletedAndNotCounted(t *testing.T) {
+	store := platformtest.NewStore(t)
+	store.PutJSON(t, "keyed.op", "config", testSettings(1))
+	for i := range 20 {
+		store.PutJSON(t, "keyed.nodes", fmt.Sprint("gone-", i), peerRecord{
+			Control: "127.0.0.1:1", Loads: "127.0.0.1:1", Revision: time.Now().Add(-2 * memberLifetime).UnixNano(),
+		})
+	}
+	g, _, _ := startGateway(t, "gateway-1", store.Address(), nil)
+	b := &testbed{t: t, store: store, gateway: g}
+	b.waitReady()
+	assert.Equal(t, g.peers.gateways(), 1+gatewayHeadroom)
+	b.wait("the records are deleted", func() bool {
+		batch, err := g.store.Newest(t.Context(), platform.TopicNodes)
+		return err == nil && len(batch.Records) == 1
+	})
+}
--- a/internal/app/gateway/fleet_test.go
+++ b/internal/app/gateway/fleet_test.go
@@ -181,12 +181,12 @@
 func TestNewGatewayIsKnownFromItsDatagrams(t *testing.T) {
 	one := platformtest.NewTarget(t, "i-1")
 	b := newTestbed(t, one)
-	b.wait("the first list is read", func() bool { return b.gateway.peers.assumedGateways() == 1+gatewayHeadroom })
+	b.wait("the first list is read", func() bool { return b.gateway.peers.gateways() == 1+gatewayHeadroom })
 	g, _, _ := startGateway(t, "gateway-2", b.store.Address(), nil)
 	started := time.Now()
-	b.wait("the new gateway is known", func() bool { return b.gateway.peers.assumedGateways() == 2+gatewayHeadroom })
+	b.wait("the new gateway is known", func() bool { return b.gateway.peers.gateways() == 2+gatewayHeadroom })
 	assert.Assert(t, time.Since(started) < listInterval/2)
-	b.wait("the new gateway knows the first", func() bool { return g.peers.assumedGateways() == 2+gatewayHeadroom })
+	b.wait("the new gateway knows the first", func() bool { return g.peers.gateways() == 2+gatewayHeadroom })
 }
 
 func TestStopIsGraceful(t *testing.T) {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -43,6 +43,7 @@
 	drainingSince atomic.Int64 // start of the drain in Unix nanoseconds; 0: not draining
 
 	suspension suspension
+	borrowing  borrowing
 
 	retriesLock sync.Mutex
 	retries     map[string]*quota.RetryBudget // by service
@@ -137,15 +138,18 @@
 
 func (g *Gateway) draining() bool { return g.drainingSince.Load() != 0 }
 
-func (g *Gateway) admissionLimits() admissionLimits {
-	return admissionLimits{bounds: g.node.Bounds, gateways: g.peers.assumedGateways()}
+func (g *Gateway) gates(now time.Time) targetGates {
+	return targetGates{admissionLimits{g.node.Bounds, g.peers.admitters(now)}, g.limits, g.rests}
 }
 
 func (g *Gateway) serviceRetries(service string) *quota.RetryBudget {
 	retries := g.retries[service]
 	if retries == nil {
-		b := g.node.Bounds
-		retries = quota.NewRetryBudget(b.RetryRatio, b.RetrySlack, b.RetryWindow, g.peers.assumedGateways())
+		b, started := g.node.Bounds, g.peers.started
+		if !g.peers.ranBefore() {
+			started = started.Add(-b.RetryWindow)
+		}
+		retries = quota.NewRetryBudget(b.RetryRatio, b.RetrySlack, b.RetryWindow, started)
 		g.retries[service] = retries
 	}
 	return retries
@@ -160,7 +164,7 @@
 func (g *Gateway) takeRetry(service string) bool {
 	g.retriesLock.Lock()
 	defer g.retriesLock.Unlock()
-	return g.serviceRetries(service).Allow(time.Now())
+	return g.serviceRetries(service).Allow(g.peers.gateways(), time.Now())
 }
 
 func (g *Gateway) countRefusal(reason string) { g.metrics.Refused(reason, metrics.Key{}) }
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -189,6 +189,9 @@
 		defer x.gateway.poison.endTrial(x)
 	}
 	target, found := x.chooseTarget()
+	if !found {
+		target, found = x.borrow(ctx)
+	}
 	if !found {
 		x.noTarget = true
 		return true
@@ -268,11 +271,14 @@
 	case x.dials > 0:
 		return "targets_unreachable"
 	case x.usableTargets > 0:
-		return "admission_limit"
+		return admissionLimit
 	}
 	return "no_target"
 }
 
+// admissionLimit is the reason of a refusal where no target may be sent a request now.
+const admissionLimit = "admission_limit"
+
 const (
 	shortRetryAfter = 300 * time.Millisecond
 	// retryAfterDivisor bounds Retry-After: callers wait at most the time left
@@ -288,11 +294,22 @@
 	if !x.barred.MaySend() {
 		return x.barred.RetryAfter
 	}
-	wait := max(time.Until(x.deadline)/retryAfterDivisor, 0)
-	if x.route.Kind == fleet.Stream {
-		return wait
+	longest := max(time.Until(x.deadline)/retryAfterDivisor, 0)
+	switch {
+	case x.route.Kind == fleet.Stream:
+		return longest
+	case x.refusalReason() == admissionLimit:
+		return min(x.admissionWait(), longest)
 	}
-	return min(shortRetryAfter, wait)
+	return min(shortRetryAfter, longest)
+}
+
+// admissionWait returns when a request may be sent to one of the service's targets.
+func (x *exchange) admissionWait() time.Duration {
+	view, now := x.gateway.state.View(), time.Now()
+	service := view.Settings.Services[x.service]
+	wait := x.gateway.loads.admissionWait(service, view.Targets[x.service], x.gateway.gates(now).admission, now)
+	return max(wait, shortRetryAfter)
 }
 
 // refuse answers that the request has not run and will not.
--- a/internal/app/gateway/loads.go
+++ b/internal/app/gateway/loads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quetzalbend/internal/core/quota"
+	"quetzalbend/internal/core/share"
 	"quetzalbend/internal/wire"
 )
 
@@ -17,7 +18,10 @@
 
 // targetLoad is the state that this gateway keeps for a target.
 type targetLoad struct {
+	hash         uint64
 	ownRequests  int // requests of this gateway at the target
+	rankedIn     *share.Members
+	rank         int // of this gateway for the target, in rankedIn
 	admissions   quota.Admissions
 	suspectUntil time.Time
 	lastEvent    time.Time // last event of any stream of the target
@@ -56,18 +60,25 @@
 func (l *loads) target(id string, now time.Time) *targetLoad {
 	t := l.targets[id]
 	if t == nil {
-		t = &targetLoad{}
+		t = &targetLoad{hash: targetHash(id)}
 		l.targets[id] = t
 	}
 	t.lastUsed = now
 	return t
 }
 
+// rankIn returns the rank of this gateway for the target.
+func (t *targetLoad) rankIn(members *share.Members) int {
+	if t.rankedIn != members {
+		t.rankedIn, t.rank = members, members.Rank(t.hash)
+	}
+	return t.rank
+}
+
 // peerRequests returns the number of requests that peers have at a target. The
 // caller holds the lock.
-func (l *loads) peerRequests(id string, now time.Time) int {
+func (l *loads) peerRequests(hash uint64, now time.Time) int {
 	sum := 0
-	hash := targetHash(id)
 	for _, peer := range l.peers {
 		if now.Sub(peer.received) < peerLoadLifetime {
 			sum += int(peer.loads[hash])
@@ -134,7 +145,7 @@
 	var list []*wire.TargetLoad
 	for id, t := range l.targets {
 		if t.ownRequests > 0 {
-			list = append(list, &wire.TargetLoad{Target: targetHash(id), Requests: uint32(t.ownRequests)})
+			list = append(list, &wire.TargetLoad{Target: t.hash, Requests: uint32(t.ownRequests)})
 		} else if now.Sub(t.lastUsed) > idleTargetRetention {
 			delete(l.targets, id)
 		}
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"quetzalbend/internal/eventlog"
+	"quetzalbend/internal/fleetsync"
 	"quetzalbend/internal/pause"
 	"quetzalbend/internal/wire"
 	"quetzalbend/platform"
@@ -35,8 +36,6 @@
 	datagramBytes    = 64 << 10               // the largest that UDP carries
 	maxStateBytes    = 32 << 20
 	aliveAge         = time.Second // after its last datagram, a gateway counts as alive
-	gatewayHeadroom  = 3           // gateways that may be added at any moment
-	initialGateways  = 30          // assumed number until the nodes have been read once
 )
 
 // peerRecord is a gateway's record in the store.
@@ -63,7 +62,7 @@
 	mu        sync.Mutex
 	nodes     map[string]peerNode
 	readers   map[string]readerState // gateways of this failure domain that may read the store for this one, by name
-	maxSeen   int                    // largest number of gateways known at the same time
+	members   membership
 	peerIndex int
 }
 
@@ -74,6 +73,7 @@
 		started: time.Now(),
 		nodes:   make(map[string]peerNode),
 		readers: make(map[string]readerState),
+		members: newMembership(g.node.Name, time.Now()),
 	}
 }
 
@@ -85,7 +85,9 @@
 	}
 	p.conn = conn
 	group, ctx := errgroup.WithContext(ctx)
-	p.announce(ctx) // before the first list: if two nodes start together, at least one finds the other
+	p.readNodes(ctx) // before the announcement: tells whether a process of this name ran before
+	p.announce(ctx)  // before the next read: if two nodes start together, at least one finds the other
+	p.recordAnnounced(time.Now())
 	group.Go(func() error { return p.announceRepeatedly(ctx) })
 	group.Go(func() error { return p.list(ctx) })
 	group.Go(func() error { return p.send(ctx) })
@@ -97,17 +99,6 @@
 	return group.Wait()
 }
 
-// assumedGateways returns the number of gateways among which common limits are
-// divided. It is never less than the number that may be running.
-func (p *peers) assumedGateways() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.maxSeen == 0 {
-		return initialGateways
-	}
-	return p.maxSeen + gatewayHeadroom
-}
-
 // announceRepeatedly writes this node's record at times, and at once in a new era of the
 // store, which may have lost it.
 func (p *peers) announceRepeatedly(ctx context.Context) error {
@@ -158,22 +149,33 @@
 	wait := listRetry
 	for ctx.Err() == nil {
 		era := p.gateway.store.Era()
-		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		batch, err := p.gateway.store.Newest(readCtx, platform.TopicNodes)
-		cancel()
-		if err != nil {
-			p.gateway.log.Decision("nodes not read", eventlog.Fields{"error": err.Error()})
+		batch, ok := p.readNodes(ctx)
+		if !ok {
 			pause.For(ctx, listRetry)
 			continue
 		}
-		p.recordNodes(batch.Records, time.Now())
+		p.deleteExpired(ctx, batch.Records)
 		p.gateway.waitInEra(ctx, max(era, batch.Era), wait)
 		wait = listInterval
 	}
 	return nil
 }
 
-// recordNodes records the nodes in the store whose records have changed.
+// readNodes reads the nodes' records from the store and reports whether that succeeded.
+func (p *peers) readNodes(ctx context.Context) (platform.Batch, bool) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	batch, err := p.gateway.store.Newest(ctx, platform.TopicNodes)
+	if err != nil {
+		p.gateway.log.Decision("nodes not read", eventlog.Fields{"error": err.Error()})
+		return platform.Batch{}, false
+	}
+	p.recordNodes(batch.Records, time.Now())
+	return batch, true
+}
+
+// recordNodes records the nodes in the store whose records have changed, and all of them as
+// members.
 func (p *peers) recordNodes(records []platform.Record, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -183,11 +185,17 @@
 			p.gateway.log.Problem("invalid node record", err, eventlog.Fields{"node": r.Key})
 			continue
 		}
+		age := record.age(now)
+		if age > memberLifetime {
+			continue
+		}
+		p.members.add(r.Key, now.Add(-age))
 		// A lower revision is from before the store came back from a copy.
 		if known, ok := p.nodes[r.Key]; !ok || known.record.Revision < record.Revision {
 			p.nodes[r.Key] = peerNode{record: record, lastSeen: now, heard: known.heard}
 		}
 	}
+	p.members.recordList(now)
 	p.expireNodes(now)
 }
 
@@ -200,16 +208,15 @@
 	node.record.Loads = from.String()
 	node.lastSeen, node.heard = now, now
 	p.nodes[datagram.Node] = node
+	p.members.add(datagram.Node, now)
 	if !known {
 		p.expireNodes(now)
 	}
 }
 
-// expireNodes removes nodes that were not seen for nodeLifetime and updates
-// maxSeen. The caller holds the lock.
+// expireNodes removes nodes that were not seen for nodeLifetime. The caller holds the lock.
 func (p *peers) expireNodes(now time.Time) {
 	maps.DeleteFunc(p.nodes, func(_ string, node peerNode) bool { return now.Sub(node.lastSeen) > nodeLifetime })
-	p.maxSeen = max(p.maxSeen, len(p.nodes))
 }
 
 // others returns the records of the other gateways, sorted by name.
@@ -258,6 +265,9 @@
 	query := make(url.Values)
 	setPosition(query, "settings", settings)
 	setPosition(query, "targets", targets)
+	if !p.membersKnown() {
+		query.Set(nodesQuery, "1")
+	}
 	target := fmt.Sprintf("http://%s%s?%s", address, peerStatePath, query.Encode())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
@@ -276,7 +286,13 @@
 		return nil, errors.Errorf("fetch state of peer %s: status %d", address, response.StatusCode)
 	}
 	shared := &wire.FleetState{}
-	return shared, errors.Wrapf(proto.Unmarshal(data, shared), "fetch state of peer %s", address)
+	if err := proto.Unmarshal(data, shared); err != nil {
+		return nil, errors.Wrapf(err, "fetch state of peer %s", address)
+	}
+	if len(shared.Nodes) > 0 {
+		p.recordNodes(fleetsync.Records(shared.Nodes), time.Now())
+	}
+	return shared, nil
 }
 
 // nextAddress returns the control address of the next peer in turn, or an empty
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -26,6 +26,8 @@
 	graceMargin        = 500 * time.Millisecond  // the drain ends this long before SIGKILL
 	healthPath         = "/v1/readiness"
 	peerStatePath      = "/fleet"
+	admissionPath      = "/admission"
+	nodesQuery         = "nodes" // asks for the records of the gateways
 	metricsPath        = "/metrics"
 	protobufMediaType  = "application/x-protobuf"
 )
@@ -119,6 +121,7 @@
 func (g *Gateway) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+peerStatePath, g.serveState)
+	mux.HandleFunc("POST "+admissionPath, g.serveAdmission)
 	mux.Handle("GET "+metricsPath, g.metrics.Handler())
 	return mux
 }
@@ -149,7 +152,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	data, err := proto.Marshal(g.state.Share(settings, targets))
+	shared := g.state.Share(settings, targets)
+	var err error
+	if r.URL.Query().Has(nodesQuery) {
+		shared.Nodes, err = g.peers.records()
+	}
+	var data []byte
+	if err == nil {
+		data, err = proto.Marshal(shared)
+	}
 	if err != nil {
 		g.log.Problem("state not encoded", err, nil)
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/core/quota/admissions.go
+++ b/internal/core/quota/admissions.go
@@ -1,15 +1,20 @@
 package quota
 
-import "time"
+import (
+	"time"
 
-// admissionWindow is longer than the one second that a limit applies to, since the
-// time from the gateway to the target differs between requests.
-const admissionWindow = 1100 * time.Millisecond
+	"quetzalbend/internal/core/share"
+)
+
+// AdmissionWindow is the time over which admissions are counted. It is longer than the one
+// second that a limit applies to, since the time from the gateway to the target differs
+// between requests.
+const AdmissionWindow = 1100 * time.Millisecond
 
 // Admissions limits how many requests one gateway sends to a target in a
 // second. It is not safe for concurrent use.
 type Admissions struct {
-	sent []time.Time // when requests were sent in the last admissionWindow, oldest first
+	sent []time.Time // when requests were sent in the last AdmissionWindow, oldest first
 }
 
 // CanSend reports whether another request may be sent now under a limit per second.
@@ -24,9 +29,22 @@
 	a.sent = append(a.sent, now)
 }
 
+// Wait returns how long it takes until another request may be sent under a limit. A limit
+// of 0 or less allows none ever; Wait then returns AdmissionWindow.
+func (a *Admissions) Wait(limit int, now time.Time) time.Duration {
+	a.expire(now)
+	switch {
+	case limit <= 0:
+		return AdmissionWindow
+	case len(a.sent) < limit:
+		return 0
+	}
+	return a.sent[len(a.sent)-limit].Add(AdmissionWindow).Sub(now)
+}
+
 func (a *Admissions) expire(now time.Time) {
 	expired := 0
-	for expired < len(a.sent) && now.Sub(a.sent[expired]) >= admissionWindow {
+	for expired < len(a.sent) && now.Sub(a.sent[expired]) >= AdmissionWindow {
 		expired++
 	}
 	a.sent = a.sent[expired:]
@@ -34,21 +52,28 @@
 
 const (
 	admissionFraction = 0.85 // fraction of the limit that all gateways together use
-	coldRateFactor    = 1.3  // factor on a cold target's rate; above 1, since AdmissionLimit divides the rate by more gateways than run
 	noLimit           = 1 << 30
 )
 
-// AdmissionLimit returns the requests per second that each of the gateways may
-// send to a target. rate is what a cold target tolerates; rate*factor + slack is
-// the limit for all gateways together, whether the target is cold or not. A rate of 0
-// sets no limit.
-func AdmissionLimit(rate, factor, slack float64, gateways int, cold bool) int {
-	if rate <= 0 {
+// AdmissionBounds are what all gateways together may send to a target in a second.
+type AdmissionBounds struct {
+	Rate   float64 // requests that a cold target tolerates; 0 sets no limit
+	Factor float64 // factor on Rate up to which it may be exceeded
+	Slack  float64 // requests allowed beyond that
+}
+
+// Share returns the requests per second that one gateway of the given number may send to
+// a target; rank is its rank among them for the target. Rate*Factor + Slack holds even if
+// headroom gateways run that the others do not know of, and whether the target is known to
+// be cold or not. A target that is known to be cold gets no more than Rate.
+func (b AdmissionBounds) Share(gateways, headroom, rank int, cold bool) int {
+	if b.Rate <= 0 {
 		return noLimit
 	}
-	limit := (rate*factor + slack) * admissionFraction
+	limit := max(1, int((b.Rate*b.Factor+b.Slack)*admissionFraction))
+	part := share.WithHeadroom(limit, gateways, headroom, rank)
 	if cold {
-		limit = min(limit, rate*coldRateFactor)
+		part = min(part, share.Of(max(1, int(b.Rate)), gateways, rank))
 	}
-	return max(1, int(limit/float64(max(gateways, 1))))
+	return part
 }
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -1,10 +1,14 @@
 package quota
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/core/share"
 )
 
 func TestAdmissionsStayWithinTheLimitInAnySecond(t *testing.T) {
@@ -30,11 +34,83 @@
 // requests and must be able to admit them. The six and the nine gateways together
 // must stay within the targets' limits.
 func TestColdTargetsCanServeOrdinaryDemand(t *testing.T) {
-	const rate, factor, slack, gateways, spare = 26, 1.5, 5, 6, 3
-	limit := AdmissionLimit(rate, factor, slack, gateways+spare, true)
-	assert.Assert(t, limit*16 >= 80/3+10, "%d requests per second at each of 16 targets", limit)
-	assert.Assert(t, limit*gateways <= rate, "six gateways may send %d requests per second", limit*gateways)
-	assert.Assert(t, limit*(gateways+spare) <= rate*factor+slack, "nine gateways may send %d requests per second", limit*(gateways+spare))
+	const gateways, spare, targets = 6, 3, 16
+	bounds := AdmissionBounds{Rate: 26, Factor: 1.5, Slack: 5}
+	for _, count := range []int{gateways, gateways + spare} {
+		least, names := math.MaxInt, gatewayNames(count)
+		for target := range uint64(targets) {
+			sum := 0
+			for _, name := range names {
+				sum += bounds.Share(count, spare, share.NewMembers(name, names).Rank(target), true)
+			}
+			assert.Assert(t, sum <= int(bounds.Rate), "%d gateways may send %d requests per second", count, sum)
+		}
+		for _, name := range names {
+			limit := 0
+			for target := range uint64(targets) {
+				limit += bounds.Share(count, spare, share.NewMembers(name, names).Rank(target), true)
+			}
+			least = min(least, limit)
+		}
+		assert.Assert(t, least >= 80/3+10, "%d requests per second at %d targets", least, targets)
+	}
+}
+
+func gatewayNames(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprint("gateway-", i)
+	}
+	return names
+}
+
+// Shares add up to the bound at any size, for small bounds as well, whether the target is
+// known to be cold or not.
+func TestAdmissionsOfManyGatewaysStayWithinAnyBound(t *testing.T) {
+	const headroom = 3
+	for _, count := range []int{1, 6, 9, 34, 37, 420} {
+		for _, bounds := range []AdmissionBounds{
+			{Rate: 1, Factor: 1},
+			{Rate: 1, Factor: 1.5, Slack: 1},
+			{Rate: 2, Factor: 1.5, Slack: 5},
+			{Rate: 14, Factor: 1.5, Slack: 5},
+			{Rate: 26, Factor: 1.5, Slack: 5},
+			{Rate: 100, Factor: 1, Slack: 0},
+		} {
+			for _, cold := range []bool{true, false} {
+				sum := 0
+				for rank := range count {
+					sum += bounds.Share(count, headroom, rank, cold)
+				}
+				allowed := int(bounds.Rate*bounds.Factor + bounds.Slack)
+				assert.Assert(t, sum >= 1 && sum <= allowed, "%d gateways, %+v, cold %t: %d for %d", count, bounds, cold, sum, allowed)
+			}
+		}
+	}
+}
+
+// A gateway that restarts does not know what it has sent before.
+func TestRestartedGatewayHasNoRetrySlackAtOnce(t *testing.T) {
+	const slack, window, gateways = 88.0, 10 * time.Second, 9
+	now := time.Unix(1000, 0)
+	budget := NewRetryBudget(0.2, slack, window, now)
+	assert.Assert(t, !budget.Allow(gateways, now.Add(window-time.Millisecond)))
+	assert.Assert(t, budget.Allow(gateways, now.Add(window)))
+	assert.Assert(t, !budget.Allow(0, now.Add(window)), "it does not know how many gateways run")
+}
+
+func TestWaitEndsWhenARequestMayBeSent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a Admissions
+	assert.Equal(t, a.Wait(2, now), time.Duration(0))
+	a.RecordSent(now)
+	a.RecordSent(now.Add(100 * time.Millisecond))
+	later := now.Add(200 * time.Millisecond)
+	wait := a.Wait(2, later)
+	assert.Assert(t, !a.CanSend(2, later.Add(wait-1)))
+	assert.Assert(t, a.CanSend(2, later.Add(wait)))
+	assert.Equal(t, a.Wait(1, later), wait+100*time.Millisecond)
+	assert.Equal(t, a.Wait(0, later), AdmissionWindow)
 }
 
 func TestRetriesOfAllGatewaysStayWithinTheBudget(t *testing.T) {
@@ -43,7 +119,7 @@
 	now := time.Unix(1000, 0)
 	var budgets []*RetryBudget
 	for range gateways {
-		budgets = append(budgets, NewRetryBudget(ratio, slack, window, gateways))
+		budgets = append(budgets, NewRetryBudget(ratio, slack, window, now.Add(-window)))
 	}
 	var requests, retries []time.Time
 	for i := range 20000 {
@@ -51,7 +127,7 @@
 		budget := budgets[i%gateways]
 		budget.RecordRequest(now)
 		requests = append(requests, now)
-		for budget.Allow(now) {
+		for budget.Allow(gateways, now) {
 			retries = append(retries, now)
 		}
 	}
--- a/internal/core/quota/retries.go
+++ b/internal/core/quota/retries.go
@@ -47,30 +47,37 @@
 // RetryBudget is one gateway's share of the retries of a service. It is not safe for
 // concurrent use.
 type RetryBudget struct {
-	requests window
-	retries  window
-	ratio    float64
-	slack    float64
+	requests  window
+	retries   window
+	ratio     float64
+	slack     float64 // of all gateways together
+	slackFrom time.Time
 }
 
-// NewRetryBudget returns the budget of one of the given number of gateways. In each
-// window of the given length it allows ratio retries per request of this gateway, and
-// an equal share of the slack of all gateways.
-func NewRetryBudget(ratio, slack float64, length time.Duration, gateways int) *RetryBudget {
+// NewRetryBudget returns the budget of a gateway that started at a time. In each window of
+// the given length it allows ratio retries per request of this gateway, and an equal share
+// of the slack of all gateways. There is no slack in the first window, since the process
+// before this one may just have used it.
+func NewRetryBudget(ratio, slack float64, length time.Duration, started time.Time) *RetryBudget {
 	return &RetryBudget{
-		requests: newWindow(length),
-		retries:  newWindow(length),
-		ratio:    ratio * ratioFraction,
-		slack:    slack * slackFraction / float64(max(gateways, 1)),
+		requests:  newWindow(length),
+		retries:   newWindow(length),
+		ratio:     ratio * ratioFraction,
+		slack:     slack * slackFraction,
+		slackFrom: started.Add(length),
 	}
 }
 
 // RecordRequest counts a request, which raises the number of retries allowed.
 func (r *RetryBudget) RecordRequest(now time.Time) { r.requests.add(now) }
 
-// Allow reports whether a retry may be sent now, and counts it if so.
-func (r *RetryBudget) Allow(now time.Time) bool {
-	allowed := r.ratio*float64(r.requests.sum(now)) + r.slack
+// Allow reports whether a retry may be sent now, and counts it if so. gateways is the
+// number of gateways that may be running; 0: it is not known, and there is no slack.
+func (r *RetryBudget) Allow(gateways int, now time.Time) bool {
+	allowed := r.ratio * float64(r.requests.sum(now))
+	if gateways > 0 && !now.Before(r.slackFrom) {
+		allowed += r.slack / float64(gateways)
+	}
 	if float64(r.retries.sum(now)+1) > allowed {
 		return false
 	}
--- a/internal/core/rendezvous/hash.go
+++ b/internal/core/rendezvous/hash.go
@@ -2,6 +2,11 @@
 // key without coordination (highest random weight hashing).
 package rendezvous
 
+import (
+	"cmp"
+	"slices"
+)
+
 // FNV-1a parameters, 64 bits.
 const (
 	fnvOffset = 14695981039346656037
@@ -29,3 +34,15 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
+
+// Combine returns the hash of a key and a node, each given by a hash of its own.
+func Combine(key, node uint64) uint64 { return mix(key ^ mix(node)) }
+
+// Sort returns nodes in descending order of their hash with a key.
+func Sort(key uint64, nodes []string) []string {
+	sorted := slices.Clone(nodes)
+	slices.SortFunc(sorted, func(a, b string) int {
+		return cmp.Compare(Combine(key, Hash(b)), Combine(key, Hash(a)))
+	})
+	return sorted
+}
--- a/internal/fleetsync/state.go
+++ b/internal/fleetsync/state.go
@@ -210,7 +210,7 @@
 	read := shared.GetRead()
 	settingsAt := platform.Position{Era: read.GetSettingsEra(), Next: shared.SettingsNext}
 	if s.settingsAt.Before(settingsAt) {
-		batch := platform.Batch{Records: records(shared.Settings), Next: settingsAt.Next, Era: settingsAt.Era}
+		batch := platform.Batch{Records: Records(shared.Settings), Next: settingsAt.Next, Era: settingsAt.Era}
 		s.replaceSettings(batch, TimeFromAge(read.GetSettingsAgeMs(), now))
 	}
 	targetsAt := platform.Position{Era: read.GetTargetsEra(), Next: shared.TargetsNext}
@@ -227,9 +227,9 @@
 	s.targets.ExtendGrace(now.Add(time.Duration(shared.TargetsSettlingMs) * time.Millisecond))
 	s.recordTargetsRead(at, now, TimeFromAge(shared.GetRead().GetTargetsAgeMs(), now))
 	if shared.TargetsWhole {
-		s.replaceTargets(records(shared.Targets), now)
+		s.replaceTargets(Records(shared.Targets), now)
 	} else {
-		for _, record := range records(shared.Targets) {
+		for _, record := range Records(shared.Targets) {
 			s.applyTarget(record, now)
 		}
 		for _, id := range shared.TargetsGone {
@@ -264,7 +264,8 @@
 	return a
 }
 
-func records(stored []*wire.StoredRecord) []platform.Record {
+// Records returns the records that a peer has shared.
+func Records(stored []*wire.StoredRecord) []platform.Record {
 	list := make([]platform.Record, 0, len(stored))
 	for _, record := range stored {
 		list = append(list, platform.Record{Key: record.Key, Value: record.Value})
