Reject odd entries of other writers, one by one

Another writer may leave an entry with port 0, slots below 1 or huge, a cold time of 1e308 ms, a written time far ahead or an id that is no header. Numbers of this kind were taken: requests went to port 0, products of slots overflowed, and the conversion of the cold time differs between x86-64 and arm64.

Deep nesting held before: encoding/json stops at 10,000 levels with an error.

--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -173,14 +173,30 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("list VMs at %s: status %d", c.base, response.StatusCode)
 	}
-	var answer VMsAnswer
+	var answer struct {
+		VMs []json.RawMessage `json:"vms"`
+	}
 	if err := decode(response, &answer); err != nil {
 		return nil, errors.Wrapf(err, "list VMs at %s", c.base)
 	}
+	vms := decodeVMs(answer.VMs)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.vms, c.vmsETag = answer.VMs, response.Header.Get("ETag")
-	return answer.VMs, nil
+	c.vms, c.vmsETag = vms, response.Header.Get("ETag")
+	return vms, nil
+}
+
+// decodeVMs decodes the items of a list of VMs. It skips those that name no VM, so that one
+// odd item does not hide the others.
+func decodeVMs(items []json.RawMessage) []port.VM {
+	vms := make([]port.VM, 0, len(items))
+	for _, item := range items {
+		var vm port.VM
+		if err := json.Unmarshal(item, &vm); err == nil && vm.Name != "" {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
 }
 
 // cachedVMs returns the last list with its entity tag.
--- a/internal/app/gateway/fleet_test.go
+++ b/internal/app/gateway/fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,9 +102,19 @@
 	b.store.PutJSON(t, "keyed.servers", "i-x2", targetRecord(stranger, object{"slots": "six"}))
 	b.store.PutJSON(t, "keyed.servers", "i-x3", object{"service": "app", "address": stranger.Address()})
 	b.store.PutJSON(t, "keyed.servers", "i-x4", targetRecord(stranger, object{"state": "excellent"}))
+	b.store.PutJSON(t, "keyed.servers", "i-x5", targetRecord(stranger, object{"address": "127.0.0.1:0"}))
+	b.store.PutJSON(t, "keyed.servers", "i-x6", targetRecord(stranger, object{"slots": -6}))
+	b.store.PutJSON(t, "keyed.servers", "i-x7", targetRecord(stranger, object{"coldRemainingMs": 1e308}))
+	b.store.Put("keyed.servers", "i-x8", []byte(strings.Repeat(`{"service":`, 20_000)))
+	b.store.PutJSON(t, "keyed.nodes", "x-1", peerRecord{Control: "127.0.0.1:0", Loads: "nowhere", Revision: math.MaxInt64})
+	b.store.Put("keyed.nodes", "x-2", []byte(strings.Repeat("[", 200_000)))
 	b.store.PutJSON(t, "keyed.servers", "i-2", targetRecord(platformtest.NewTarget(t, "i-2"), nil))
 	b.wait("the last record is read", func() bool { return len(b.gateway.state.View().Targets["app"]) >= 2 })
 	assert.Equal(t, len(b.gateway.state.View().Targets["app"]), 2)
+	again := b.addGateway("gateway-2") // reads all records at once
+	assert.Equal(t, len(again.gateway.state.View().Targets["app"]), 2)
+	assert.Equal(t, again.gateway.peers.gateways(), 2+gatewayHeadroom)
+	assert.Equal(t, again.get("/read/").status, http.StatusOK)
 }
 
 // A gateway that the store rejects learns new settings from its peers. A new one
--- a/internal/app/gateway/members.go
+++ b/internal/app/gateway/members.go
@@ -142,15 +142,15 @@
 	now := time.Now()
 	alive := share.NewMembers(p.gateway.node.Name, p.alive(now))
 	for _, r := range records {
-		var record peerRecord
-		if json.Unmarshal(r.Value, &record) == nil && record.age(now) <= memberLifetime {
+		record, err := decodePeerRecord(r.Value, now)
+		if err != nil || record.age(now) <= memberLifetime {
 			continue
 		}
 		if alive.Rank(rendezvous.Hash(r.Key)) > 0 {
 			continue
 		}
 		putCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		err := p.gateway.store.Put(putCtx, platform.TopicNodes, r.Key, nil)
+		err = p.gateway.store.Put(putCtx, platform.TopicNodes, r.Key, nil)
 		cancel()
 		if err != nil {
 			p.gateway.log.Problem("expired node record not deleted", err, eventlog.Fields{"node": r.Key})
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -45,6 +45,27 @@
 	Revision int64  `json:"revision"` // time of writing, in Unix nanoseconds
 }
 
+// maxClockAhead is how far the clock of another node may be ahead of this one's.
+const maxClockAhead = time.Hour
+
+// decodePeerRecord decodes a node's record. Other programs may have written it.
+func decodePeerRecord(data []byte, now time.Time) (peerRecord, error) {
+	var record peerRecord
+	if err := json.Unmarshal(data, &record); err != nil {
+		return peerRecord{}, err
+	}
+	if err := platform.CheckAddress(record.Control); err != nil {
+		return peerRecord{}, errors.Wrap(err, "control address")
+	}
+	if err := platform.CheckAddress(record.Loads); err != nil {
+		return peerRecord{}, errors.Wrap(err, "address for datagrams")
+	}
+	if written := time.Unix(0, record.Revision); written.Sub(now) > maxClockAhead {
+		return peerRecord{}, errors.Errorf("written at %s", written)
+	}
+	return record, nil
+}
+
 // peerNode is what this gateway knows of one gateway.
 type peerNode struct {
 	record   peerRecord
@@ -180,8 +201,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range records {
-		var record peerRecord
-		if err := json.Unmarshal(r.Value, &record); err != nil {
+		record, err := decodePeerRecord(r.Value, now)
+		if err != nil {
 			p.gateway.log.Problem("invalid node record", err, eventlog.Fields{"node": r.Key})
 			continue
 		}
