Take no rejection of another request for an answer

A faulty replica may write an earlier rejection once more. On a kept connection it was taken for the answer to the next request: the product's own agents keep connections to engines and services, and rank programs to engines for orders. Completions, calls and orders have a connection of their own now. The gateway had that already, but took a rejection without an id for a promise that the request has not run; it is unknown now. Reports of load and of ranks stay on kept connections.

--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	maxIdleConnections  = 1024
+	maxIdleConnections  = 2
 	idleTimeout         = 30 * time.Second
 	loadTimeout         = time.Second
 	maxShortAnswerBytes = 64 << 10 // of a load report or the answer to an order
@@ -45,14 +45,21 @@
 type Client struct {
 	base      string
 	transport *http.Transport
+	keepAlive *http.Transport // for load reports, of which one that is repeated is only a little older
 }
 
 // New returns a client for the engine at the base URL.
 func New(base string) *Client {
 	return &Client{
 		base: strings.TrimSuffix(base, "/"),
+		// On a kept connection, an answer that the engine writes once more would be taken
+		// for the answer to the next request.
 		transport: &http.Transport{
-			MaxIdleConns:           maxIdleConnections,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxAnswerHeadBytes,
+		},
+		keepAlive: &http.Transport{
 			MaxIdleConnsPerHost:    maxIdleConnections,
 			IdleConnTimeout:        idleTimeout,
 			DisableCompression:     true,
@@ -62,7 +69,7 @@
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.keepAlive.CloseIdleConnections() }
 
 // Completion is the request for one chat completion.
 type Completion struct {
@@ -89,7 +96,7 @@
 			WroteRequest: func(httptrace.WroteRequestInfo) { completion.Sent() },
 		})
 	}
-	response, err := c.do(ctx, http.MethodPost, "/v1/chat/completions", completion.RequestID, body)
+	response, err := c.do(ctx, c.transport, http.MethodPost, "/v1/chat/completions", completion.RequestID, body)
 	if err != nil {
 		return nil, err
 	}
@@ -141,7 +148,7 @@
 
 // do sends one request. ErrNotSent is in the error's chain if there was no
 // connection to send it on.
-func (c *Client) do(ctx context.Context, method, path, requestID string, body []byte) (*http.Response, error) {
+func (c *Client) do(ctx context.Context, transport *http.Transport, method, path, requestID string, body []byte) (*http.Response, error) {
 	gotConnection := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConnection = true }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
@@ -152,7 +159,7 @@
 	if isHeaderValue(requestID) {
 		request.Header.Set(RequestIDHeader, requestID)
 	}
-	response, err := c.transport.RoundTrip(request)
+	response, err := transport.RoundTrip(request)
 	if err == nil {
 		return response, nil
 	}
@@ -187,7 +194,7 @@
 	var load Load
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	response, err := c.do(ctx, http.MethodGet, "/v1/load", "", nil)
+	response, err := c.do(ctx, c.keepAlive, http.MethodGet, "/v1/load", "", nil)
 	if err != nil {
 		return load, err
 	}
--- a/internal/adapter/engine/client_test.go
+++ b/internal/adapter/engine/client_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/adapter/repeating"
 )
 
 const (
@@ -68,6 +70,21 @@
 	}
 }
 
+func TestAnswerThatTheEngineRepeatsIsNotThatOfTheNextCall(t *testing.T) {
+	server := repeating.NewServer(t, `{"usage":{"completion_tokens":1}}`)
+	client := New(server.URL)
+	defer client.Close()
+	for i, want := range []int{http.StatusServiceUnavailable, http.StatusOK, http.StatusOK} {
+		answer, err := client.Complete(t.Context(), Completion{Body: []byte(`{}`)})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Status, want, "call %d", i)
+		_, err = answer.Next()
+		assert.NilError(t, err)
+		answer.Close()
+		assert.NilError(t, client.Order(t.Context(), Order{}))
+	}
+}
+
 func TestEncodeReplacesOnlyEngineFields(t *testing.T) {
 	body, err := Completion{Body: []byte(`{"model":"w","temperature":0.5,"resume_from":9}`), Model: "m", Priority: 3}.encode()
 	assert.NilError(t, err)
--- a/internal/adapter/engine/orders.go
+++ b/internal/adapter/engine/orders.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode order")
 	}
-	response, err := c.do(ctx, http.MethodPost, "/v1/orders", "", body)
+	response, err := c.do(ctx, c.transport, http.MethodPost, "/v1/orders", "", body)
 	if err != nil {
 		return err
 	}
--- a/internal/adapter/service/client.go
+++ b/internal/adapter/service/client.go
@@ -8,14 +8,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 )
 
 const (
-	maxIdleConnections = 256
-	idleTimeout        = 30 * time.Second
 	maxAnswerBytes     = 8 << 20
 	maxAnswerHeadBytes = 64 << 10
 )
@@ -29,26 +26,17 @@
 // Client calls one service.
 type Client struct {
 	base      string
-	keepAlive *http.Transport // for idempotent calls
-	singleUse *http.Transport // for calls with an idempotency key
+	transport *http.Transport
 }
 
 // New returns a client for the service at the base URL.
 func New(base string) *Client {
-	return &Client{
-		base: strings.TrimSuffix(base, "/"),
-		keepAlive: &http.Transport{
-			MaxIdleConnsPerHost:    maxIdleConnections,
-			IdleConnTimeout:        idleTimeout,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxAnswerHeadBytes,
-		},
-		singleUse: singleUseTransport(),
-	}
+	return &Client{base: strings.TrimSuffix(base, "/"), transport: singleUseTransport()}
 }
 
 // singleUseTransport returns a transport that opens a new connection for each
-// request. net/http resends a request only if a reused connection is lost, so here
+// request. On a kept one, an answer that the service writes once more would be taken for
+// the answer to the next request. net/http resends a request only if a reused connection is lost, so here
 // it never does, whatever the method and headers. HTTP/2 is disabled, as it has
 // other reasons to resend.
 func singleUseTransport() *http.Transport {
@@ -60,9 +48,6 @@
 	}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.keepAlive.CloseIdleConnections() }
-
 // Call is one call to the service.
 type Call struct {
 	Method string
@@ -89,11 +74,7 @@
 	if err != nil {
 		return Answer{}, errors.Wrapf(ErrNotSent, "build call of service %s: %v", c.base, err)
 	}
-	transport := c.keepAlive
-	if call.Key != "" {
-		transport = c.singleUse
-	}
-	response, err := transport.RoundTrip(request)
+	response, err := c.transport.RoundTrip(request)
 	if err != nil && !gotConnection {
 		return Answer{}, errors.Wrapf(ErrNotSent, "connect to service %s: %v", c.base, err)
 	}
--- a/internal/adapter/service/client_test.go
+++ b/internal/adapter/service/client_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/adapter/repeating"
 )
 
 // droppingServer answers the first request of each connection. At the second it
@@ -71,7 +73,6 @@
 			t.Run(method+" "+name, func(t *testing.T) {
 				server := newDroppingServer(t)
 				client := New(server.url)
-				defer client.Close()
 				header := http.Header{}
 				if name != "" {
 					header.Set(name, "k")
@@ -86,6 +87,16 @@
 	}
 }
 
+func TestAnswerThatTheServiceRepeatsIsNotThatOfTheNextCall(t *testing.T) {
+	server := repeating.NewServer(t, "ok")
+	client := New(server.URL)
+	for i, want := range []int{http.StatusServiceUnavailable, http.StatusOK, http.StatusOK} {
+		answer, err := client.Do(t.Context(), Call{Method: http.MethodGet, Path: "/"})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Status, want, "call %d", i)
+	}
+}
+
 func TestErrNotSentOnlyWithoutConnection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -187,8 +187,8 @@
 	if decoded.Leaving {
 		x.gateway.state.RecordLeaving(target.ID, target.Born)
 	}
-	if decoded.RequestID != "" && decoded.RequestID != x.caller.RequestID {
-		return unknown // an answer to another request
+	if !x.isAnswered(decoded) {
+		return unknown
 	}
 	x.gateway.limits.observe(target, decoded)
 	x.gateway.rests.observe(target, decoded, time.Now())
@@ -220,6 +220,15 @@
 	return delivered
 }
 
+// isAnswered reports whether an answer belongs to the request. Targets repeat its id. A
+// rejection without it may be that of an earlier request, while the target runs this one.
+func (x *exchange) isAnswered(answer platform.TargetAnswer) bool {
+	if answer.RequestID == "" {
+		return !answer.NotRun || x.caller.RequestID == ""
+	}
+	return answer.RequestID == x.caller.RequestID
+}
+
 // deliver sends a complete answer to the caller.
 func (x *exchange) deliver(response *bufferedResponse) {
 	header := x.writer.Header()
