Write nothing of a failed resumption into a stream

A stream had begun and broke off, and the next target failed. The gateway relayed what stood in the body of its answer: events without an id, such as the text of an error with its whole head, went to the caller, and a resumed stream without events, or a stream without any, was finished as complete. The product's entries wrote an error answer to a resumed stream after the tokens that the caller had.

An event without an id is none of a stream of events with ids, unless it is a comment. A stream that ends without events is no complete one, but for a caller who resumes and may have had all. An entry ends an attempt whose head is an error once the caller has tokens.

Failed before: TestFailedResumptionLeavesNoTraceInAStream (3 of 7 cases; the others, an error status among them, held), TestStreamWithoutEventsIsNotComplete, TestErrorOfAResumptionIsNotWrittenIntoTheStream (complete with status 500).

--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -33,8 +33,11 @@
 }
 
 // add adds an event. It returns errNoProgress if the stream sends too much without going
-// on.
+// on, and errForeign if the event, such as the text of an error, is none of the stream's.
 func (p *streamProgress) add(e event, position streamPosition) error {
+	if position.last > 0 && e.id == 0 && e.hasFields {
+		return errForeign
+	}
 	p.filler += len(e.raw)
 	if position.advances(e) {
 		p.filler = 0
@@ -58,14 +61,16 @@
 
 // event is one complete event of a stream, byte for byte as received.
 type event struct {
-	raw     []byte
-	id      int64 // 0: none
-	hasData bool
+	raw       []byte
+	id        int64 // 0: none
+	hasData   bool
+	hasFields bool // it holds more than comments
 }
 
 var (
 	errCutEvent   = errors.New("stream ends within an event")
 	errLongEvent  = errors.Errorf("event is over %d bytes", maxFillerBytes)
+	errForeign    = errors.New("event without an id in a stream of events with ids")
 	errNoProgress = errors.Errorf("stream sends over %d bytes without a new event", maxFillerBytes)
 )
 
@@ -101,6 +106,7 @@
 			e.id = id
 		}
 		e.hasData = e.hasData || bytes.HasPrefix(content, []byte("data"))
+		e.hasFields = e.hasFields || content[0] != ':'
 	}
 }
 
@@ -122,12 +128,11 @@
 // relay sends a stream's events to the caller as they arrive.
 func (x *exchange) relay(response *http.Response, target string, watch *watchdog) outcome {
 	reader := newEventReader(response.Body)
-	flusher := http.NewResponseController(x.writer)
 	begun := false
 	var progress streamProgress
 	for {
 		next, err := reader.next()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && (progress.events > 0 || x.maybeComplete(response)) {
 			return x.finishStream(response)
 		}
 		if err == nil {
@@ -137,14 +142,7 @@
 			x.recordAnswered()
 		}
 		if err != nil {
-			x.gateway.log.Decision("stream broken", eventlog.Fields{"request": x.caller.RequestID, "target": target, "error": err.Error()})
-			switch {
-			case watch.fired():
-				return timedOut
-			case begun:
-				return cut
-			}
-			return unknown
+			return x.streamBroken(err, target, begun, watch)
 		}
 		now := time.Now()
 		watch.recordStreamEvent(now)
@@ -159,18 +157,46 @@
 			begun = true
 			x.startStream(response.Header)
 		}
-		if _, err := x.writer.Write(next.raw); err != nil {
-			return x.callerLeft()
-		}
-		if err := flusher.Flush(); err != nil {
+		if err := x.writeEvent(next); err != nil {
 			return x.callerLeft()
 		}
-		if next.id > 0 {
-			x.stream.last = next.id
-		}
 	}
 }
 
+// streamBroken returns the outcome of an attempt whose stream has failed. begun reports
+// whether events of this attempt were relayed.
+func (x *exchange) streamBroken(err error, target string, begun bool, watch *watchdog) outcome {
+	x.gateway.log.Decision("stream broken", eventlog.Fields{"request": x.caller.RequestID, "target": target, "error": err.Error()})
+	switch {
+	case watch.fired():
+		return timedOut
+	case begun:
+		return cut
+	}
+	return unknown
+}
+
+// writeEvent sends an event to the caller.
+func (x *exchange) writeEvent(e event) error {
+	if _, err := x.writer.Write(e.raw); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(x.writer).Flush(); err != nil {
+		return err
+	}
+	if e.id > 0 {
+		x.stream.last = e.id
+	}
+	return nil
+}
+
+// maybeComplete reports whether an answer without events may be a whole one: that of a
+// caller who has had all events, if its end is marked.
+func (x *exchange) maybeComplete(response *http.Response) bool {
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return framed && x.caller.LastEvent > 0 && !x.stream.started
+}
+
 // startStream sends the caller the headers of the first target that answered.
 func (x *exchange) startStream(from http.Header) {
 	if x.stream.started {
--- a/internal/app/gateway/streams_test.go
+++ b/internal/app/gateway/streams_test.go
@@ -58,6 +58,35 @@
 	}
 }
 
+// The caller may get no more than the events of the stream, and must see that it is cut.
+func TestFailedResumptionLeavesNoTraceInAStream(t *testing.T) {
+	for name, behavior := range map[string]platformtest.Behavior{
+		"error status": platformtest.Fail, "rejection": platformtest.Reject, "unsigned": platformtest.Unsigned,
+		"end before the first event": platformtest.EmptyStream, "error written into the stream": platformtest.ErrorInStream,
+		"error as an event": platformtest.ErrorEvent, "answer of another request": platformtest.WrongRequest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			one, two := platformtest.NewTarget(t, "i-1", platformtest.ResetMidway), platformtest.NewTarget(t, "i-2", platformtest.ResetMidway)
+			one.OnResume, two.OnResume = behavior, behavior
+			b := newTestbed(t, one, two)
+			got := b.post("/stream/", "prompt")
+			assert.Assert(t, got.err != nil, "a broken stream looks complete: %q", got.body)
+			assert.Equal(t, got.body, streamEvents(1, one.Events/2))
+			assert.Equal(t, arrived(one, two), 2)
+		})
+	}
+}
+
+func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
+	for name, behavior := range map[string]platformtest.Behavior{"empty": platformtest.EmptyStream, "served": platformtest.Serve} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, platformtest.NewTarget(t, "i-1", behavior))
+			got := b.post("/final/stream/", "prompt")
+			assert.Equal(t, got.err == nil && got.status == http.StatusOK, behavior == platformtest.Serve, "%d %q", got.status, got.body)
+		})
+	}
+}
+
 func TestBrokenNonResumableStreamIsAborted(t *testing.T) {
 	one := platformtest.NewTarget(t, "i-1", platformtest.ResetMidway)
 	two := platformtest.NewTarget(t, "i-2", platformtest.ResetMidway)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -223,7 +223,7 @@
 	case *wire.AnswerFrame_Refused:
 		return a.refused(body.Refused), true
 	case *wire.AnswerFrame_Head:
-		a.head(body.Head)
+		return a.head(body.Head)
 	case *wire.AnswerFrame_Chunk:
 		return a.chunk(body.Chunk)
 	case *wire.AnswerFrame_Final:
@@ -234,12 +234,21 @@
 	return result{}, false
 }
 
-func (a *attempt) head(head *wire.Head) {
+// head handles the head of an answer. An error head cannot follow the beginning of a
+// stream, so it ends the attempt.
+func (a *attempt) head(head *wire.Head) (result, bool) {
 	a.answer.Status = int(head.GetStatus())
 	a.answer.Headers = head.GetHeaders()
-	if a.answer.Status != http.StatusOK {
-		a.relaying = false
+	if a.answer.Status == http.StatusOK {
+		return result{}, false
+	}
+	if a.run.started {
+		a.cancel()
+		err := errors.Errorf("status %d to a resumed stream", a.answer.Status)
+		return result{outcome: retry.Failed, code: codeConnectionBroken, ran: wire.Ran_RAN_YES, err: err}, true
 	}
+	a.relaying = false
+	return result{}, false
 }
 
 func (a *attempt) chunk(chunk *wire.Chunk) (result, bool) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -27,7 +27,7 @@
 		return frames(tokenBodies("abcdef", open.GetCall().GetModel().GetResumePosition(), 2)...), io.ErrUnexpectedEOF
 	}
 	f := newFixture(t, broken, answersWhole("abcdef"))
-	f.avoid(1)
+	f.avoidSecond()
 	answer, text, failure := f.do(modelRequest(true))
 	assert.Assert(t, failure == nil, "%v", failure)
 	assert.Equal(t, text, "abcdef")
@@ -35,11 +35,24 @@
 	assert.Equal(t, f.links.calls[1].GetModel().GetResumePosition(), int64(2))
 }
 
-// avoid makes the first pick choose a target other than number i.
-func (f *fixture) avoid(i int) {
+// An error head must not follow the tokens that the caller has.
+func TestErrorOfAResumptionIsNotWrittenIntoTheStream(t *testing.T) {
+	broken := func(open *wire.Open) ([]proto.Message, error) {
+		return frames(tokenBodies("abcdef", open.GetCall().GetModel().GetResumePosition(), 2)...), io.ErrUnexpectedEOF
+	}
+	failing := answersWith(&wire.Admitted{}, &wire.Head{Status: 500}, &wire.Chunk{Data: []byte("engine failed"), Position: 2}, &wire.Final{Frames: 1, Bytes: 13})
+	f := newFixture(t, broken, failing)
+	f.avoidSecond()
+	answer, text, failure := f.do(modelRequest(true))
+	assert.Assert(t, failure != nil && failure.Streaming, "complete: %+v", answer)
+	assert.Equal(t, text, "ab")
+}
+
+// avoidSecond makes the first pick choose a target other than that of the second agent.
+func (f *fixture) avoidSecond() {
 	pool := f.table.Model(modelRequest(false).name())
 	for _, member := range pool.Near {
-		if member.Target.Agent == "a"+string(rune('0'+i)) {
+		if member.Target.Agent == "a1" {
 			member.State.Begin()
 		}
 	}
@@ -51,7 +64,7 @@
 	f := newFixture(t, stalled, answersWhole("abcdef"))
 	f.dispatcher.cfg.StallTimeout = 20 * time.Millisecond
 	f.dispatcher.cfg.FirstFrameTimeout = 20 * time.Millisecond
-	f.avoid(1)
+	f.avoidSecond()
 	_, text, failure := f.do(modelRequest(true))
 	assert.Assert(t, failure == nil, "%v", failure)
 	assert.Equal(t, text, "abcdef")
@@ -173,7 +186,7 @@
 	f := newFixture(t, silent, answersWhole("abc"))
 	f.dispatcher.cfg.FirstFrameTimeout = 10 * time.Millisecond
 	f.dispatcher.cfg.AvoidPeriod = time.Minute
-	f.avoid(1)
+	f.avoidSecond()
 	for range 5 {
 		_, _, failure := f.do(modelRequest(false))
 		assert.Assert(t, failure == nil, "%v", failure)
