--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -222,7 +222,7 @@
 		return false
 	case x.mayHaveRun && !x.route.Repeatable():
 		return false
-	case x.stream.started && x.stream.last == 0: // without ids a stream cannot be resumed
+	case x.stream.anonymous:
 		return false
 	case x.faultyTarget != "", x.noTarget, !x.barred.MaySend():
 		return false
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -16,8 +16,9 @@
 
 // streamPosition is how much of a stream the caller has received.
 type streamPosition struct {
-	started bool
-	last    int64 // id of the last event relayed; 0: none
+	started   bool
+	last      int64 // id of the last event relayed; 0: none
+	anonymous bool  // an event without an id was relayed, so that the stream cannot be resumed
 }
 
 // advances reports whether an event takes the stream further: the events of a stream
@@ -187,6 +188,7 @@
 	if e.id > 0 {
 		x.stream.last = e.id
 	}
+	x.stream.anonymous = x.stream.anonymous || e.id == 0 && e.hasData
 	return nil
 }
 
