gateway: lookups that time out are not refused for good

Lookups have no body, so those of different callers are one request to that table; refused ones are not sent, so no answer clears it.

Change: the deadline is the request's time, like the watchdog's, and no strike. A refused request is tried once in two seconds, by one gateway in turn, so that an answer can clear what was lost for other reasons; what crashes targets is kept away by core/poison besides. The refusal says when a trial is possible.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -31,7 +31,7 @@
 	failed                   // the target answered with an error of its own
 	unknown                  // the request was sent, but its answer is missing or incomplete
 	cut                      // like unknown, but events of this attempt were already relayed
-	timedOut                 // like unknown, but the watchdog cancelled the attempt
+	timedOut                 // like unknown, but the watchdog or the deadline ended the attempt
 )
 
 var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out"}
@@ -144,7 +144,7 @@
 			return refused
 		case !connected.Load():
 			return notSent
-		case watch.fired():
+		case x.outOfTime(watch):
 			return timedOut
 		}
 		return unknown
@@ -153,6 +153,11 @@
 	return x.receive(response, target, watch)
 }
 
+// outOfTime reports whether an attempt was ended for its time, and not by its target.
+func (x *exchange) outOfTime(watch *watchdog) bool {
+	return watch.fired() || !time.Now().Before(x.deadline)
+}
+
 func (x *exchange) targetRequest(ctx context.Context, target registry.Usable) *http.Request {
 	priority := x.route.Priority
 	if x.account.Priority >= 0 {
@@ -206,7 +211,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerBytes))
 	if err != nil {
 		x.gateway.log.Decision("answer broken", eventlog.Fields{"request": x.caller.RequestID, "target": target.ID, "error": err.Error()})
-		if watch.fired() {
+		if x.outOfTime(watch) {
 			return timedOut
 		}
 		return unknown
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -159,8 +159,8 @@
 	ctx, cancel := x.context()
 	defer cancel()
 	x.gateway.countRequest(x.service)
-	if x.gateway.strikes.VerdictFor(x.fingerprint, time.Now()) == strike.Refused {
-		x.refuse("kills_targets", 0)
+	if wait, allowed := x.gateway.allowStruck(x.fingerprint, time.Now()); !allowed {
+		x.refuse("kills_targets", wait)
 		return
 	}
 	x.detectDisconnect()
@@ -176,6 +176,20 @@
 	x.giveUp()
 }
 
+// allowStruck reports whether a request may be sent for all that was lost with it. A
+// refused one is tried at times, by one gateway in turn, as it may be sound. If it may
+// not be sent, allowStruck returns the time until a trial is possible.
+func (g *Gateway) allowStruck(fingerprint string, now time.Time) (time.Duration, bool) {
+	if g.strikes.VerdictFor(fingerprint, now) != strike.Refused {
+		return 0, true
+	}
+	if !g.poison.tries(now.UnixNano() / int64(strike.TrialInterval)) {
+		return strike.TrialInterval, false
+	}
+	allowed, wait := g.strikes.Try(fingerprint, now)
+	return wait, allowed
+}
+
 // tryTarget makes one attempt, if the parts of the prompt allow it and a target is found.
 // It reports false once the request is complete.
 func (x *exchange) tryTarget(ctx context.Context) bool {
--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -244,3 +245,18 @@
 	b.get("/read/?id=2")
 	assert.Assert(t, arrived(one) > arrivedBefore, "the request was not sent")
 }
+
+// No target crashed: lookups that were lost are served again once targets answer.
+func TestLookupsThatWereLostAreServedOnceTargetsAnswer(t *testing.T) {
+	for name, behavior := range map[string]platformtest.Behavior{"timed out": platformtest.Hang, "reset": platformtest.Reset} {
+		t.Run(name, func(t *testing.T) {
+			lost := slices.Repeat([]platformtest.Behavior{behavior}, 5)
+			one, two := platformtest.NewTarget(t, "i-1", lost...), platformtest.NewTarget(t, "i-2", lost...)
+			b := newTestbed(t, one, two)
+			b.wait("a lookup is served again", func() bool { return b.get("/short/").status == http.StatusOK })
+			for range 10 {
+				assert.Equal(t, b.get("/short/").status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -169,7 +169,7 @@
 func (x *exchange) streamBroken(err error, target string, begun bool, watch *watchdog) outcome {
 	x.gateway.log.Decision("stream broken", eventlog.Fields{"request": x.caller.RequestID, "target": target, "error": err.Error()})
 	switch {
-	case watch.fired():
+	case x.outOfTime(watch):
 		return timedOut
 	case begun:
 		return cut
--- a/internal/core/strike/table.go
+++ b/internal/core/strike/table.go
@@ -20,6 +20,9 @@
 	// Lifetime is the time after which strikes expire, counted from the latest
 	// change.
 	Lifetime           = 10 * time.Minute
+	// TrialInterval is the time after the latest strike, or the latest trial, after which a
+	// refused request may be tried once more, since what was lost may not be due to it.
+	TrialInterval      = 2 * time.Second
 	maxRecordsPerShard = 1024
 	shards             = 16
 	fingerprintLen     = 16 // bytes kept of the hash
@@ -58,6 +61,7 @@
 	byNode    map[string]Count
 	latest    time.Time // latest change at any node, from which the record expires
 	changedAt time.Time // latest change of this record, by a node's count that arrived perhaps later
+	triedAt   time.Time // latest trial at this node while the request was refused
 }
 
 func (r *record) expired(now time.Time) bool { return now.Sub(r.latest) > Lifetime }
@@ -128,6 +132,27 @@
 	return Allowed
 }
 
+// Try reports whether a refused request may be tried now, and counts it as tried if so. If
+// not, it returns the time until it may.
+func (t *Table) Try(fingerprint string, now time.Time) (bool, time.Duration) {
+	s := t.shard(fingerprint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.records[fingerprint]
+	if !ok {
+		return true, 0
+	}
+	last := found.latest
+	if found.triedAt.After(last) {
+		last = found.triedAt
+	}
+	if wait := last.Add(TrialInterval).Sub(now); wait > 0 {
+		return false, wait
+	}
+	found.triedAt = now
+	return true, 0
+}
+
 // Strike adds weight strikes to this node's count and returns the new count.
 func (t *Table) Strike(fingerprint string, weight int, now time.Time) Count {
 	s := t.shard(fingerprint)
--- a/internal/core/strike/table_test.go
+++ b/internal/core/strike/table_test.go
@@ -121,3 +121,18 @@
 	}
 	assert.Equal(t, len(table.Counts(start.Add(2*Lifetime))), 0)
 }
+
+func TestRefusedRequestIsTriedOnceInAnInterval(t *testing.T) {
+	table, now := NewTable("a"), time.Unix(1000, 0)
+	table.Strike("f", refusedStrikes, now)
+	allowed, wait := table.Try("f", now.Add(TrialInterval/2))
+	assert.Assert(t, !allowed)
+	assert.Equal(t, wait, TrialInterval/2)
+	later := now.Add(TrialInterval)
+	allowed, _ = table.Try("f", later)
+	assert.Assert(t, allowed)
+	allowed, _ = table.Try("f", later)
+	assert.Assert(t, !allowed, "a trial is under way")
+	table.ClearStrikes("f", later)
+	assert.Equal(t, table.VerdictFor("f", later), Allowed)
+}
