gateway: bound the memory that bodies take together

Cause: each body was read whole by io.ReadAll, which copies as it grows, and nothing bounded all of them together; the settings' memory was not read.

Change: core/memory counts what requests hold. A body is read into a buffer of its length, if the budget has room; else it is read to its end, dropped and refused at once with the promise that it has not run. Large bodies leave a part to small ones. Buffered answers count, but are never dropped. Go's collector gets the memory as a soft limit.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -216,6 +216,7 @@
 		}
 		return unknown
 	}
+	x.memory.Grow(int64(len(body)))
 	buffered := &bufferedResponse{response.StatusCode, response.Header, body}
 	if response.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() {
 		x.fallback = buffered
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,7 @@
 
 	"quetzalbend/internal/app/hosted"
 	"quetzalbend/internal/core/fleet"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/quota"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/core/strike"
@@ -38,6 +40,7 @@
 	limits        *targetLimits
 	rests         *targetRests
 	transport     *http.Transport
+	memory        *memory.Budget
 	metrics       *metrics.Registry
 	requests      gometrics.Counter
 	drainingSince atomic.Int64 // start of the drain in Unix nanoseconds; 0: not draining
@@ -62,6 +65,7 @@
 		store:   platform.NewStore(node.StoreAddress),
 		state:   fleetsync.NewState(log, time.Now),
 		loads:   newLoads(),
+		memory:  memory.NewBudget(node.MemoryBytes),
 		strikes: strike.NewTable(node.Name),
 		metrics: metrics.New(),
 		retries: make(map[string]*quota.RetryBudget),
@@ -86,6 +90,9 @@
 // Run runs the gateway of this node until SIGTERM, followed by the drain.
 func Run(ctx context.Context) error {
 	return hosted.Run(ctx, func(ctx context.Context, node fleet.Node, log *eventlog.Log) error {
+		if node.MemoryBytes > 0 {
+			debug.SetMemoryLimit(int64(float64(node.MemoryBytes) * heapOfMemory))
+		}
 		return New(node, log).run(ctx)
 	})
 }
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -9,9 +9,8 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"quetzalbend/internal/core/fleet"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/eventlog"
@@ -21,7 +20,6 @@
 
 const (
 	defaultDeadline = 30 * time.Second     // of a request without a deadline header
-	defaultMaxBody  = 4 << 20              // bytes
 	deadlineMargin  = 5 * time.Millisecond // by which the gateway answers before the caller's deadline
 )
 
@@ -37,8 +35,9 @@
 	account     *fleet.Account
 	service     string
 	body        []byte
-	fingerprint string   // identifies the request in the table of failures attributed to it, see package strike
-	parts       []string // what may crash targets: the shared parts of the prompt, and the request as a whole
+	memory      *memory.Reservation // for the body and a buffered answer
+	fingerprint string              // identifies the request in the table of failures attributed to it, see package strike
+	parts       []string            // what may crash targets: the shared parts of the prompt, and the request as a whole
 
 	tried         map[string]bool   // targets to which an attempt was made
 	attempts      int               // number of times that the request was sent to a target
@@ -61,7 +60,9 @@
 		caller:  platform.DecodeCaller(r.Header),
 		arrived: time.Now(),
 		tried:   make(map[string]bool),
+		memory:  g.memory.Reserve(),
 	}
+	defer x.memory.Release()
 	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -77,27 +78,6 @@
 	x.run()
 }
 
-// readBody reads the whole body. If that fails, it ends the request and returns
-// false.
-func (x *exchange) readBody(limits fleet.Limits) bool {
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.respond(http.StatusRequestEntityTooLarge, "body_too_large")
-		return false
-	case err != nil:
-		x.gateway.log.Decision("request not read", eventlog.Fields{"request": x.caller.RequestID, "error": err.Error()})
-		panic(http.ErrAbortHandler)
-	}
-	x.body = body
-	return true
-}
-
 // admit determines the request's route, account and service. If the request is
 // not allowed, it answers the caller and returns false.
 func (x *exchange) admit(view *fleetsync.View) bool {
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -39,6 +39,7 @@
 	Seeds          []string // control addresses of nodes that are known from the start
 	StoreAddress   string
 	EngineAddress  string // engine on this VM; empty: none
+	MemoryBytes    int64  // that a process on this VM may use; 0: unknown
 	Heartbeat      time.Duration
 	GracePeriod    time.Duration // between SIGTERM and SIGKILL
 	Bounds         Bounds
--- a/internal/core/strike/table.go
+++ b/internal/core/strike/table.go
@@ -19,7 +19,7 @@
 	refusedStrikes = 4 // strikes from which a request is refused
 	// Lifetime is the time after which strikes expire, counted from the latest
 	// change.
-	Lifetime           = 10 * time.Minute
+	Lifetime = 10 * time.Minute
 	// TrialInterval is the time after the latest strike, or the latest trial, after which a
 	// refused request may be tried once more, since what was lost may not be due to it.
 	TrialInterval      = 2 * time.Second
