gateway: guard the watchdog's timer

The timer may fire before newWatchdog has stored it; the race detector reports it, and a process that stands still in between would crash. Failed before under the race detector: TestWatchdogOfASilentStreamChecksAgain.

--- a/internal/app/gateway/watchdog.go
+++ b/internal/app/gateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,7 +21,8 @@
 	x         *exchange
 	target    string
 	cancel    context.CancelFunc
-	timer     *time.Timer
+	mu        sync.Mutex   // guards timer, which may fire before newWatchdog has stored it
+	timer     *time.Timer  // nil: none
 	lastEvent atomic.Int64 // time of the last event, in Unix nanoseconds
 	hasFired  atomic.Bool
 }
@@ -28,6 +30,8 @@
 func newWatchdog(x *exchange, target string, cancel context.CancelFunc) *watchdog {
 	w := &watchdog{x: x, target: target, cancel: cancel}
 	w.lastEvent.Store(time.Now().UnixNano())
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	switch {
 	case x.attempts+1 >= x.route.MaxAttempts:
 		// The last attempt may use all the remaining time.
@@ -45,6 +49,8 @@
 func (w *watchdog) fired() bool { return w.hasFired.Load() }
 
 func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -62,7 +68,7 @@
 	now := time.Now()
 	silent := now.Sub(time.Unix(0, w.lastEvent.Load()))
 	if silent < targetSilence {
-		w.timer.Reset(targetSilence - silent)
+		w.checkAgainIn(targetSilence - silent)
 		return
 	}
 	silentHere := !w.x.gateway.loads.activeSince(w.target, now.Add(-targetSilence)) || silent >= streamSilence
@@ -70,5 +76,11 @@
 		w.fire()
 		return
 	}
-	w.timer.Reset(recentEventWindow / 2)
+	w.checkAgainIn(recentEventWindow / 2)
+}
+
+func (w *watchdog) checkAgainIn(wait time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Reset(wait)
 }
