targetlimit: gateways that hear few others use their part of a limit only

A gateway that heard no other sent up to a whole named limit by itself: after a restart of all, or behind cuts, 37 of them 37 times that. A majority that hears each other uses the whole limit, fewer use their part by number, and where that is less than one request, only the first four by rank for the target send. Together that is within the 1.5 times that the deployments allow.

Failed before: TestGatewaysThatHearNoOtherStayWithinALimitTogether. The load test with cuts and restarts knows all members now and passes, uses as before.

--- a/internal/app/gateway/members.go
+++ b/internal/app/gateway/members.go
@@ -101,11 +101,16 @@
 	return p.members.members()
 }
 
-// gateways returns the number of gateways that may be running, 0 if it is not known.
-func (p *peers) gateways() int {
+// allMembers returns the gateways that may be running, nil if they are not known.
+func (p *peers) allMembers() *share.Members {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	members := p.members.members()
+	return p.members.members()
+}
+
+// gateways returns the number of gateways that may be running, 0 if it is not known.
+func (p *peers) gateways() int {
+	members := p.allMembers()
 	if members == nil {
 		return 0
 	}
--- a/internal/app/gateway/targetlimits.go
+++ b/internal/app/gateway/targetlimits.go
@@ -39,8 +39,10 @@
 	if l.table.Empty() {
 		return true
 	}
-	others := func() []string { return l.peers.alive(now) }
-	return l.table.Allow(incarnationHash(target), l.peers.gateway.node.Name, others, now)
+	gateways := func() targetlimit.Gateways {
+		return targetlimit.Gateways{Self: l.peers.gateway.node.Name, Alive: l.peers.alive(now), Members: l.peers.allMembers()}
+	}
+	return l.table.Allow(incarnationHash(target), gateways, now)
 }
 
 // recordSent counts a request to a target. The peers are told at once if the target names
--- a/internal/core/targetlimit/load_test.go
+++ b/internal/core/targetlimit/load_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/core/share"
 )
 
 // The bounds that the deployments set.
@@ -43,6 +45,7 @@
 }
 
 type simGateway struct {
+	members     *share.Members
 	name        string
 	table       *Table
 	excusedTill time.Time // restarted or cut off
@@ -126,6 +129,18 @@
 	}
 }
 
+// gatewaysOf returns the gateways as one of them knows them.
+func (s *simulation) gatewaysOf(g *simGateway) Gateways {
+	if g.members == nil {
+		var names []string
+		for _, other := range s.gateways {
+			names = append(names, other.name)
+		}
+		g.members = share.NewMembers(g.name, names)
+	}
+	return Gateways{Self: g.name, Alive: s.others(g), Members: g.members}
+}
+
 func (s *simulation) chance(each time.Duration) bool {
 	return each > 0 && s.random.Float64() < float64(tick)/float64(each)
 }
@@ -204,7 +219,7 @@
 		if len(target.running) >= s.slots || best != nil && len(target.running) >= len(best.running) {
 			continue
 		}
-		if g.table.Allow(target.id, g.name, func() []string { return s.others(g) }, s.now) {
+		if g.table.Allow(target.id, func() Gateways { return s.gatewaysOf(g) }, s.now) {
 			best = target
 		}
 	}
--- a/internal/core/targetlimit/table.go
+++ b/internal/core/targetlimit/table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quetzalbend/internal/core/rendezvous"
+	"quetzalbend/internal/core/share"
 )
 
 const (
@@ -116,9 +117,27 @@
 	t.size.Store(int64(len(t.targets)))
 }
 
-// Allow reports whether another request may be sent to a target now. others returns the
-// names of the other gateways that are alive.
-func (t *Table) Allow(id uint64, self string, others func() []string, now time.Time) bool {
+// Gateways are those that send to the targets, as this one knows them.
+type Gateways struct {
+	Self    string
+	Alive   []string       // names of the others that have been heard lately
+	Members *share.Members // all that may run; nil: not known, then those that are alive
+}
+
+// part returns the part of a limit that the gateways that this one hears may use, with
+// itself: all of it for a majority, their own part for fewer, since the others may be cut
+// off and send as well, uncounted.
+func (g Gateways) part() float64 {
+	heard := float64(len(g.Alive) + 1)
+	all := max(float64(g.Members.Count()), heard)
+	if heard > all/2 {
+		return 1
+	}
+	return heard / all
+}
+
+// Allow reports whether another request may be sent to a target now.
+func (t *Table) Allow(id uint64, gateways func() Gateways, now time.Time) bool {
 	if t.Empty() {
 		return true
 	}
@@ -128,11 +147,17 @@
 	if known == nil || known.limit <= 0 || now.Sub(known.named) > limitLifetime {
 		return true
 	}
-	if !sends(id, known.limit, self, others()) {
+	g := gateways()
+	if !sends(id, known.limit, g.Self, g.Alive) {
 		return false
 	}
 	sent, sentShort := known.count(now)
-	return sent < atLeastOne(known.limit*windowRate) && sentShort < atLeastOne(math.Ceil(known.limit))
+	part := g.part()
+	allowed := known.limit * windowRate * part
+	if part < 1 && allowed < 1 && g.Members.Rank(id) >= baseSenders {
+		return false // the parts of all groups that do not hear each other would be one each
+	}
+	return sent < atLeastOne(allowed) && sentShort < atLeastOne(math.Ceil(known.limit*part))
 }
 
 // atLeastOne returns a number of requests, rounded down but at least 1.
--- a/internal/core/targetlimit/table_test.go
+++ b/internal/core/targetlimit/table_test.go
@@ -1,22 +1,26 @@
 package targetlimit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quetzalbend/internal/core/share"
 )
 
 var start = time.Unix(1000, 0)
 
 const id = 7
 
-func noOthers() []string { return nil }
+// alone returns a gateway without others.
+func alone(self string) func() Gateways { return func() Gateways { return Gateways{Self: self} } }
 
 // sendAll sends requests as long as the table allows and returns how many.
 func sendAll(table *Table, now time.Time) int {
 	sent := 0
-	for table.Allow(id, "a", noOthers, now) && sent < 100 {
+	for table.Allow(id, alone("a"), now) && sent < 100 {
 		table.RecordSent(id, now)
 		sent++
 	}
@@ -62,7 +66,7 @@
 	b.Merge("a", a.Reports(start), start)
 	assert.Equal(t, sendAll(a, start), 3)
 	b.Merge("a", a.Reports(start), start)
-	assert.Assert(t, !b.Allow(id, "b", noOthers, start))
+	assert.Assert(t, !b.Allow(id, alone("b"), start))
 }
 
 // An older answer that is reported late does not bring a limit back.
@@ -87,7 +91,7 @@
 		b.Merge("a", a.Reports(now), now)
 	}
 	assert.Equal(t, len(a.Reports(now)), 0)
-	assert.Assert(t, b.Allow(id, "b", noOthers, now))
+	assert.Assert(t, b.Allow(id, alone("b"), now))
 }
 
 func TestOnlySomeOfManyGatewaysSend(t *testing.T) {
@@ -104,3 +108,32 @@
 	}
 	assert.Equal(t, count, baseSenders+int(2*sendersPerRate))
 }
+
+// Gateways that hear nobody, each after a restart or behind a cut.
+func TestGatewaysThatHearNoOtherStayWithinALimitTogether(t *testing.T) {
+	for _, count := range []int{9, 37, 420} {
+		for _, limit := range []float64{0.3, 1, 2, 10} {
+			var names []string
+			for i := range count {
+				names = append(names, fmt.Sprint("g", i))
+			}
+			sent := 0
+			for _, name := range names {
+				table := NewTable()
+				table.Observe(id, limit, start)
+				known := Gateways{Self: name, Members: share.NewMembers(name, names)}
+				gateways := func() Gateways { return known }
+				for ms := 0; ms < 4000; ms += 5 {
+					now := start.Add(time.Duration(ms) * time.Millisecond)
+					if table.Allow(id, gateways, now) {
+						table.RecordSent(id, now)
+						sent++
+					}
+				}
+			}
+			allowed := 1.5*4*limit + 5 // the bound that the deployments set, in 4 s
+			assert.Assert(t, float64(sent) <= allowed, "%d gateways: %d for %.1f", count, sent, allowed)
+			assert.Assert(t, sent > 0)
+		}
+	}
+}
