Give gateways that start what is not divided

A gateway had no share for a window after its start. A stream refused meanwhile is told when the shares are back, not a third of its time.

TestSmallConcurrencyLimitHoldsOverManyEntries shows the same cause in the product's own limits, red.

--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -63,8 +63,9 @@
 
 // admissionLimits computes this gateway's share of the targets' admission rates.
 type admissionLimits struct {
-	bounds  fleet.Bounds
-	members *share.Members // nil: this gateway has no share
+	bounds   fleet.Bounds
+	members  *share.Members // nil: this gateway has no share
+	starting bool           // this gateway has only what is left to those that start
 }
 
 // of returns the requests per second that this gateway may send to a target of the service.
@@ -73,6 +74,9 @@
 	if service.ColdRate > 0 && a.members != nil {
 		rank = t.rankIn(a.members)
 	}
+	if a.starting {
+		return a.bound(service).StartShare(a.members.Count(), rank)
+	}
 	return a.bound(service).Share(a.members.Count(), gatewayHeadroom, rank, now.Before(target.ColdUntil))
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -146,7 +146,8 @@
 func (g *Gateway) draining() bool { return g.drainingSince.Load() != 0 }
 
 func (g *Gateway) gates(now time.Time) targetGates {
-	return targetGates{admissionLimits{g.node.Bounds, g.peers.admitters(now)}, g.limits, g.rests}
+	admission := admissionLimits{g.node.Bounds, g.peers.allMembers(), g.peers.startWait(now) > 0}
+	return targetGates{admission, g.limits, g.rests}
 }
 
 func (g *Gateway) serviceRetries(service string) *quota.RetryBudget {
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -277,6 +277,7 @@
 
 const (
 	shortRetryAfter = 300 * time.Millisecond
+	maxStartSpread  = 300 * time.Millisecond // over which callers are spread that come back once this gateway has its shares
 	// retryAfterDivisor bounds Retry-After: callers wait at most the time left
 	// until their deadline, divided by it.
 	retryAfterDivisor = 3
@@ -291,7 +292,10 @@
 		return x.barred.RetryAfter
 	}
 	longest := max(time.Until(x.deadline)/retryAfterDivisor, 0)
+	starting := x.gateway.peers.startWait(time.Now())
 	switch {
+	case starting > 0 && x.refusalReason() == admissionLimit:
+		return min(starting+rand.N(maxStartSpread), longest)
 	case x.route.Kind == fleet.Stream:
 		return longest
 	case x.refusalReason() == admissionLimit:
--- a/internal/app/gateway/members.go
+++ b/internal/app/gateway/members.go
@@ -81,24 +81,23 @@
 // names returns the names of the members that have given a sign of life.
 func (m *membership) names() []string { return slices.Collect(maps.Keys(m.lastSign)) }
 
-// mayAdmit reports whether this gateway may use its shares of admissions: the process
-// before it has not sent within the window, and the others know that it is there.
-func (m *membership) mayAdmit(now time.Time) bool {
-	if now.Sub(m.started) < quota.AdmissionWindow {
-		return false
+// startWait returns the time until this gateway may use its whole shares of admissions: the
+// process before it has not sent within the window, and the others know that it is there.
+func (m *membership) startWait(now time.Time) time.Duration {
+	wait := m.started.Add(quota.AdmissionWindow).Sub(now)
+	if !m.registered && !m.announced.IsZero() {
+		wait = max(wait, m.announced.Add(joinWait).Sub(now))
 	}
-	return m.registered || !m.announced.IsZero() && now.Sub(m.announced) >= joinWait
+	if !m.registered && m.announced.IsZero() {
+		wait = max(wait, joinWait)
+	}
+	return max(wait, 0)
 }
 
-// admitters returns the gateways among which admissions are divided, nil if this one has no
-// share of them yet.
-func (p *peers) admitters(now time.Time) *share.Members {
+func (p *peers) startWait(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.members.mayAdmit(now) {
-		return nil
-	}
-	return p.members.members()
+	return p.members.startWait(now)
 }
 
 // allMembers returns the gateways that may be running, nil if they are not known.
--- a/internal/core/limits/limiter_test.go
+++ b/internal/core/limits/limiter_test.go
@@ -246,3 +246,21 @@
 		i++
 	}
 }
+
+// Eight entries before an account that may run two requests at once.
+func TestSmallConcurrencyLimitHoldsOverManyEntries(t *testing.T) {
+	const entries, limit = 8, 2
+	c := newCluster(entries, schema.Limits{Concurrent: limit})
+	for range 5 {
+		for i := range entries {
+			c.report(i)
+		}
+	}
+	running := 0
+	for _, limiter := range c.limiters {
+		if _, refusal := limiter.Admit(c.now, c.account, Subject{}, Subject{}); refusal == nil {
+			running++
+		}
+	}
+	assert.Assert(t, running <= limit, "%d requests run where %d may", running, limit)
+}
--- a/internal/core/quota/admissions.go
+++ b/internal/core/quota/admissions.go
@@ -62,6 +62,14 @@
 	Slack  float64 // requests allowed beyond that
 }
 
+// all returns the requests per second that all gateways together may send to a target.
+func (b AdmissionBounds) all() int { return int(b.Rate*b.Factor + b.Slack) }
+
+// used returns how many of them are divided.
+func (b AdmissionBounds) used() int {
+	return max(1, int((b.Rate*b.Factor+b.Slack)*admissionFraction))
+}
+
 // Share returns the requests per second that one gateway of the given number may send to
 // a target; rank is its rank among them for the target. Rate*Factor + Slack holds even if
 // headroom gateways run that the others do not know of, and whether the target is known to
@@ -70,10 +78,19 @@
 	if b.Rate <= 0 {
 		return noLimit
 	}
-	limit := max(1, int((b.Rate*b.Factor+b.Slack)*admissionFraction))
-	part := share.WithHeadroom(limit, gateways, headroom, rank)
+	part := share.WithHeadroom(b.used(), gateways, headroom, rank)
 	if cold {
 		part = min(part, share.Of(max(1, int(b.Rate)), gateways, rank))
 	}
 	return part
 }
+
+// StartShare is like Share for a gateway that has just started. The process before it may
+// have used its share within AdmissionWindow, or the others may not know it, so all gateways
+// that start have only what is not divided.
+func (b AdmissionBounds) StartShare(gateways, rank int) int {
+	if b.Rate <= 0 {
+		return noLimit
+	}
+	return share.Of(b.all()-b.used(), gateways, rank)
+}
--- a/internal/core/quota/retries.go
+++ b/internal/core/quota/retries.go
@@ -52,12 +52,13 @@
 	ratio     float64
 	slack     float64 // of all gateways together
 	slackFrom time.Time
+	startWith float64 // slack of all gateways together before slackFrom
 }
 
 // NewRetryBudget returns the budget of a gateway that started at a time. In each window of
 // the given length it allows ratio retries per request of this gateway, and an equal share
-// of the slack of all gateways. There is no slack in the first window, since the process
-// before this one may just have used it.
+// of the slack of all gateways. In the first window it has only what the process before this
+// one cannot have used.
 func NewRetryBudget(ratio, slack float64, length time.Duration, started time.Time) *RetryBudget {
 	return &RetryBudget{
 		requests:  newWindow(length),
@@ -65,6 +66,7 @@
 		ratio:     ratio * ratioFraction,
 		slack:     slack * slackFraction,
 		slackFrom: started.Add(length),
+		startWith: slack * (1 - slackFraction),
 	}
 }
 
@@ -74,9 +76,13 @@
 // Allow reports whether a retry may be sent now, and counts it if so. gateways is the
 // number of gateways that may be running; 0: it is not known, and there is no slack.
 func (r *RetryBudget) Allow(gateways int, now time.Time) bool {
+	slack := r.slack
+	if now.Before(r.slackFrom) {
+		slack = r.startWith
+	}
 	allowed := r.ratio * float64(r.requests.sum(now))
-	if gateways > 0 && !now.Before(r.slackFrom) {
-		allowed += r.slack / float64(gateways)
+	if gateways > 0 {
+		allowed += slack / float64(gateways)
 	}
 	if float64(r.retries.sum(now)+1) > allowed {
 		return false
