gateway: hand on silent gateways, and tell a new name from one that restarts

A gateway that is silent for 50 s lost its addresses in what peers hand on, so one that starts without the store counted one too few. A first read that failed took the gateway's own new record for one of a process before it, and so skipped the wait in which the others hear of it. Found by reading; TestSilentGatewayIsHandedOnToPeers failed before (records without addresses are rejected).

--- a/internal/app/gateway/cold_test.go
+++ b/internal/app/gateway/cold_test.go
@@ -168,3 +168,19 @@
 		return err == nil && len(batch.Records) == 1
 	})
 }
+
+// A gateway that is cut off is no longer sent datagrams, but still has its share.
+func TestSilentGatewayIsHandedOnToPeers(t *testing.T) {
+	beds := startColdGateways(t, 2, 1, 0, platformtest.NewTarget(t, "i-1"))
+	p := beds[0].gateway.peers
+	p.mu.Lock()
+	clear(p.nodes)
+	p.mu.Unlock()
+	records, err := p.records()
+	assert.NilError(t, err)
+	assert.Equal(t, len(records), 2)
+	for _, record := range records {
+		_, err := decodePeerRecord(record.Value, time.Now())
+		assert.NilError(t, err, record.Key)
+	}
+}
--- a/internal/app/gateway/members.go
+++ b/internal/app/gateway/members.go
@@ -33,36 +33,43 @@
 	self       string
 	started    time.Time
 	announced  time.Time // when this gateway's first announcement ended; zero: not yet
-	registered bool      // a process of this name ran before this one, so the others know it
+	registered bool      // a process of this name has announced itself before this one, so the others know it
+	unread     bool      // the records could not be read before this gateway announced itself
 	listed     bool      // the records of the gateways have been read, from the store or a peer
-	lastSign   map[string]time.Time
-	divided    *share.Members // of lastSign and self; nil: to be made
+	known      map[string]member
+	divided    *share.Members // of known and self; nil: to be made
+}
+
+// member is a gateway that may be running.
+type member struct {
+	record   peerRecord
+	lastSign time.Time // last sign of life
 }
 
 func newMembership(self string, started time.Time) membership {
-	return membership{self: self, started: started, lastSign: make(map[string]time.Time)}
+	return membership{self: self, started: started, known: make(map[string]member)}
 }
 
 // add records a sign of life of a gateway.
-func (m *membership) add(name string, at time.Time) {
-	last, known := m.lastSign[name]
+func (m *membership) add(name string, record peerRecord, at time.Time) {
+	if name == m.self && record.Revision < m.started.UnixNano() {
+		m.registered = true
+	}
+	last, known := m.known[name]
 	if !known {
 		m.divided = nil
 	}
-	if at.After(last) {
-		m.lastSign[name] = at
+	if !known || at.After(last.lastSign) {
+		m.known[name] = member{record, at}
 	}
 }
 
 // recordList records that all records of gateways have been added.
 func (m *membership) recordList(now time.Time) {
-	if !m.listed {
-		m.listed = true
-		_, m.registered = m.lastSign[m.self]
-	}
-	before := len(m.lastSign)
-	maps.DeleteFunc(m.lastSign, func(_ string, at time.Time) bool { return now.Sub(at) > memberLifetime })
-	if len(m.lastSign) != before {
+	m.listed = true
+	before := len(m.known)
+	maps.DeleteFunc(m.known, func(_ string, known member) bool { return now.Sub(known.lastSign) > memberLifetime })
+	if len(m.known) != before {
 		m.divided = nil
 	}
 }
@@ -79,7 +86,7 @@
 }
 
 // names returns the names of the members that have given a sign of life.
-func (m *membership) names() []string { return slices.Collect(maps.Keys(m.lastSign)) }
+func (m *membership) names() []string { return slices.Collect(maps.Keys(m.known)) }
 
 // startWait returns the time until this gateway may use its whole shares of admissions: the
 // process before it has not sent within the window, and the others know that it is there.
@@ -126,13 +133,15 @@
 func (p *peers) ranBefore() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.members.registered || !p.members.listed
+	return p.members.registered || p.members.unread || p.members.announced.IsZero()
 }
 
-func (p *peers) recordAnnounced(now time.Time) {
+// recordAnnounced records that this gateway has announced itself for the first time, and
+// whether it had read the others' records before.
+func (p *peers) recordAnnounced(read bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members.announced = now
+	p.members.announced, p.members.unread = now, !read
 }
 
 // age returns the time since the record was written, by the clocks of both nodes.
@@ -168,10 +177,10 @@
 func (p *peers) records() ([]*wire.StoredRecord, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := make([]*wire.StoredRecord, 0, len(p.members.lastSign))
-	for name, last := range p.members.lastSign {
-		record := p.nodes[name].record
-		record.Revision = max(record.Revision, last.UnixNano())
+	list := make([]*wire.StoredRecord, 0, len(p.members.known))
+	for name, known := range p.members.known {
+		record := known.record
+		record.Revision = max(record.Revision, known.lastSign.UnixNano())
 		value, err := json.Marshal(record)
 		if err != nil {
 			return nil, err
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -31,6 +31,7 @@
 	listRetry        = 2 * time.Second  // after a failed read and after the first read
 	nodeLifetime     = 50 * time.Second // a node is forgotten this long after its last sign of life
 	storeTimeout     = time.Second
+	firstReadTimeout = 300 * time.Millisecond // of a read that delays the start
 	loadInterval     = 60 * time.Millisecond  // between datagrams while requests run
 	idleInterval     = 300 * time.Millisecond // between datagrams while none run; less than readers.MaxReadAge, since peers rely on a reported read only up to that age
 	datagramBytes    = 64 << 10               // the largest that UDP carries
@@ -106,9 +107,9 @@
 	}
 	p.conn = conn
 	group, ctx := errgroup.WithContext(ctx)
-	p.readNodes(ctx) // before the announcement: tells whether a process of this name ran before
-	p.announce(ctx)  // before the next read: if two nodes start together, at least one finds the other
-	p.recordAnnounced(time.Now())
+	_, read := p.readNodes(ctx, firstReadTimeout) // before the announcement: tells whether a process of this name ran before
+	p.announce(ctx)                               // before the next read: if two nodes start together, at least one finds the other
+	p.recordAnnounced(read, time.Now())
 	group.Go(func() error { return p.announceRepeatedly(ctx) })
 	group.Go(func() error { return p.list(ctx) })
 	group.Go(func() error { return p.send(ctx) })
@@ -170,7 +171,7 @@
 	wait := listRetry
 	for ctx.Err() == nil {
 		era := p.gateway.store.Era()
-		batch, ok := p.readNodes(ctx)
+		batch, ok := p.readNodes(ctx, storeTimeout)
 		if !ok {
 			pause.For(ctx, listRetry)
 			continue
@@ -183,8 +184,8 @@
 }
 
 // readNodes reads the nodes' records from the store and reports whether that succeeded.
-func (p *peers) readNodes(ctx context.Context) (platform.Batch, bool) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+func (p *peers) readNodes(ctx context.Context, timeout time.Duration) (platform.Batch, bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	batch, err := p.gateway.store.Newest(ctx, platform.TopicNodes)
 	if err != nil {
@@ -210,7 +211,7 @@
 		if age > memberLifetime {
 			continue
 		}
-		p.members.add(r.Key, now.Add(-age))
+		p.members.add(r.Key, record, now.Add(-age))
 		// A lower revision is from before the store came back from a copy.
 		if known, ok := p.nodes[r.Key]; !ok || known.record.Revision < record.Revision {
 			p.nodes[r.Key] = peerNode{record: record, lastSeen: now, heard: known.heard}
@@ -229,7 +230,7 @@
 	node.record.Loads = from.String()
 	node.lastSeen, node.heard = now, now
 	p.nodes[datagram.Node] = node
-	p.members.add(datagram.Node, now)
+	p.members.add(datagram.Node, node.record, now)
 	if !known {
 		p.expireNodes(now)
 	}
