--- a/internal/app/gateway/borrow.go
+++ b/internal/app/gateway/borrow.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// borrowTimeout limits the time from the question to the use of an admission. It is
-	// shorter than quota.AdmissionWindow exceeds a second.
+	// borrowTimeout limits the time from the question to the use of an admission. The
+	// lender's window, quota.AdmissionWindow, exceeds a second by more than that.
 	borrowTimeout = 80 * time.Millisecond
 	maxBorrowAsks = 3 // gateways that are asked for one request
 	// borrowBackoff is how long no gateway is asked again for admissions to a service after
