--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -90,6 +90,12 @@
 }
 
 func startGateway(t *testing.T, name, store string, seeds []string) (*Gateway, context.CancelFunc, chan error) {
+	t.Helper()
+	return startPrepared(t, name, store, seeds, func(*Gateway) {})
+}
+
+// startPrepared starts a gateway that prepare has changed before.
+func startPrepared(t *testing.T, name, store string, seeds []string, prepare func(*Gateway)) (*Gateway, context.CancelFunc, chan error) {
 	t.Helper()
 	ports := freePorts(t, 4)
 	node := fleet.Node{
@@ -103,6 +109,7 @@
 	}
 	log := eventlog.New(io.Discard)
 	g := New(node, log)
+	prepare(g)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() {
