gateway: count an admission until its request has left

Callers saw: targets that come back cold get more requests in a second than they bear, and crash again, where requests leave late: a short processor, a full queue of new connections (dials may take 300 ms), a lent admission on its way. Class: the time that is counted differs from the time that the limit is about.

Cause: loads.choose counted the admission when the target was chosen, for 1,100 ms. A request that left up to 300 ms later and the next of the same share, which left at once, were within a second. A lender counted when it was asked, and nothing kept the borrower from sending later.

Change: an admitted request is pending, and counts, until it has been written, and 1,025 ms from then; one that is never sent (failed dial) counts no longer. A lent admission may be used for 150 ms from the question, checked at the first byte; the lender counts it from the end of that. The window no longer has to cover the way to the socket, so it shrinks from 1,100 to 1,025 ms: of two requests of one share, the first has left 1,025 ms before the second is chosen.

Ruled out: a longer window alone (1,400 ms) costs a quarter of each share at all times and ends where a process is stopped for longer.

TestRequestIsNotSentByALentAdmissionThatHasExpired fails without the check at the first byte.

--- a/internal/app/gateway/admission_test.go
+++ b/internal/app/gateway/admission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"quetzalbend/internal/core/fleet"
+	"quetzalbend/internal/core/registry"
 	"quetzalbend/platform/platformtest"
 )
 
@@ -62,3 +65,22 @@
 	assert.Assert(t, most <= allowed, "%d requests in a second, allowed %d", most, allowed)
 	assert.Assert(t, served > 0)
 }
+
+func TestRequestIsNotSentByALentAdmissionThatHasExpired(t *testing.T) {
+	target := platformtest.NewTarget(t, "i-1")
+	b := newTestbed(t, target)
+	b.wait("the process is seen to run", func() bool { return !b.gateway.suspension.recent(time.Now()) })
+	for _, lent := range []time.Duration{time.Minute, -time.Millisecond} {
+		sent := b.gateway.newBorrowedSending(registry.Usable{Target: fleet.Target{ID: target.ID}}, time.Now().Add(lent))
+		request, err := http.NewRequestWithContext(sent.trace(t.Context()), http.MethodGet, "http://"+target.Address()+"/read/", nil)
+		assert.NilError(t, err)
+		answer, err := b.gateway.transport.RoundTrip(request)
+		if lent > 0 {
+			assert.NilError(t, err)
+			assert.NilError(t, answer.Body.Close())
+		}
+		assert.Equal(t, err == nil, lent > 0)
+		assert.Equal(t, sent.expired.Load(), lent < 0)
+		assert.Equal(t, arrived(target), 1)
+	}
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -5,8 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"quetzalbend/internal/core/registry"
@@ -32,9 +30,10 @@
 	unknown                  // the request was sent, but its answer is missing or incomplete
 	cut                      // like unknown, but events of this attempt were already relayed
 	timedOut                 // like unknown, but the watchdog or the deadline ended the attempt
+	expired                  // not sent, since its lent admission had expired
 )
 
-var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out"}
+var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out", "expired"}
 
 func (o outcome) String() string { return outcomeNames[o] }
 
@@ -49,21 +48,24 @@
 	body   []byte
 }
 
-func (x *exchange) chooseTarget() (registry.Usable, bool) {
+func (x *exchange) chooseTarget() (*sending, bool) {
 	view := x.gateway.state.View()
 	service := view.Settings.Services[x.service]
 	if service == nil {
-		return registry.Usable{}, false
+		return nil, false
 	}
 	targets := view.Targets[x.service]
 	x.usableTargets = len(targets)
 	now := time.Now()
 	gates := x.gateway.gates(now)
 	target, found := x.gateway.loads.choose(service, targets, x.tried, gates, now)
-	if found && now.Before(target.ColdUntil) {
+	if !found {
+		return nil, false
+	}
+	if now.Before(target.ColdUntil) {
 		x.logSentCold(target, gates.admission, now)
 	}
-	return target, found
+	return x.gateway.newSending(target), true
 }
 
 // logSentCold logs that a cold target is sent the request, and among how many gateways its
@@ -90,6 +92,8 @@
 		x.recordAnswered()
 		x.gateway.strikes.ClearStrikes(x.fingerprint, now)
 		return true
+	case expired:
+		x.dials++
 	case notSent, refused:
 		x.dials++
 		x.gateway.loads.markSuspect(target.ID, now)
@@ -125,25 +129,25 @@
 
 // attempt sends the request to one target and relays its answer. It panics if the caller
 // leaves in the middle of a stream.
-func (x *exchange) attempt(ctx context.Context, target registry.Usable) outcome {
+func (x *exchange) attempt(ctx context.Context, sent *sending) outcome {
+	target := sent.target
 	defer x.gateway.loads.release(target.ID)
+	defer sent.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := newWatchdog(x, target.ID, cancel)
 	defer watch.stop()
 
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	response, err := x.gateway.transport.RoundTrip(x.targetRequest(ctx, target))
+	response, err := x.gateway.transport.RoundTrip(x.targetRequest(sent.trace(ctx), target))
 	if err != nil {
 		x.gateway.rests.unanswered(target)
 		switch {
-		case !connected.Load() && refusedConnection(err):
+		case !sent.connected.Load() && refusedConnection(err):
 			return refused
-		case !connected.Load():
+		case !sent.connected.Load():
 			return notSent
+		case sent.expired.Load():
+			return expired
 		case x.outOfTime(watch):
 			return timedOut
 		}
--- a/internal/app/gateway/borrow.go
+++ b/internal/app/gateway/borrow.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	// borrowTimeout limits the time from the question to the use of an admission. The
-	// lender's window, quota.AdmissionWindow, exceeds a second by more than that.
-	borrowTimeout = 80 * time.Millisecond
+	borrowTimeout = 80 * time.Millisecond // of a question for an admission
+	// lentTime is the time from the question in which a lent admission may be used. The
+	// lender counts the request as sent at its end.
+	lentTime      = 150 * time.Millisecond
 	maxBorrowAsks = 3 // gateways that are asked for one request
 	// borrowBackoff is how long no gateway is asked again for admissions to a service after
 	// all that were asked have refused.
@@ -33,11 +34,11 @@
 
 // borrow asks gateways that have a share of a target for one of their admissions, if this
 // gateway has none left at any target of the service.
-func (x *exchange) borrow(ctx context.Context) (registry.Usable, bool) {
+func (x *exchange) borrow(ctx context.Context) (*sending, bool) {
 	view, now := x.gateway.state.View(), time.Now()
 	service := view.Settings.Services[x.service]
 	if service == nil || service.ColdRate <= 0 || x.gateway.borrowing.pausedUntil(x.service).After(now) {
-		return registry.Usable{}, false
+		return nil, false
 	}
 	gates := x.gateway.gates(now)
 	targets := x.gateway.loads.rankByLoad(view.Targets[x.service], x.tried, gates, now)
@@ -46,15 +47,16 @@
 		if !found {
 			continue
 		}
+		asked := time.Now()
 		granted, err := x.gateway.peers.askAdmission(ctx, lender, x.service, target)
 		x.logBorrowed(target, lender, granted, err)
 		if granted {
 			x.gateway.loads.recordBorrowed(target, gates, time.Now())
-			return target, true
+			return x.gateway.newBorrowedSending(target, asked.Add(lentTime)), true
 		}
 	}
 	x.gateway.borrowing.pause(x.service, time.Now().Add(borrowBackoff))
-	return registry.Usable{}, false
+	return nil, false
 }
 
 // borrowing records for which services no admissions are asked for, since none were left.
@@ -126,7 +128,7 @@
 	if !t.admissions.CanSend(gates.admission.of(service, t, target, now), now) || !gates.allow(target, now) {
 		return false
 	}
-	t.admissions.RecordSent(now)
+	t.admissions.RecordSent(now.Add(lentTime))
 	return true
 }
 
@@ -181,7 +183,6 @@
 
 // askAdmission asks the gateway with a control address for an admission to a target.
 func (p *peers) askAdmission(ctx context.Context, address, service string, target registry.Usable) (bool, error) {
-	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	query := url.Values{serviceQuery: {service}, targetQuery: {target.ID}, bornQuery: {strconv.FormatInt(target.Born, 10)}}
@@ -197,8 +198,7 @@
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return false, errors.Wrapf(err, "ask %s for an admission", address)
 	}
-	late := time.Since(asked) > borrowTimeout || p.gateway.suspension.recent(time.Now())
-	return response.StatusCode == http.StatusNoContent && !late, nil
+	return response.StatusCode == http.StatusNoContent, nil
 }
 
 // serveAdmission lends a peer one of this gateway's admissions to a target.
--- a/internal/app/gateway/choose.go
+++ b/internal/app/gateway/choose.go
@@ -12,7 +12,7 @@
 )
 
 // choose picks a target of the service for a request and counts the request in
-// the target's load. It returns false if no target may be sent the request now.
+// the target's load and among its admissions (see sending). It returns false if no target may be sent the request now.
 func (l *loads) choose(service *fleet.Service, targets []registry.Usable, tried map[string]bool, limits targetGates, now time.Time) (registry.Usable, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -29,7 +29,7 @@
 	}
 	t := l.target(targets[best].ID, now)
 	t.ownRequests++
-	t.admissions.RecordSent(now)
+	t.admissions.Admit()
 	limits.recordSent(targets[best], now)
 	return targets[best], true
 }
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -182,16 +182,16 @@
 	if decision.Trial {
 		defer x.gateway.poison.endTrial(x)
 	}
-	target, found := x.chooseTarget()
+	sent, found := x.chooseTarget()
 	if !found {
-		target, found = x.borrow(ctx)
+		sent, found = x.borrow(ctx)
 	}
 	if !found {
 		x.noTarget = true
 		return true
 	}
-	outcome := x.attempt(ctx, target)
-	return !x.recordAttempt(outcome, target)
+	outcome := x.attempt(ctx, sent)
+	return !x.recordAttempt(outcome, sent.target)
 }
 
 // detectDisconnect waits up to disconnectWait, if the request may have been pending
--- a/internal/core/quota/admissions.go
+++ b/internal/core/quota/admissions.go
@@ -1,45 +1,61 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"quetzalbend/internal/core/share"
 )
 
-// AdmissionWindow is the time over which admissions are counted. It is longer than the one
-// second that a limit applies to, since the time from the gateway to the target differs
-// between requests.
-const AdmissionWindow = 1100 * time.Millisecond
+// AdmissionWindow is the time for which a request counts after it was sent: the second that
+// a limit applies to, and a margin for clocks.
+const AdmissionWindow = 1025 * time.Millisecond
 
 // Admissions limits how many requests one gateway sends to a target in a
 // second. It is not safe for concurrent use.
 type Admissions struct {
-	sent []time.Time // when requests were sent in the last AdmissionWindow, oldest first
+	pending int         // admitted requests that have not been sent
+	sent    []time.Time // when requests were sent in the last AdmissionWindow, or are sent at the latest; oldest first
 }
 
 // CanSend reports whether another request may be sent now under a limit per second.
 func (a *Admissions) CanSend(limit int, now time.Time) bool {
 	a.expire(now)
-	return len(a.sent) < limit
+	return a.pending+len(a.sent) < limit
 }
 
-// RecordSent counts a request that is sent now.
-func (a *Admissions) RecordSent(now time.Time) {
-	a.expire(now)
-	a.sent = append(a.sent, now)
+// Admit counts a request that is about to be sent. It counts until RecordAdmittedSent or
+// Cancel ends that, however long the request takes to leave.
+func (a *Admissions) Admit() { a.pending++ }
+
+// RecordAdmittedSent records that an admitted request is sent now.
+func (a *Admissions) RecordAdmittedSent(now time.Time) {
+	a.pending--
+	a.RecordSent(now)
+}
+
+// Cancel records that an admitted request will not be sent.
+func (a *Admissions) Cancel() { a.pending-- }
+
+// RecordSent counts a request that is sent at a time, which may lie ahead.
+func (a *Admissions) RecordSent(at time.Time) {
+	i, _ := slices.BinarySearchFunc(a.sent, at, time.Time.Compare)
+	a.sent = slices.Insert(a.sent, i, at)
 }
 
-// Wait returns how long it takes until another request may be sent under a limit. A limit
-// of 0 or less allows none ever; Wait then returns AdmissionWindow.
+// Wait returns how long it takes until another request may be sent under a limit, if those
+// that are pending are sent now. A limit of 0 or less allows none ever; Wait then returns
+// AdmissionWindow.
 func (a *Admissions) Wait(limit int, now time.Time) time.Duration {
 	a.expire(now)
+	free := limit - a.pending
 	switch {
-	case limit <= 0:
+	case free <= 0:
 		return AdmissionWindow
-	case len(a.sent) < limit:
+	case len(a.sent) < free:
 		return 0
 	}
-	return a.sent[len(a.sent)-limit].Add(AdmissionWindow).Sub(now)
+	return a.sent[len(a.sent)-free].Add(AdmissionWindow).Sub(now)
 }
 
 func (a *Admissions) expire(now time.Time) {
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -161,3 +161,27 @@
 	}
 	assert.Assert(t, len(retries) > 1000)
 }
+
+func TestAdmittedRequestsCountUntilTheyWereSentAndAWindowLonger(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a Admissions
+	a.Admit()
+	a.Admit()
+	a.Cancel()
+	later := now.Add(10 * AdmissionWindow)
+	assert.Assert(t, !a.CanSend(1, later), "it may still be sent")
+	assert.Equal(t, a.Wait(1, later), AdmissionWindow)
+	a.RecordAdmittedSent(later)
+	assert.Assert(t, !a.CanSend(1, later.Add(AdmissionWindow-1)))
+	assert.Assert(t, a.CanSend(1, later.Add(AdmissionWindow)))
+}
+
+func TestRequestsThatAreSentLaterByOthersCountFromThen(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a Admissions
+	a.RecordSent(now.Add(200 * time.Millisecond))
+	a.RecordSent(now)
+	end := now.Add(AdmissionWindow)
+	assert.Assert(t, a.CanSend(2, end) && !a.CanSend(1, end))
+	assert.Equal(t, a.Wait(1, end), 200*time.Millisecond)
+}
