limits: small concurrency limits hold over any number of entries

Callers saw: an account that may run 2 requests at once ran 8 at eight entries, one at each. With 8 entries before limits of 32 to 39 the same rule let 36 run where 32 may.

Cause: a share of a concurrency limit was rounded up to one request at each entry (max(1, share)), so that an account's only request was served wherever it came.

Fix (docs/adr/0006-small-concurrency-limits.md): a limit of fewer than four requests for each entry is divided by rank among all entries in the start-up file (core/share), and an entry without a free part borrows a permit for one request from one that has it. The lender counts the permit until it is back, until the borrower, asked once a round, no longer names it, or until the longest request must have ended. An entry that has started asks all others what they hold of its permits before it uses its parts. Larger limits go by demand as before, in whole requests; each entry counts one request as its demand at least, so none refuses an account's only request.

Ruled out: rounding the shares down (most entries refuse an account's only request, shown by TestRequestIsServedAtAnyEntryWhileFewerThanTheLimitRun, which needs the lending); stating held permits with the demand reports (a report may miss a permit lent after it was built: TestPermitThatIsLentAfterTheQuestionIsNotTakenBack).

Changed tests: newCluster gives each limiter its name and lets the entries answer what they hold, as the entries do at their start; without that all parts would be 0, and the red test would pass with no request running. The checks are as they were. limitsConfig takes the name.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -55,6 +55,7 @@
 	strikes         *strike.Table
 	poison          *poison.Table
 	limits          *limits.Limiter
+	permits         *permits
 	exchange        *exchanger
 	node            *settingssync.Node
 	feeder          *settingssync.Feeder
@@ -96,14 +97,24 @@
 		platform:        platform.NewClient(platform.Config{BaseURL: cfg.Platform, Node: cfg.Name}),
 		strikes:         strike.NewTable(cfg.Name + "/" + incarnation),
 		poison:          poison.NewTable(),
-		limits:          limits.New(limitsConfig(len(cfg.Peers))),
+		limits:          limits.New(limitsConfig(cfg.Name, len(cfg.Peers))),
 		settingsMetrics: gometrics.NewRegistry(),
 	}
+	peerPool := link.NewPool(exchangeLinkConfig(links))
+	e.permits = &permits{
+		name:     cfg.Name,
+		peers:    cfg.Peers,
+		pool:     peerPool,
+		limits:   e.limits,
+		catalog:  table.catalog,
+		registry: e.registry,
+	}
 	e.exchange = &exchanger{
 		name:        cfg.Name,
 		incarnation: incarnation,
 		peers:       cfg.Peers,
-		pool:        link.NewPool(exchangeLinkConfig(links)),
+		pool:        peerPool,
+		permits:     e.permits,
 		limits:      e.limits,
 		strikes:     e.strikes,
 		poison:      e.poison,
@@ -200,11 +211,13 @@
 }
 
 func (e *Entry) newCallersServer(ctx context.Context) *http.Server {
+	limiter := newLimiter(e.limits)
+	limiter.permits = e.permits
 	server := callerhttp.NewServer(callerhttp.Config{
 		Bounds:     e.cfg.Bounds.callers(),
 		Tables:     e.tables,
 		Dispatcher: e.newDispatcher(),
-		Limiter:    newLimiter(e.limits),
+		Limiter:    limiter,
 		Recorder:   newRecorder(e.registry),
 		Leaving:    e.health.isLeaving,
 	})
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -101,11 +101,16 @@
 	assert.NilError(s.t, err)
 }
 
-func (s *testSystem) putDefaults() {
+// hashOfSecret returns the hash of the account's token.
+func hashOfSecret() string {
 	sum := sha256.Sum256([]byte("secret"))
+	return hex.EncodeToString(sum[:])
+}
+
+func (s *testSystem) putDefaults() {
 	s.put("/domains/d", `{"state":"in"}`)
 	s.put("/teams/t", `{"share":1}`)
-	s.put("/teams/t/accounts/a", `{"token_sha256":"`+hex.EncodeToString(sum[:])+`"}`)
+	s.put("/teams/t/accounts/a", `{"token_sha256":"`+hashOfSecret()+`"}`)
 	s.put("/teams/t/models/m", `{"versions":["v"]}`)
 	s.put("/teams/t/workloads/draft", `{"model":"m","version":"v","class":"interactive","timeout_ms":60000}`)
 	s.put("/targets/t0", `{"agent":"`+s.agent+`","failure_domain":"d","kind":"model","team":"t","serves":["m"],"state":"in","cold_limit":4,"max_limit":8}`)
--- a/internal/app/entry/exchange.go
+++ b/internal/app/entry/exchange.go
@@ -38,9 +38,10 @@
 
 // limitsConfig scales the times of the limiter by the round time, since each peer
 // is sent the demands once in a round.
-func limitsConfig(peers int) limits.Config {
+func limitsConfig(name string, peers int) limits.Config {
 	factor := float64(roundTime(peers)) / float64(minRoundTime)
 	return limits.Config{
+		Name:       name,
 		StaleAfter: time.Duration(float64(limits.DefaultStaleAfter) * factor),
 		Guard:      time.Duration(float64(limits.DefaultGuard) * factor),
 	}
@@ -54,6 +55,7 @@
 	peers       []settingssync.Peer
 	pool        *link.Pool // separate from the entry's pool
 	limits      *limits.Limiter
+	permits     *permits
 	strikes     *strike.Table
 	poison      *poison.Table
 	strikeAdded chan struct{} // signals a strike or a crash that is sent to peers at once
@@ -179,9 +181,11 @@
 	}
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetDeadline(time.Now().Add(sendTimeout))
-	if stream.Receive(&wire.SettingsUpdate{}) == nil && peerSync.GetReport() > 0 {
-		x.limits.Delivered(time.Now(), peer.Name, peerSync.GetReport())
+	if stream.Receive(&wire.SettingsUpdate{}) != nil || peerSync.GetReport() == 0 {
+		return
 	}
+	x.limits.Delivered(time.Now(), peer.Name, peerSync.GetReport())
+	x.permits.askHeld(ctx, peer.Name)
 }
 
 // receive applies a message from a peer.
--- a/internal/app/entry/exchange_test.go
+++ b/internal/app/entry/exchange_test.go
@@ -12,9 +12,9 @@
 
 func TestRoundAndLimiterTimesGrowWithNumberOfPeers(t *testing.T) {
 	assert.Equal(t, roundTime(7), time.Second)
-	assert.Equal(t, limitsConfig(7).StaleAfter, limits.DefaultStaleAfter)
+	assert.Equal(t, limitsConfig("e", 7).StaleAfter, limits.DefaultStaleAfter)
 	assert.Equal(t, roundTime(400), 50*time.Second)
-	assert.Equal(t, limitsConfig(400).Guard, 50*limits.DefaultGuard)
+	assert.Equal(t, limitsConfig("e", 400).Guard, 50*limits.DefaultGuard)
 }
 
 // TestEntriesShareALimit checks that two entries together admit no more than the
--- a/internal/app/entry/settings.go
+++ b/internal/app/entry/settings.go
@@ -42,7 +42,9 @@
 func (e *Entry) servePeer(ctx context.Context, open *wire.Open, stream *link.Stream) {
 	if open.GetPeer() != nil {
 		e.node.HandlePeer(ctx, open, stream)
+		return
 	}
+	e.permits.serve(open, stream)
 }
 
 // copyMetrics copies the metrics of the settings node into the registry that
--- a/internal/core/catalog/accounts.go
+++ b/internal/core/catalog/accounts.go
@@ -57,6 +57,11 @@
 	return c.accountAt(path)
 }
 
+// AccountOf returns the account of a team with a name.
+func (c *Catalog) AccountOf(team, name string) (*Account, bool) {
+	return c.accountAt(schema.Path{Kind: schema.KindAccount, Team: team, Name: name}.String())
+}
+
 // accountAt returns the account at a path with its last readable value.
 func (c *Catalog) accountAt(path string) (*Account, bool) {
 	return c.accounts.read(c.snapshot, path)
--- a/internal/core/limits/doc.go
+++ b/internal/core/limits/doc.go
@@ -1,6 +1,6 @@
 // Package limits enforces the limits of teams and accounts over all entries (the
-// processes that accept client requests) together, without a call to another
-// process on the request path.
+// processes that accept client requests) together. Only small concurrency limits
+// need a call to another process on the request path.
 //
 // Each entry enforces a share of each limit. Entries send each other their demand
 // in numbered reports; a share is the entry's part of a max-min fair division of
@@ -14,6 +14,11 @@
 // only Config.Guard later, so both sides of a network partition stay within the
 // limit together, up to the bursts that the buckets allow.
 //
+// A concurrency limit of fewer than four requests for each entry has fixed parts, by
+// package share. An entry without a free part borrows a permit of another entry for
+// one request (Lenders, Borrow, Lend), and the lender counts it as used until it is
+// back or must have ended. See docs/adr/0006-small-concurrency-limits.md.
+//
 // The package reads no clock: methods take the current time.
 //
 // Package internal/app/entry uses it. The counterpart for gateways is package
--- a/internal/core/limits/limiter.go
+++ b/internal/core/limits/limiter.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"quetzalbend/internal/core/rendezvous"
 )
 
 // Defaults of Config.
@@ -19,6 +21,7 @@
 
 // Config configures a Limiter. Zero fields mean the default.
 type Config struct {
+	Name       string // of this entry, as its peers know it; without it, parts of small concurrency limits are rounded down
 	Shards     int
 	StaleAfter time.Duration // time without contact after which a peer is absent
 	Guard      time.Duration // delay before shares grow; longer than any time between two reports
@@ -53,6 +56,7 @@
 	peers  peers
 	newest atomic.Uint64 // number of the last report
 	view   atomic.Pointer[view]
+	loans  loans
 }
 
 // shard holds some of the subjects under a lock of its own.
@@ -68,7 +72,8 @@
 	cfg.Guard = cmp.Or(cfg.Guard, DefaultGuard)
 	cfg.MaxReport = cmp.Or(cfg.MaxReport, DefaultMaxReport)
 	l := &Limiter{cfg: cfg, seed: maphash.MakeSeed(), shards: make([]shard, cfg.Shards)}
-	l.peers = peers{staleAfter: cfg.StaleAfter, guard: cfg.Guard, byName: make(map[string]*peer)}
+	l.peers = peers{name: cfg.Name, staleAfter: cfg.StaleAfter, guard: cfg.Guard, byName: make(map[string]*peer)}
+	l.loans = loans{lent: make(map[uint64]lentPermit), borrowed: make(map[uint64]Loan)}
 	for i := range l.shards {
 		l.shards[i].subjects = make(map[string]*subject)
 	}
@@ -78,7 +83,7 @@
 
 // SetPeers sets the names of all other entries, whether they can be reached or not.
 func (l *Limiter) SetPeers(now time.Time, names []string) {
-	l.peers.set(names)
+	l.peers.set(names, now)
 	l.refreshView(now)
 }
 
@@ -96,18 +101,29 @@
 	limiter  *Limiter
 	subjects [maxSubjects]string
 	count    int
+	loans    []Loan
+}
+
+// Loans returns the permits that admitted the request. They are to be given back once
+// the grant is released or cancelled.
+func (g *Grant) Loans() []Loan { return g.loans }
+
+// borrowed reports whether the request runs on a lent permit of a subject.
+func (g *Grant) borrowed(subject string) bool {
+	return slices.ContainsFunc(g.loans, func(loan Loan) bool { return loan.Subject == subject })
 }
 
 // Admit admits a request under its account, its team and the team's credits, or
-// returns the refusal. Each grant must be released or cancelled once.
-func (l *Limiter) Admit(now time.Time, account, team, credits Subject) (*Grant, *Refusal) {
-	grant := &Grant{limiter: l}
+// returns the refusal. A permit that a peer has lent admits it under the concurrency
+// limit of the permit's subject. Each grant must be released or cancelled once.
+func (l *Limiter) Admit(now time.Time, account, team, credits Subject, loans ...Loan) (*Grant, *Refusal) {
+	grant := &Grant{limiter: l, loans: loans}
 	for _, wanted := range [maxSubjects]Subject{account, team, credits} {
 		if !wanted.Limited() {
 			continue
 		}
-		if refusal := l.admit(now, wanted); refusal != nil {
-			grant.Cancel()
+		if refusal := l.admit(now, wanted, grant.borrowed(wanted.Name)); refusal != nil {
+			grant.undo()
 			return nil, refusal
 		}
 		grant.subjects[grant.count] = wanted.Name
@@ -116,15 +132,20 @@
 	return grant, nil
 }
 
-func (l *Limiter) admit(now time.Time, wanted Subject) *Refusal {
+// updateShares computes the shares of a subject, if the view of the peers has changed.
+func (l *Limiter) updateShares(s *subject) {
+	if v := l.view.Load(); s.sharesView != v {
+		s.computeShares(v, l.newest.Load())
+	}
+}
+
+func (l *Limiter) admit(now time.Time, wanted Subject, borrowed bool) *Refusal {
 	shard := l.shardOf(wanted.Name)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	s := shard.get(wanted, now)
-	if v := l.view.Load(); s.sharesView != v {
-		s.computeShares(v, l.newest.Load())
-	}
-	refusal := s.admit(now, wanted.ChargeOnly)
+	l.updateShares(s)
+	refusal := s.admit(now, wanted.ChargeOnly, borrowed)
 	if refusal == nil {
 		return nil
 	}
@@ -138,22 +159,29 @@
 // Cancel ends the request as if it had not been admitted. It is called instead of
 // Release for a request that is refused after all.
 func (g *Grant) Cancel() {
+	g.undo()
+	g.limiter.Drop(g.loans...)
+}
+
+func (g *Grant) undo() {
 	for _, name := range g.subjects[:g.count] {
-		g.limiter.withSubject(name, (*subject).undo)
+		g.limiter.withSubject(name, func(s *subject) { s.undo(g.borrowed(name)) })
 	}
 }
 
 // Release ends the request and charges the tokens that it generated.
 func (g *Grant) Release(now time.Time, tokens int64) {
 	for _, name := range g.subjects[:g.count] {
-		g.limiter.withSubject(name, func(s *subject) { s.release(float64(tokens), now) })
+		g.limiter.withSubject(name, func(s *subject) { s.release(float64(tokens), now, g.borrowed(name)) })
 	}
+	g.limiter.Drop(g.loans...)
 }
 
 // Report returns the demands to send to all peers, those largest in relation to
 // their limits first, and starts a new interval. It must be called at a steady
 // interval of less than Config.Guard.
 func (l *Limiter) Report(now time.Time) Report {
+	l.takeBack(func(_ uint64, permit lentPermit) bool { return now.Sub(permit.lentAt) > loanTime })
 	l.refreshView(now)
 	number := l.newest.Load() + 1
 	total := l.view.Load().total
@@ -256,7 +284,7 @@
 func (s *shard) get(wanted Subject, now time.Time) *subject {
 	found := s.subjects[wanted.Name]
 	if found == nil {
-		found = &subject{lastUsed: now, intervalStart: now}
+		found = &subject{key: rendezvous.Hash(wanted.Name), lastUsed: now, intervalStart: now}
 		s.subjects[wanted.Name] = found
 	}
 	if wanted.Limited() && found.limits != wanted.Limits {
--- a/internal/core/limits/limiter_test.go
+++ b/internal/core/limits/limiter_test.go
@@ -49,20 +49,28 @@
 func newCluster(entries int, limits schema.Limits) *cluster {
 	c := &cluster{now: time.Unix(1000, 0), blocked: func(int, int) bool { return false }}
 	c.account = AccountSubject("team", "account", limits)
+	c.limiters = make([]*Limiter, entries)
 	for i := range entries {
-		l := New(Config{StaleAfter: 4 * interval, Guard: 3 * interval})
-		var peers []string
-		for j := range entries {
-			if j != i {
-				peers = append(peers, fmt.Sprint(j))
-			}
-		}
-		l.SetPeers(c.now, peers)
-		c.limiters = append(c.limiters, l)
+		c.start(i)
+	}
+	for i := range entries {
+		c.askHeld(i)
 	}
 	return c
 }
 
+// start replaces the limiter of entry i by that of a new process.
+func (c *cluster) start(i int) {
+	c.limiters[i] = New(Config{Name: fmt.Sprint(i), StaleAfter: 4 * interval, Guard: 3 * interval})
+	var peers []string
+	for j := range c.limiters {
+		if j != i {
+			peers = append(peers, fmt.Sprint(j))
+		}
+	}
+	c.limiters[i].SetPeers(c.now, peers)
+}
+
 // report delivers a report of entry i to all others that it can reach.
 func (c *cluster) report(i int) {
 	from := c.limiters[i]
--- a/internal/core/limits/peers.go
+++ b/internal/core/limits/peers.go
@@ -3,8 +3,11 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
+
+	"quetzalbend/internal/core/share"
 )
 
 // presence says how a peer counts in the division of limits.
@@ -23,6 +26,7 @@
 	delivered    uint64    // number of that report
 	received     uint64    // number of reports from it
 	contactSince time.Time // start of the contact in both directions without a gap
+	heldKnown    bool      // whether it has told which permits of this entry it holds
 }
 
 // lastContact returns the time until which there was contact in both directions,
@@ -36,17 +40,28 @@
 
 // peers is the set of other entries.
 type peers struct {
+	name       string // of this entry; empty if not known
 	staleAfter time.Duration
 	guard      time.Duration
 
-	mu     sync.RWMutex
-	byName map[string]*peer
+	mu        sync.RWMutex
+	startedAt time.Time // of the first call of set
+	byName    map[string]*peer
+	names     []string // of this entry and its peers, if name is known
+	members   *share.Members
 }
 
 // set replaces the peers and keeps what is known of those that remain.
-func (p *peers) set(names []string) {
+func (p *peers) set(names []string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.startedAt.IsZero() {
+		p.startedAt = now
+	}
+	p.names, p.members = names, nil
+	if p.name != "" {
+		p.names, p.members = append([]string{p.name}, names...), share.NewMembers(p.name, names)
+	}
 	known := make(map[string]*peer, len(names))
 	for _, name := range names {
 		known[name] = p.byName[name]
@@ -57,6 +72,30 @@
 	p.byName = known
 }
 
+// knows reports whether there is a peer with a name.
+func (p *peers) knows(name string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.byName[name] != nil
+}
+
+// heldKnown reports whether a peer has told which permits of this entry it holds.
+func (p *peers) heldKnown(name string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	peer := p.byName[name]
+	return peer != nil && peer.heldKnown
+}
+
+// setHeldKnown records that a peer has told which permits of this entry it holds.
+func (p *peers) setHeldKnown(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer := p.byName[name]; peer != nil {
+		peer.heldKnown = true
+	}
+}
+
 // recordReport records a report from a peer. It returns the report's number, or 0
 // for an unknown peer.
 func (p *peers) recordReport(name string, now time.Time) uint64 {
@@ -98,6 +137,28 @@
 	total     int    // number of entries, this one included
 	delivered uint64 // newest report that all peers which are not absent have received
 	peers     []peerView
+	names     []string // of all entries
+	members   *share.Members
+	lentKnown bool // all permits that the process before may have lent are counted
+}
+
+// rank returns this entry's rank among all for a key. Without its name it is the last.
+func (v *view) rank(key uint64) int {
+	if v.members == nil {
+		return v.total
+	}
+	return v.members.Rank(key)
+}
+
+// received returns the number of reports from a peer, 0 if it is absent.
+func (v *view) received(name string) uint64 {
+	i, found := slices.BinarySearchFunc(v.peers, name, func(peer peerView, name string) int {
+		return strings.Compare(peer.name, name)
+	})
+	if !found {
+		return 0
+	}
+	return v.peers[i].received
 }
 
 // peerView is the state of a peer that is not absent.
@@ -111,9 +172,11 @@
 func (p *peers) viewAt(now time.Time, newest uint64) *view {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	v := &view{total: len(p.byName) + 1, delivered: newest}
+	v := &view{total: len(p.byName) + 1, delivered: newest, names: p.names, members: p.members, lentKnown: true}
+	waited := now.Sub(p.startedAt) > p.staleAfter+p.guard
 	for _, name := range slices.Sorted(maps.Keys(p.byName)) {
 		peer := p.byName[name]
+		v.lentKnown = v.lentKnown && (peer.heldKnown || waited)
 		presence := p.presence(peer, now)
 		if presence == absent {
 			continue
--- a/internal/core/limits/resource.go
+++ b/internal/core/limits/resource.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"strings"
 	"time"
 
 	"quetzalbend/internal/core/schema"
@@ -42,6 +43,13 @@
 	return Subject{Name: team + "/" + account, Limits: amounts(limits)}
 }
 
+// SplitSubject returns the team, and the account if it is that of an account, of a
+// subject's name.
+func SplitSubject(name string) (team, account string) {
+	team, account, _ = strings.Cut(name, "/")
+	return team, account
+}
+
 // Limited reports whether the subject has any limit.
 func (s Subject) Limited() bool { return s.Limits != Amounts{} }
 
--- a/internal/core/limits/subject.go
+++ b/internal/core/limits/subject.go
@@ -4,6 +4,8 @@
 
 // Parameters of shares and demands.
 const (
+	// shareTolerance makes up for rounding in shares that are whole numbers.
+	shareTolerance = 1e-9
 	// assumedFraction is the fraction of an equal share that every entry may use, and
 	// that its peers assume as its demand, without any report.
 	assumedFraction = 0.1
@@ -26,14 +28,19 @@
 
 // subject is the state of one team, account or credits at this entry.
 type subject struct {
+	key        uint64 // hash of the name
 	limits     Amounts
 	burstTime  time.Duration // see Subject.BurstTime
 	share      Amounts
 	sharesView *view // from which share was computed
 	buckets    [resources]bucket
 	running    int
+	borrowed   int       // of the running requests, those on a permit of a peer
+	lent       int       // permits
 	lastUsed   time.Time // of the last request
 
+	lendersAskedAgainAt time.Time // peers are not asked for permits before
+
 	// Since the last report:
 	offered       float64 // requests, admitted or not
 	spent         float64 // tokens generated
@@ -85,9 +92,13 @@
 }
 
 // assumedDemand returns the demand for r that is assumed of an entry without a
-// report.
+// report. Each entry counts on one running request, so that it has a share of one.
 func (s *subject) assumedDemand(r Resource, total int) float64 {
-	return assumedFraction * s.limits[r] / float64(total)
+	least := assumedFraction * s.limits[r] / float64(total)
+	if r == Concurrent {
+		return max(1, least)
+	}
+	return least
 }
 
 // confirmedDemand returns the lowest demand for r that a peer may assume of this
@@ -117,6 +128,10 @@
 		if s.limits[r] == 0 {
 			continue
 		}
+		if r == Concurrent && s.lends(v.total) {
+			s.share[r] = s.lendingShare(v)
+			continue
+		}
 		own := s.confirmedDemand(r, v.delivered, newest, v.total)
 		if len(v.peers) == 0 {
 			own = s.limits[r]
@@ -125,6 +140,14 @@
 	}
 }
 
+// lendingShare returns the part of a concurrency limit of which permits are lent.
+func (s *subject) lendingShare(v *view) float64 {
+	if !v.lentKnown {
+		return 0
+	}
+	return float64(s.part(v.total, v.rank(s.key)))
+}
+
 // shareAmong returns the share of this entry when the limit is divided with the
 // peers of at least the wanted presence. Only the part of the limit that belongs to
 // these entries is divided.
@@ -134,22 +157,34 @@
 		if peer.presence < wanted {
 			continue
 		}
-		demand := s.assumedDemand(r, v.total)
-		if report, ok := s.peerDemands[peer.name]; ok && report.number == peer.received {
-			demand = max(demand, report.demand[r])
-		}
+		demand := max(s.assumedDemand(r, v.total), s.reportedDemand(peer.name, peer.received, r))
 		peerDemands = append(peerDemands, demand)
 	}
 	fraction := float64(len(peerDemands)+1) / float64(v.total)
 	return Share(s.limits[r]*fraction, own, peerDemands)
 }
 
+// reportedDemand returns the demand in a peer's last report, 0 if it was not in it.
+func (s *subject) reportedDemand(peer string, received uint64, r Resource) float64 {
+	report, ok := s.peerDemands[peer]
+	if !ok || report.number != received {
+		return 0
+	}
+	return report.demand[r]
+}
+
+// hasPermit reports whether the share allows one more request to run.
+func (s *subject) hasPermit() bool {
+	used := s.running - s.borrowed + s.lent
+	return float64(used+1) <= s.share[Concurrent]+shareTolerance
+}
+
 // admit admits a request and counts it, or returns the refusal.
-func (s *subject) admit(now time.Time, chargeOnly bool) *Refusal {
+func (s *subject) admit(now time.Time, chargeOnly, borrowed bool) *Refusal {
 	s.lastUsed = now
 	s.offered++
 	if !chargeOnly {
-		if refusal := s.check(now); refusal != nil {
+		if refusal := s.check(now, borrowed); refusal != nil {
 			return refusal
 		}
 	}
@@ -157,13 +192,17 @@
 		s.buckets[Requests].balance--
 	}
 	s.running++
+	if borrowed {
+		s.borrowed++
+	}
 	s.peak = max(s.peak, s.running)
 	return nil
 }
 
-// check returns the refusal of a request that exceeds a share, or nil.
-func (s *subject) check(now time.Time) *Refusal {
-	if s.limits[Concurrent] > 0 && float64(s.running+1) > max(1, s.share[Concurrent]) {
+// check returns the refusal of a request that exceeds a share, or nil. A request on a
+// permit of a peer needs none of this entry's.
+func (s *subject) check(now time.Time, borrowed bool) *Refusal {
+	if s.limits[Concurrent] > 0 && !borrowed && !s.hasPermit() {
 		return s.refuse(Concurrent, defaultBurstTime)
 	}
 	for _, r := range []Resource{Tokens, Requests} {
@@ -203,17 +242,25 @@
 }
 
 // undo reverts the admission of a request that was refused after all.
-func (s *subject) undo() {
-	s.running--
+func (s *subject) undo(borrowed bool) {
+	s.end(borrowed)
 	if s.limits[Requests] > 0 {
 		s.buckets[Requests].balance++
 	}
 }
 
+// end counts a request that no longer runs.
+func (s *subject) end(borrowed bool) {
+	s.running--
+	if borrowed {
+		s.borrowed--
+	}
+}
+
 // release ends a request and charges its tokens.
-func (s *subject) release(tokens float64, now time.Time) {
+func (s *subject) release(tokens float64, now time.Time, borrowed bool) {
 	s.lastUsed = now
-	s.running--
+	s.end(borrowed)
 	s.spent += tokens
 	if s.limits[Tokens] > 0 {
 		s.refill(Tokens, now)
@@ -223,5 +270,5 @@
 
 // idle reports whether the subject can be removed.
 func (s *subject) idle(now time.Time) bool {
-	return s.running == 0 && now.Sub(s.lastUsed) > max(idleTimeout, s.burstTime) && s.buckets[Tokens].balance >= 0
+	return s.running == 0 && s.lent == 0 && now.Sub(s.lastUsed) > max(idleTimeout, s.burstTime) && s.buckets[Tokens].balance >= 0
 }
