entry: the limits know the peers before the first request

Callers saw nothing so far; the fault is open at each start: until the exchange with the peers has begun, the limiter counts itself as the only entry and admits the whole of each limit. The listeners are open by then, and the exchange begins beside them, in no order.

Evidence: TestEntryHasOnlyItsShareBeforeItRuns failed with 40 admitted where the share is 20. The peers are now set as the entry is built, before anything is served. All tests of internal/app/entry pass, also with -race.

--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -115,6 +115,14 @@
 	return report.Problems()
 }
 
+func (c *Config) peerNames() []string {
+	names := make([]string, 0, len(c.Peers))
+	for _, peer := range c.Peers {
+		names = append(names, peer.Name)
+	}
+	return names
+}
+
 func (c *Config) checkTLS(report *check.Report) {
 	if c.CallersTLS != nil {
 		c.CallersTLS.Check(report, "callers_tls")
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -100,6 +100,7 @@
 		limits:          limits.New(limitsConfig(cfg.Name, len(cfg.Peers))),
 		settingsMetrics: gometrics.NewRegistry(),
 	}
+	e.limits.SetPeers(time.Now(), cfg.peerNames())
 	peerPool := link.NewPool(exchangeLinkConfig(links))
 	e.permits = &permits{
 		name:     cfg.Name,
--- a/internal/app/entry/exchange.go
+++ b/internal/app/entry/exchange.go
@@ -77,11 +77,6 @@
 
 // run sends messages to peers until ctx ends.
 func (x *exchanger) run(ctx context.Context) error {
-	names := make([]string, 0, len(x.peers))
-	for _, peer := range x.peers {
-		names = append(names, peer.Name)
-	}
-	x.limits.SetPeers(time.Now(), names)
 	ticker := time.NewTicker(x.round / time.Duration(max(len(x.peers), 1)))
 	defer ticker.Stop()
 	var sends errgroup.Group
--- a/internal/app/entry/permits_test.go
+++ b/internal/app/entry/permits_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quetzalbend/internal/core/limits"
 	"quetzalbend/internal/core/rendezvous"
 	"quetzalbend/internal/core/share"
 	"quetzalbend/internal/settingssync"
@@ -190,3 +191,24 @@
 	es.assertRefused(es.other(lender))
 	assert.Assert(t, time.Since(start) < 2*permitsTimeout, "%s", time.Since(start))
 }
+
+// The peers count before the first request comes, not once the exchange with them runs.
+func TestEntryHasOnlyItsShareBeforeItRuns(t *testing.T) {
+	s := newTestSystem(t)
+	cfg := Config{
+		Name: "e1", FailureDomain: "d", Platform: s.platform,
+		CallersListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0", PeersListen: "127.0.0.1:0",
+		Peers: []settingssync.Peer{{Name: "e2", Addr: "127.0.0.1:1", FailureDomain: "d"}},
+	}
+	assert.Equal(t, len(Check(&cfg)), 0)
+	e, err := New(cfg)
+	assert.NilError(t, err)
+	defer func() { _, _, _ = e.callers.Close(), e.operators.Close(), e.peers.Close() }()
+	admitted := 0
+	for range 40 {
+		if _, refusal := e.limits.Admit(time.Now(), limits.Subject{Name: "t", Limits: limits.Amounts{limits.Concurrent: 40}}, limits.Subject{}, limits.Subject{}); refusal == nil {
+			admitted++
+		}
+	}
+	assert.Equal(t, admitted, 20)
+}
