entry: ask peers at once after a start which permits they hold

An entry that has started has no part of small concurrency limits until its peers have told which of its permits they hold. It asked them with the rounds of reports, which take 50 s with 400 peers, and waited ten times as long for one that is away. The questions now go out at the start and each second, and the wait for a peer that does not answer is 10 s whatever the number of peers, since it does not depend on the rounds.

By reading; no run with 400 entries was made.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -192,6 +192,7 @@
 	group.Go(func() error { return e.node.Run(work) })
 	group.Go(func() error { return e.feeder.Run(work) })
 	group.Go(func() error { return e.exchange.run(work) })
+	group.Go(func() error { return e.permits.run(work) })
 	group.Go(func() error { return publishSettings(work, e.node, e.tables) })
 	group.Go(func() error { return e.watchVMs(work) })
 	stopped, cancel := context.WithCancel(context.Background())
--- a/internal/app/entry/permits.go
+++ b/internal/app/entry/permits.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"quetzalbend/internal/adapter/link"
@@ -17,8 +19,9 @@
 )
 
 const (
-	permitTimeout  = 100 * time.Millisecond // for one peer that is asked for a permit
-	permitsTimeout = 300 * time.Millisecond // for all peers that are asked for one request
+	permitTimeout   = 100 * time.Millisecond // for one peer that is asked for a permit
+	permitsTimeout  = 300 * time.Millisecond // for all peers that are asked for one request
+	askHeldInterval = time.Second            // between questions, after the start, to a peer that has not answered
 )
 
 // Counters of permits, in /metrics.
@@ -142,6 +145,46 @@
 	}
 }
 
+// run asks the peers, from the start on, which permits of this entry they hold, until
+// all have answered or no longer delay the use of its parts. The exchange asks the rest.
+func (p *permits) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, limits.HeldWait)
+	defer cancel()
+	ticker := time.NewTicker(askHeldInterval)
+	defer ticker.Stop()
+	for {
+		if p.askUnknown(ctx) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// askUnknown asks all peers that have not told yet which permits of this entry they
+// hold, and reports whether all have told now.
+func (p *permits) askUnknown(ctx context.Context) bool {
+	var asks errgroup.Group
+	asks.SetLimit(maxConcurrentSends)
+	var missing atomic.Bool
+	for _, peer := range p.peers {
+		asks.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, askHeldInterval)
+			defer cancel()
+			p.askHeld(ctx, peer.Name)
+			if p.limits.MustAskHeld(peer.Name, time.Time{}) {
+				missing.Store(true)
+			}
+			return nil
+		})
+	}
+	_ = asks.Wait() // no error
+	return !missing.Load()
+}
+
 // askHeld asks a peer which permits of this entry it holds, if there may be any.
 func (p *permits) askHeld(ctx context.Context, peer string) {
 	askedAt := time.Now()
--- a/internal/core/limits/lend.go
+++ b/internal/core/limits/lend.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// HeldWait is how long an entry that has started has no part of small concurrency limits,
+// unless all peers have told before which of its permits they hold.
+const HeldWait = DefaultStaleAfter + DefaultGuard
+
 // Lend lends a peer a permit of a subject's concurrency limit for one request, if
 // this entry has one to spare. The permit counts as used until TakeBack, or until
 // the peer no longer holds it: see ReceiveHeld.
--- a/internal/core/limits/peers.go
+++ b/internal/core/limits/peers.go
@@ -173,7 +173,7 @@
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	v := &view{total: len(p.byName) + 1, delivered: newest, names: p.names, members: p.members, lentKnown: true}
-	waited := now.Sub(p.startedAt) > p.staleAfter+p.guard
+	waited := now.Sub(p.startedAt) > HeldWait
 	for _, name := range slices.Sorted(maps.Keys(p.byName)) {
 		peer := p.byName[name]
 		v.lentKnown = v.lentKnown && (peer.heldKnown || waited)
