limits: an account that was idle has no more requests saved up than before

Callers saw: an account with 0.01 requests a second that sent one request to each of eight entries every 90 s had 160 admitted in half an hour, where 26 may be (18, and one saved up at each entry); the longer it waited, the more of its requests were admitted.

Cause: an entry forgets an account after a minute without requests, and one that it does not know starts with a full bucket. With a share of a request in 800 s that is a request a minute. Found while looking for shares that are rounded up: the depth of a bucket of requests is one at least.

Ruled out: the shares themselves.

Evidence: TestLowRateHoldsForAccountsThatAreIdleBetweenRequests failed with "pauses of 90 s: 160 of 26". An account is now kept until its buckets hold what new ones would. All tests of the package pass, also with -race; TestIdleSubjectsAreRemoved as before.

--- a/internal/core/limits/bucket.go
+++ b/internal/core/limits/bucket.go
@@ -12,10 +12,15 @@
 	updated time.Time
 }
 
+// initialBalance returns what a new bucket of a depth holds at rate a second.
+func initialBalance(rate, depth float64) float64 {
+	return min(depth, rate*defaultBurstTime.Seconds()+1)
+}
+
 // refill adds what has accrued since the last call at rate a second, up to depth.
 func (b *bucket) refill(rate, depth float64, now time.Time) {
 	if b.updated.IsZero() {
-		b.balance = min(depth, rate*defaultBurstTime.Seconds()+1)
+		b.balance = initialBalance(rate, depth)
 		b.updated = now
 	}
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
--- a/internal/core/limits/limiter_test.go
+++ b/internal/core/limits/limiter_test.go
@@ -236,6 +236,30 @@
 	assert.Equal(t, left, 0)
 }
 
+// Each entry forgets an account while it is idle.
+func TestLowRateHoldsForAccountsThatAreIdleBetweenRequests(t *testing.T) {
+	const entries, duration = 8, 30 * time.Minute
+	limit := schema.Limits{RequestsPerSecond: 0.01}
+	for _, pause := range []time.Duration{65, 90, 400} {
+		c := newCluster(entries, limit)
+		admitted := 0
+		for start, next := c.now, c.now; c.now.Sub(start) < duration; c.round() {
+			if c.now.Before(next) {
+				continue
+			}
+			next = next.Add(pause * time.Second)
+			for _, l := range c.limiters {
+				if grant, _ := l.Admit(c.now, c.account, Subject{}, Subject{}); grant != nil {
+					grant.Release(c.now, 0)
+					admitted++
+				}
+			}
+		}
+		allowed := limit.RequestsPerSecond*duration.Seconds() + entries // a request may be saved up at each
+		assert.Assert(t, float64(admitted) <= allowed, "pauses of %d s: %d of %g", pause, admitted, allowed)
+	}
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	l := New(Config{})
 	now := time.Unix(1000, 0)
--- a/internal/core/limits/subject.go
+++ b/internal/core/limits/subject.go
@@ -220,10 +220,9 @@
 // refill refills the bucket of a rate and returns the balance that a request needs.
 // That is 0 for tokens, which are charged once their number is known.
 func (s *subject) refill(r Resource, now time.Time) float64 {
-	depth := s.share[r] * s.burstTime.Seconds()
+	depth := s.depth(r)
 	need := 0.0
 	if r == Requests {
-		depth = max(1, depth)
 		need = 1
 	}
 	b := &s.buckets[r]
@@ -236,6 +235,15 @@
 	return need
 }
 
+// depth returns what the bucket of a rate can hold.
+func (s *subject) depth(r Resource) float64 {
+	depth := s.share[r] * s.burstTime.Seconds()
+	if r == Requests {
+		return max(1, depth)
+	}
+	return depth
+}
+
 func (s *subject) refuse(r Resource, wait time.Duration) *Refusal {
 	s.refused[r] = true
 	return &Refusal{Code: codes[r], RetryAfter: max(wait, time.Millisecond)}
@@ -268,7 +276,20 @@
 	}
 }
 
-// idle reports whether the subject can be removed.
+// idle reports whether the subject can be removed, without more being admitted than if it
+// were kept.
 func (s *subject) idle(now time.Time) bool {
-	return s.running == 0 && s.lent == 0 && now.Sub(s.lastUsed) > max(idleTimeout, s.burstTime) && s.buckets[Tokens].balance >= 0
+	if s.running > 0 || s.lent > 0 || now.Sub(s.lastUsed) <= max(idleTimeout, s.burstTime) {
+		return false
+	}
+	return s.asNew(Requests, now) && s.asNew(Tokens, now)
+}
+
+// asNew reports whether the bucket of a rate holds what a new one does.
+func (s *subject) asNew(r Resource, now time.Time) bool {
+	if s.limits[r] == 0 {
+		return true
+	}
+	s.refill(r, now)
+	return s.buckets[r].balance >= initialBalance(s.share[r], s.depth(r))
 }
