limits: concurrency limits hold while demand moves between entries

Callers saw: an account that may run 40 requests at once ran 33 at one of eight entries and 17 more at another once its callers moved there, until the first had ended; with two entries 38 and 20. A request may run for 600 s.

Cause: shares of a limit add up to it, but requests that an entry has admitted go on when its share shrinks, and the other's share had grown by as much.

Fix: an entry reports what it runs beyond its share, and its peers keep as many requests of their shares free, one excepted, which each entry may always run. An entry counts a higher demand of its own only once its peers' reports name the report with it, so that what they run beyond their shrunken shares has come with them; the answer to a report, as before, says only that they have it. Rates go by the answer as before.

Evidence: TestLargeConcurrencyLimitHoldsWhenDemandMoves failed with "33 and 17 requests run where 40 may", now passes, and each entry still admits an account's only request. Over real links: TestConcurrencyLimitFollowsDemandAndHolds- OverEntries; it fails if reports do not name what they take into account.

Price: a concurrency share grows a round later. What runs on at the other side of a partition is not known (ADR 6).

Changed tests: reports of the test clusters carry the new numbers, as those of the entries do. No check changed.

--- a/internal/app/entry/exchange.go
+++ b/internal/app/entry/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"quetzalbend/internal/adapter/link"
 	"quetzalbend/internal/adapter/poisonwire"
@@ -82,7 +83,7 @@
 	var sends errgroup.Group
 	sends.SetLimit(maxConcurrentSends)
 	defer func() { _ = sends.Wait() }()
-	var peerSync *wire.PeerSync
+	var round roundMessage
 	for turn := 0; ; { // turn is the index of the next peer; a round begins at 0
 		select {
 		case <-ctx.Done():
@@ -91,11 +92,11 @@
 			x.sendStrikes(ctx, &sends)
 		case <-ticker.C:
 			if turn == 0 {
-				peerSync = x.report(time.Now())
+				round = x.report(time.Now())
 			}
 			if turn < len(x.peers) {
 				peer := x.peers[turn]
-				message := peerSync
+				message := round.forPeer(peer.Name)
 				sends.Go(func() error { x.send(ctx, peer, message); return nil })
 			}
 			turn = (turn + 1) % max(len(x.peers), 1)
@@ -115,8 +116,21 @@
 	}
 }
 
+// roundMessage is the message of a round, which differs between peers only in the number
+// of the newest report from each.
+type roundMessage struct {
+	message  *wire.PeerSync
+	received map[string]uint64 // by peer
+}
+
+func (r roundMessage) forPeer(name string) *wire.PeerSync {
+	message := proto.CloneOf(r.message)
+	message.ReceivedReport = r.received[name]
+	return message
+}
+
 // report returns the message of a round, with the demands on limits and strikes.
-func (x *exchanger) report(now time.Time) *wire.PeerSync {
+func (x *exchanger) report(now time.Time) roundMessage {
 	strikes := x.newStrikes(now)
 	x.rounds++
 	if x.rounds%allStrikesInterval == 0 {
@@ -131,9 +145,10 @@
 			RequestsPerSecond: usage.Demand[limits.Requests],
 			TokensPerSecond:   usage.Demand[limits.Tokens],
 			Concurrent:        usage.Demand[limits.Concurrent],
+			Excess:            usage.Excess,
 		})
 	}
-	return peerSync
+	return roundMessage{message: peerSync, received: report.Received}
 }
 
 // newStrikes returns the strikes that are recent enough to be sent.
@@ -208,7 +223,8 @@
 			limits.Tokens:     item.GetTokensPerSecond(),
 			limits.Concurrent: item.GetConcurrent(),
 		}
-		usage = append(usage, limits.Usage{Subject: item.GetSubject(), Demand: demand})
+		usage = append(usage, limits.Usage{Subject: item.GetSubject(), Demand: demand, Excess: item.GetExcess()})
 	}
 	x.limits.Receive(now, peerSync.GetNode(), usage)
+	x.limits.ReceiveNumbers(now, peerSync.GetNode(), peerSync.GetReport(), peerSync.GetReceivedReport())
 }
--- a/internal/app/entry/permits_test.go
+++ b/internal/app/entry/permits_test.go
@@ -212,3 +212,28 @@
 	}
 	assert.Equal(t, admitted, 20)
 }
+
+// Shares follow demand only if reports name the newest one that they take into account.
+func TestConcurrencyLimitFollowsDemandAndHoldsOverEntries(t *testing.T) {
+	const limit = 40
+	es := startEntries(t, "e1", "e2")
+	subject := limits.Subject{Name: "x", Limits: limits.Amounts{limits.Concurrent: limit}}
+	fill := func(name string) (admitted int) {
+		for {
+			if _, refusal := es.byName[name].limits.Admit(time.Now(), subject, limits.Subject{}, limits.Subject{}); refusal != nil {
+				return admitted
+			}
+			admitted++
+		}
+	}
+	first, second := 0, 0
+	eventually(t, "most of the limit is at e1", func() bool {
+		first += fill("e1")
+		return first > limit*3/4
+	})
+	eventually(t, "e2 has the rest", func() bool {
+		second += fill("e2")
+		return first+second >= limit
+	})
+	assert.Equal(t, first+second, limit)
+}
--- a/internal/core/limits/doc.go
+++ b/internal/core/limits/doc.go
@@ -14,6 +14,10 @@
 // only Config.Guard later, so both sides of a network partition stay within the
 // limit together, up to the bursts that the buckets allow.
 //
+// Requests that run stay running when a share of a concurrency limit shrinks. An entry
+// reports those beyond its share, its peers keep as many of their shares free, and an
+// entry counts its own demand only once its peers' reports have taken it into account.
+//
 // A concurrency limit of fewer than four requests for each entry has fixed parts, by
 // package share. An entry without a free part borrows a permit of another entry for
 // one request (Lenders, Borrow, Lend), and the lender counts it as used until it is
--- a/internal/core/limits/limiter.go
+++ b/internal/core/limits/limiter.go
@@ -39,12 +39,16 @@
 type Usage struct {
 	Subject string
 	Demand  Amounts
+	Excess  float64 // running requests beyond the entry's share of Concurrent
 }
 
 // Report is what an entry sends to its peers.
 type Report struct {
 	Number uint64
 	Usage  []Usage
+	// Received holds the number of the newest report from each peer that this one takes
+	// into account.
+	Received map[string]uint64
 }
 
 // Limiter enforces the limits of all teams and accounts at one entry. It is safe
@@ -185,13 +189,14 @@
 	l.refreshView(now)
 	number := l.newest.Load() + 1
 	total := l.view.Load().total
-	report := Report{Number: number}
+	report := Report{Number: number, Received: l.peers.receivedNumbers()}
 	relativeDemands := make(map[string]float64)
 	l.each(now, func(name string, s *subject) {
 		s.updateDemand(now)
+		l.updateShares(s)
 		relativeDemand := s.relativeDemand(total)
 		if relativeDemand > assumedFraction {
-			report.Usage = append(report.Usage, Usage{Subject: name, Demand: s.demand})
+			report.Usage = append(report.Usage, Usage{Subject: name, Demand: s.demand, Excess: s.excess()})
 			relativeDemands[name] = relativeDemand
 		}
 	})
@@ -236,6 +241,13 @@
 	l.refreshView(now)
 }
 
+// ReceiveNumbers records the number of a peer's report that Receive has stored, and that
+// of the newest report of this entry that it takes into account.
+func (l *Limiter) ReceiveNumbers(now time.Time, peer string, number, received uint64) {
+	l.peers.recordNumbers(peer, number, received)
+	l.refreshView(now)
+}
+
 // recordReport stores the demand for one subject from a peer's report.
 func (l *Limiter) recordReport(now time.Time, peer string, number uint64, usage Usage) {
 	shard := l.shardOf(usage.Subject)
@@ -246,7 +258,7 @@
 	if s.peerDemands == nil {
 		s.peerDemands = make(map[string]peerDemand)
 	}
-	s.peerDemands[peer] = peerDemand{number: number, demand: usage.Demand}
+	s.peerDemands[peer] = peerDemand{number: number, demand: usage.Demand, excess: usage.Excess}
 }
 
 func (l *Limiter) shardOf(name string) *shard {
--- a/internal/core/limits/limiter_test.go
+++ b/internal/core/limits/limiter_test.go
@@ -73,16 +73,22 @@
 
 // report delivers a report of entry i to all others that it can reach.
 func (c *cluster) report(i int) {
-	from := c.limiters[i]
-	report := from.Report(c.now)
-	for j, to := range c.limiters {
+	report := c.limiters[i].Report(c.now)
+	for j := range c.limiters {
 		if i != j && !c.blocked(i, j) {
-			to.Receive(c.now, fmt.Sprint(i), report.Usage)
-			from.Delivered(c.now, fmt.Sprint(j), report.Number)
+			c.deliver(i, j, report)
 		}
 	}
 }
 
+// deliver delivers a report of entry i to entry j.
+func (c *cluster) deliver(i, j int, report Report) {
+	to := c.limiters[j]
+	to.Receive(c.now, fmt.Sprint(i), report.Usage)
+	to.ReceiveNumbers(c.now, fmt.Sprint(i), report.Number, report.Received[fmt.Sprint(j)])
+	c.limiters[i].Delivered(c.now, fmt.Sprint(j), report.Number)
+}
+
 // run offers rate[i] requests a second to entry i for some intervals and
 // returns how many were admitted in each interval. The entries report one after
 // the other, spread over the interval.
--- a/internal/core/limits/loans_test.go
+++ b/internal/core/limits/loans_test.go
@@ -171,6 +171,113 @@
 	}
 }
 
+// Requests that one entry has admitted go on while the demand moves to another.
+func TestLargeConcurrencyLimitHoldsWhenDemandMoves(t *testing.T) {
+	const entries, limit = 8, 40
+	c := newRoundCluster(entries, limit)
+	first, second := c.fill(0), c.fill(1)
+	assert.Assert(t, len(first) > limit/2, "%d", len(first))
+	count := len(first) + len(second)
+	for i := 2; i < entries; i++ {
+		_, refusal := c.admit(i)
+		assert.Assert(t, refusal == nil, "entry %d refuses its only request", i)
+		count++
+	}
+	assert.Assert(t, count <= limit, "%d and %d requests run where %d may", len(first), len(second), limit)
+	for _, grant := range first {
+		c.end(0, grant)
+	}
+	second = append(second, c.fill(1)...)
+	assert.Assert(t, len(second) > limit/2, "%d", len(second))
+}
+
+// fill offers as many requests to entry i as it admits, for some rounds.
+func (c *cluster) fill(i int) []*Grant {
+	var grants []*Grant
+	for range 12 {
+		for grant, refusal := c.admit(i); refusal == nil; grant, refusal = c.admit(i) {
+			grants = append(grants, grant)
+		}
+		c.round()
+	}
+	return grants
+}
+
+// Requests start and end at any entry, and reports take their time or are lost.
+func TestLargeConcurrencyLimitHoldsWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(2, 4).Draw(t, "entries")
+		limit := lendingFactor*entries + rapid.IntRange(0, 10).Draw(t, "more")
+		c := newRoundCluster(entries, limit)
+		entry := rapid.IntRange(0, entries-1)
+		running := make([][]*Grant, entries)
+		onTheirWay := make(map[[2]int][]Report)
+		send := func(i int) {
+			report := c.limiters[i].Report(c.now)
+			for j := range entries {
+				if j != i {
+					onTheirWay[[2]int{i, j}] = append(onTheirWay[[2]int{i, j}], report)
+				}
+			}
+		}
+		deliver := func(i, j int) {
+			pair := [2]int{i, j}
+			if len(onTheirWay[pair]) == 0 {
+				return
+			}
+			report := onTheirWay[pair][0]
+			onTheirWay[pair] = onTheirWay[pair][1:]
+			c.deliver(i, j, report)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				count := 0
+				for _, grants := range running {
+					count += len(grants)
+				}
+				if count > limit {
+					t.Fatalf("%d requests run where %d may", count, limit)
+				}
+			},
+			"fill": func(t *rapid.T) {
+				i := entry.Draw(t, "entry")
+				for range rapid.IntRange(1, limit).Draw(t, "requests") {
+					if grant, _ := c.limiters[i].Admit(c.now, c.account, Subject{}, Subject{}); grant != nil {
+						running[i] = append(running[i], grant)
+					}
+				}
+			},
+			"end": func(t *rapid.T) {
+				i := entry.Draw(t, "entry")
+				n := rapid.IntRange(0, len(running[i])).Draw(t, "requests")
+				for _, grant := range running[i][:n] {
+					grant.Release(c.now, 0)
+				}
+				running[i] = running[i][n:]
+			},
+			"report":  func(t *rapid.T) { send(entry.Draw(t, "entry")) },
+			"deliver": func(t *rapid.T) { deliver(entry.Draw(t, "from"), entry.Draw(t, "to")) },
+			"lose": func(t *rapid.T) {
+				pair := [2]int{entry.Draw(t, "from"), entry.Draw(t, "to")}
+				onTheirWay[pair] = onTheirWay[pair][min(1, len(onTheirWay[pair])):]
+			},
+			"round": func(*rapid.T) {
+				c.now = c.now.Add(time.Millisecond) // no entry becomes absent
+				for i := range entries {
+					send(i)
+				}
+				for i := range entries {
+					for j := range entries {
+						for len(onTheirWay[[2]int{i, j}]) > 0 {
+							deliver(i, j)
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
 func TestTwoBorrowersDoNotGetTheSamePermit(t *testing.T) {
 	c, lender, borrower, grant := lent(t)
 	_, refusal := c.admit((borrower + 1) % 3)
--- a/internal/core/limits/peers.go
+++ b/internal/core/limits/peers.go
@@ -26,6 +26,8 @@
 	delivered    uint64    // number of that report
 	received     uint64    // number of reports from it
 	contactSince time.Time // start of the contact in both directions without a gap
+	newest       uint64    // its own number of the newest report from it
+	answered     uint64    // newest report of this entry that its newest report takes into account
 	heldKnown    bool      // whether it has told which permits of this entry it holds
 }
 
@@ -115,6 +117,26 @@
 	})
 }
 
+// recordNumbers records the numbers that came with a report from a peer.
+func (p *peers) recordNumbers(name string, number, answered uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer := p.byName[name]; peer != nil {
+		peer.newest, peer.answered = number, answered
+	}
+}
+
+// receivedNumbers returns the number of the newest report from each peer.
+func (p *peers) receivedNumbers() map[string]uint64 {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	numbers := make(map[string]uint64, len(p.byName))
+	for name, peer := range p.byName {
+		numbers[name] = peer.newest
+	}
+	return numbers
+}
+
 // recordContact calls change on a peer, if it is known, and returns the result. If
 // contact had been lost, it counts as starting now.
 func (p *peers) recordContact(name string, now time.Time, change func(*peer) uint64) uint64 {
@@ -136,6 +158,7 @@
 type view struct {
 	total     int    // number of entries, this one included
 	delivered uint64 // newest report that all peers which are not absent have received
+	answered  uint64 // newest report that the reports of all these peers take into account
 	peers     []peerView
 	names     []string // of all entries
 	members   *share.Members
@@ -172,7 +195,7 @@
 func (p *peers) viewAt(now time.Time, newest uint64) *view {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	v := &view{total: len(p.byName) + 1, delivered: newest, names: p.names, members: p.members, lentKnown: true}
+	v := &view{total: len(p.byName) + 1, delivered: newest, answered: newest, names: p.names, members: p.members, lentKnown: true}
 	waited := now.Sub(p.startedAt) > HeldWait
 	for _, name := range slices.Sorted(maps.Keys(p.byName)) {
 		peer := p.byName[name]
@@ -182,6 +205,7 @@
 			continue
 		}
 		v.delivered = min(v.delivered, peer.delivered)
+		v.answered = min(v.answered, peer.answered)
 		v.peers = append(v.peers, peerView{name: name, presence: presence, received: peer.received})
 	}
 	return v
--- a/internal/core/limits/subject.go
+++ b/internal/core/limits/subject.go
@@ -32,7 +32,8 @@
 	limits     Amounts
 	burstTime  time.Duration // see Subject.BurstTime
 	share      Amounts
-	sharesView *view // from which share was computed
+	withheld   float64 // of the share of Concurrent, for requests that run at peers beyond theirs
+	sharesView *view   // from which share was computed
 	buckets    [resources]bucket
 	running    int
 	borrowed   int       // of the running requests, those on a permit of a peer
@@ -63,6 +64,7 @@
 type peerDemand struct {
 	number uint64
 	demand Amounts
+	excess float64 // see Usage.Excess
 }
 
 // updateDemand computes the demand from the usage and refusals since the last report.
@@ -132,14 +134,41 @@
 			s.share[r] = s.lendingShare(v)
 			continue
 		}
-		own := s.confirmedDemand(r, v.delivered, newest, v.total)
+		own := s.confirmedDemand(r, v.confirmed(r), newest, v.total)
 		if len(v.peers) == 0 {
 			own = s.limits[r]
 		}
 		s.share[r] = min(s.shareAmong(r, v, own, transitional), s.shareAmong(r, v, own, present))
 	}
+	s.withheld = 0
+	for _, peer := range v.peers {
+		if report, ok := s.peerDemands[peer.name]; ok && report.number == peer.received && !s.lends(v.total) {
+			s.withheld += report.excess
+		}
+	}
+}
+
+// confirmed returns the newest report whose demands for r all peers are known to have
+// taken into account. Requests stay running at a peer when its share of Concurrent
+// shrinks, and only its next report names them.
+func (v *view) confirmed(r Resource) uint64 {
+	if r == Concurrent {
+		return min(v.delivered, v.answered)
+	}
+	return v.delivered
 }
 
+// excess returns the running requests beyond the share.
+func (s *subject) excess() float64 {
+	if s.limits[Concurrent] == 0 {
+		return 0
+	}
+	return max(0, float64(s.used())-s.share[Concurrent])
+}
+
+// used returns the permits of this entry that are in use.
+func (s *subject) used() int { return s.running - s.borrowed + s.lent }
+
 // lendingShare returns the part of a concurrency limit of which permits are lent.
 func (s *subject) lendingShare(v *view) float64 {
 	if !v.lentKnown {
@@ -175,8 +204,11 @@
 
 // hasPermit reports whether the share allows one more request to run.
 func (s *subject) hasPermit() bool {
-	used := s.running - s.borrowed + s.lent
-	return float64(used+1) <= s.share[Concurrent]+shareTolerance
+	share := s.share[Concurrent]
+	if s.withheld > 0 {
+		share = min(share, max(1, share-s.withheld))
+	}
+	return float64(s.used()+1) <= share+shareTolerance
 }
 
 // admit admits a request and counts it, or returns the refusal.
