limits: a share does not grow while a peer's report is stored

Callers saw: for the time in which a report of up to 512 subjects is stored, the entry took its peer's demand on the subjects not stored yet for none, and its share for the rest of the limit. A rate gained little by it; a concurrency limit was exceeded by requests that run on.

Cause: the report was counted as received first and its demands were stored after that, one by one, and a demand of an earlier report does not count.

Evidence: TestShareDoesNotGrowWhileAReportIsStored failed in each of three runs with "share of 95" of a limit of 100 that two entries with equal demand divide. The report is now counted once it is stored whole, until then the one before counts, and reports are stored one at a time. All tests of the package pass, also with -race. Found by reading.

--- a/internal/core/limits/limiter.go
+++ b/internal/core/limits/limiter.go
@@ -61,6 +61,8 @@
 	newest atomic.Uint64 // number of the last report
 	view   atomic.Pointer[view]
 	loans  loans
+
+	receiving sync.Mutex // held while a report is stored
 }
 
 // shard holds some of the subjects under a lock of its own.
@@ -231,13 +233,16 @@
 
 // Receive stores the whole report of a peer.
 func (l *Limiter) Receive(now time.Time, peer string, usage []Usage) {
-	number := l.peers.recordReport(peer, now)
+	l.receiving.Lock()
+	defer l.receiving.Unlock()
+	number := l.peers.nextReport(peer)
 	if number == 0 {
 		return
 	}
 	for _, reported := range usage {
 		l.recordReport(now, peer, number, reported)
 	}
+	l.peers.recordReport(peer, now) // only now, so that the report before counts until this one is whole
 	l.refreshView(now)
 }
 
--- a/internal/core/limits/limiter_test.go
+++ b/internal/core/limits/limiter_test.go
@@ -190,6 +190,44 @@
 	}
 }
 
+func TestShareDoesNotGrowWhileAReportIsStored(t *testing.T) {
+	c := newCluster(2, schema.Limits{RequestsPerSecond: 100})
+	for range 12 {
+		c.run(1, []int{200, 200})
+	}
+	l := c.limiters[0]
+	usage := make([]Usage, 0, DefaultMaxReport)
+	for i := range DefaultMaxReport - 1 {
+		usage = append(usage, Usage{Subject: fmt.Sprint(i)})
+	}
+	usage = append(usage, Usage{Subject: c.account.Name, Demand: Amounts{Requests: 200}})
+	stored := make(chan struct{})
+	go func() {
+		defer close(stored)
+		for range 300 {
+			l.Receive(c.now, "1", usage)
+		}
+	}()
+	for reading := true; reading; {
+		select {
+		case <-stored:
+			reading = false
+		default:
+		}
+		l.Delivered(c.now, "1", 0)
+		shard := l.shardOf(c.account.Name)
+		shard.mu.Lock()
+		s := shard.subjects[c.account.Name]
+		l.updateShares(s)
+		if s.share[Requests] > 50.5 {
+			t.Errorf("share of %g", s.share[Requests])
+			reading = false
+		}
+		shard.mu.Unlock()
+	}
+	<-stored
+}
+
 func TestConcurrencyAndTokenLimitsAreEnforced(t *testing.T) {
 	l := New(Config{})
 	now := time.Unix(1000, 0)
--- a/internal/core/limits/peers.go
+++ b/internal/core/limits/peers.go
@@ -98,22 +98,30 @@
 	}
 }
 
-// recordReport records a report from a peer. It returns the report's number, or 0
-// for an unknown peer.
-func (p *peers) recordReport(name string, now time.Time) uint64 {
-	return p.recordContact(name, now, func(peer *peer) uint64 {
+// nextReport returns the number of the next report from a peer, or 0 for an unknown peer.
+func (p *peers) nextReport(name string) uint64 {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	peer := p.byName[name]
+	if peer == nil {
+		return 0
+	}
+	return peer.received + 1
+}
+
+// recordReport records that the next report from a peer is stored.
+func (p *peers) recordReport(name string, now time.Time) {
+	p.recordContact(name, now, func(peer *peer) {
 		peer.receivedAt = now
 		peer.received++
-		return peer.received
 	})
 }
 
 // recordDelivered records that a peer received a report.
 func (p *peers) recordDelivered(name string, number uint64, now time.Time) {
-	p.recordContact(name, now, func(peer *peer) uint64 {
+	p.recordContact(name, now, func(peer *peer) {
 		peer.deliveredAt = now
 		peer.delivered = max(peer.delivered, number)
-		return peer.delivered
 	})
 }
 
@@ -137,21 +145,20 @@
 	return numbers
 }
 
-// recordContact calls change on a peer, if it is known, and returns the result. If
-// contact had been lost, it counts as starting now.
-func (p *peers) recordContact(name string, now time.Time, change func(*peer) uint64) uint64 {
+// recordContact calls change on a peer, if it is known. If contact had been lost, it
+// counts as starting now.
+func (p *peers) recordContact(name string, now time.Time, change func(*peer)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peer := p.byName[name]
 	if peer == nil {
-		return 0
+		return
 	}
 	gap := peer.lastContact().IsZero() || now.Sub(peer.lastContact()) > p.staleAfter
-	result := change(peer)
+	change(peer)
 	if gap {
 		peer.contactSince = now
 	}
-	return result
 }
 
 // view is the state of the peers at one time.
--- a/internal/core/limits/subject.go
+++ b/internal/core/limits/subject.go
@@ -142,7 +142,7 @@
 	}
 	s.withheld = 0
 	for _, peer := range v.peers {
-		if report, ok := s.peerDemands[peer.name]; ok && report.number == peer.received && !s.lends(v.total) {
+		if report, ok := s.reported(peer.name, peer.received); ok && !s.lends(v.total) {
 			s.withheld += report.excess
 		}
 	}
@@ -193,13 +193,19 @@
 	return Share(s.limits[r]*fraction, own, peerDemands)
 }
 
+// reported returns what the last report from a peer has on this subject, or the next one
+// that is being stored. Received is the number of the last one.
+func (s *subject) reported(peer string, received uint64) (peerDemand, bool) {
+	report, ok := s.peerDemands[peer]
+	return report, ok && report.number >= received
+}
+
 // reportedDemand returns the demand in a peer's last report, 0 if it was not in it.
 func (s *subject) reportedDemand(peer string, received uint64, r Resource) float64 {
-	report, ok := s.peerDemands[peer]
-	if !ok || report.number != received {
-		return 0
+	if report, ok := s.reported(peer, received); ok {
+		return report.demand[r]
 	}
-	return report.demand[r]
+	return 0
 }
 
 // hasPermit reports whether the share allows one more request to run.
