gateway: log how many gateways the first list has

Limits are divided among the listed gateways. The line 'sent to a cold target' tells their number for targets that are known to be cold only, so a gateway that knows too few others could not be told from one that counts wrongly. No change of logic.

--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -217,6 +217,9 @@
 			p.nodes[r.Key] = peerNode{record: record, lastSeen: now, heard: known.heard}
 		}
 	}
+	if !p.members.listed {
+		p.gateway.log.State("gateways listed", eventlog.Fields{"gateways": len(p.members.known)})
+	}
 	p.members.recordList(now)
 	p.expireNodes(now)
 }
