gateway: hand out a list of gateways only once it is complete

Cause: a gateway that cannot read the store asks a peer for the list of gateways. A peer that has just started itself answered with the few from which datagrams had come, and the asker took these for all of them and divided the limits among them.

Ruled out: counting when the target is chosen (the requests were sent within 1 ms of that), start shares (four requests in a second for all gateways), clocks (one machine).

Now a gateway that has not learned of all gateways, from the store or from a peer that has, gives no list. Then every list in circulation goes back to one that was read. A gateway without a list has no share and may borrow.

--- a/internal/app/gateway/cold_test.go
+++ b/internal/app/gateway/cold_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -12,7 +15,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/core/quota"
+	"quetzalbend/internal/eventlog"
+	"quetzalbend/internal/wire"
 	"quetzalbend/platform"
 	"quetzalbend/platform/platformtest"
 )
@@ -150,6 +156,18 @@
 	assert.Assert(t, g.peers.gateways() >= len(beds)+gatewayHeadroom, "%d gateways", g.peers.gateways())
 }
 
+// The peer has just started without a store: it has heard one gateway, and not read the list.
+func TestGatewayTakesNoIncompleteListOfTheOthersFromAPeer(t *testing.T) {
+	peer := New(fleet.Node{Name: "gateway-2"}, eventlog.New(io.Discard))
+	peer.peers.recordNode(&wire.NodeLoad{Node: "gateway-3", ControlAddress: localAddress(1)}, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}, time.Now())
+	server := httptest.NewServer(peer.controlHandler())
+	defer server.Close()
+	g := New(fleet.Node{Name: "gateway-1"}, eventlog.New(io.Discard))
+	_, err := g.peers.fetch(t.Context(), server.Listener.Addr().String(), platform.Position{}, platform.Position{})
+	assert.NilError(t, err)
+	assert.Equal(t, g.peers.gateways(), 0, "gateways among which it divides limits")
+}
+
 // Records of gateways that are gone for good.
 func TestRecordsOfGoneGatewaysAreDeletedAndNotCounted(t *testing.T) {
 	store := platformtest.NewStore(t)
--- a/internal/app/gateway/members.go
+++ b/internal/app/gateway/members.go
@@ -173,10 +173,14 @@
 	}
 }
 
-// records returns the records of all gateways, for one that cannot read them in the store.
+// records returns the records of all gateways, for one that cannot read them in the store,
+// and none if this gateway has not learned of all itself.
 func (p *peers) records() ([]*wire.StoredRecord, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.members.listed {
+		return nil, nil
+	}
 	list := make([]*wire.StoredRecord, 0, len(p.members.known))
 	for name, known := range p.members.known {
 		record := known.record
