Gateway: each request that is taken in a planned stop is answered before the process ends

Seen by callers of one gateway in calm: calls whose body ended late in the grace, and calls taken on time whose target was slow, were passed on and cut with no answer as the process ended, among them calls that may not be repeated. Requests on kept connections were closed without an answer 3 s after SIGTERM.

Calls were taken whenever their body came; only streams were refused late, and those by when their head came. Nothing gave up what still ran: the process left http.Server.Shutdown at 7.5 s of 8 s and exited with requests open. Shutdown, called at 3 s, closes idle connections at once and reads no request any more. The 3 s did not depend on the grace, so that a process with a shorter one was killed in its pause.

Ruled out: targets (they hang or answer as told), readiness (it fails at once, and calls sent on time to targets that answer in 2 s were held before as now), the caller's deadline (30 s in these tests).

Now (internal/drain): calls are taken for 3 s, streams for 2.5 s, by the last byte of the body, later ones if their own deadline ends before answers do, 0.7 s before SIGKILL; others are refused before they are sent, so that 503 is true. The same holds for another attempt of what may not be repeated. At 0.7 s before SIGKILL what runs is given up and answered: 504 if it may have run, 503 if not, the abort of a stream that has begun; that says nothing of the target, so no sign of a crash is recorded. Connections are kept until then. All answers in the drain close their connection, also those to requests of before it. The process ends early once no connection is open. Times follow from the grace where it is below 8 s, and are today's from 8 s on. The stop lasts longer than before where callers hold idle connections: up to 7.3 s instead of 3 s.

Existing test changed: TestStopIsGraceful set the start of the drain back by 3.5 s, in a field that is gone. It waits for the real 2.5 s now, and its late stream has a deadline of 8 s, as one of 4 s may be served by then.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -83,6 +83,11 @@
 	if o != delivered {
 		x.logAttempt(o, target.ID, now)
 	}
+	if o.lost() && x.gateway.drain.Over() { // it tells nothing of the target
+		x.attempts++
+		x.mayHaveRun = true
+		return false
+	}
 	x.recordCrashSigns(o, target, now)
 	switch o {
 	case delivered:
@@ -155,7 +160,7 @@
 
 // outOfTime reports whether an attempt was ended for its time, and not by its target.
 func (x *exchange) outOfTime(watch *watchdog) bool {
-	return watch.fired() || !time.Now().Before(x.deadline)
+	return watch.fired() || !time.Now().Before(x.deadline) || x.gateway.drain.Over()
 }
 
 func (x *exchange) targetRequest(ctx context.Context, target registry.Usable) *http.Request {
@@ -239,6 +244,7 @@
 func (x *exchange) deliver(response *bufferedResponse) {
 	header := x.writer.Header()
 	platform.CallerHeaders(header, response.header)
+	x.closeWhileStopping()
 	x.writer.WriteHeader(response.status)
 	if _, err := x.writer.Write(response.body); err != nil {
 		x.logOutcome("answer_not_delivered", response.status)
--- a/internal/app/gateway/body.go
+++ b/internal/app/gateway/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 
 	"github.com/pkg/errors"
 
@@ -45,6 +46,9 @@
 	case errors.As(err, &tooLarge):
 		x.respond(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded): // see readBodyBeforeStop
+		x.refuse(stoppingRefusal, 0)
+		return false
 	case err != nil:
 		x.gateway.log.Decision("request not read", eventlog.Fields{"request": x.caller.RequestID, "error": err.Error()})
 		panic(http.ErrAbortHandler)
--- a/internal/app/gateway/fleet_test.go
+++ b/internal/app/gateway/fleet_test.go
@@ -211,11 +211,14 @@
 	go func() { answers <- b.do(request) }()
 	b.wait("the stream runs", func() bool { return arrived(one) == 1 })
 	b.stop()
+	stopped := time.Now()
 	b.wait("health fails", func() bool { return b.health() != http.StatusOK })
 	assert.Equal(t, b.get("/read/").status, http.StatusOK) // sent before the balancer has noticed
 	// A stream that begins late in the grace period could be aborted at its end.
-	b.gateway.drainingSince.Store(time.Now().Add(-streamAcceptPeriod - time.Second).UnixNano())
-	late := b.post("/stream/", "prompt")
+	lateRequest := b.request(t.Context(), http.MethodPost, "/stream/", "prompt")
+	lateRequest.Header.Set("Deadline-Ms", "8000")
+	b.wait("streams are accepted no longer", func() bool { return time.Since(stopped) > streamAcceptPeriod })
+	late := b.do(lateRequest)
 	assert.Equal(t, late.status, http.StatusServiceUnavailable)
 	assert.Equal(t, late.header.Get("Retry-After"), "0.00")
 	got := <-answers
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +20,7 @@
 	"quetzalbend/internal/core/quota"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/core/strike"
+	"quetzalbend/internal/drain"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/fleetsync"
 	"quetzalbend/internal/metrics"
@@ -29,21 +29,21 @@
 
 // Gateway accepts callers' requests on one VM and forwards them to targets.
 type Gateway struct {
-	node          fleet.Node
-	log           *eventlog.Log
-	store         *platform.Store
-	state         *fleetsync.State
-	loads         *loads
-	peers         *peers
-	strikes       *strike.Table
-	poison        *poisonGuard
-	limits        *targetLimits
-	rests         *targetRests
-	transport     *http.Transport
-	memory        *memory.Budget
-	metrics       *metrics.Registry
-	requests      gometrics.Counter
-	drainingSince atomic.Int64 // start of the drain in Unix nanoseconds; 0: not draining
+	node      fleet.Node
+	log       *eventlog.Log
+	store     *platform.Store
+	state     *fleetsync.State
+	loads     *loads
+	peers     *peers
+	strikes   *strike.Table
+	poison    *poisonGuard
+	limits    *targetLimits
+	rests     *targetRests
+	transport *http.Transport
+	memory    *memory.Budget
+	metrics   *metrics.Registry
+	requests  gometrics.Counter
+	drain     *drain.Drain
 
 	suspension suspension
 	borrowing  borrowing
@@ -69,6 +69,7 @@
 		strikes: strike.NewTable(node.Name),
 		metrics: metrics.New(),
 		retries: make(map[string]*quota.RetryBudget),
+		drain:   drain.New(drainPlan(node.GracePeriod)),
 	}
 	g.requests = g.metrics.Counter("requests")
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
@@ -143,8 +144,6 @@
 	}
 }
 
-func (g *Gateway) draining() bool { return g.drainingSince.Load() != 0 }
-
 func (g *Gateway) gates(now time.Time) targetGates {
 	admission := admissionLimits{g.node.Bounds, g.peers.allMembers(), g.peers.startWait(now) > 0}
 	return targetGates{admission, g.limits, g.rests}
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -63,16 +63,13 @@
 		memory:  g.memory.Reserve(),
 	}
 	defer x.memory.Release()
-	if g.draining() {
-		w.Header().Set("Connection", "close")
-	}
 	x.stream.last = x.caller.LastEvent
 	view := g.state.View()
 	if view == nil {
 		x.refuse("settings_unknown", shortRetryAfter)
 		return
 	}
-	if !x.readBody(view.Settings.Limits) || !x.admit(view) {
+	if !x.readBodyBeforeStop(view.Settings.Limits) || !x.admit(view) {
 		return
 	}
 	x.run()
@@ -91,15 +88,15 @@
 		x.respond(http.StatusUnauthorized, "unknown_key")
 		return false
 	}
-	if x.route.Kind == fleet.Stream && x.gateway.refusesStreams(x.arrived) {
-		x.refuse("stopping", 0)
+	x.setDeadline()
+	if !x.endsBeforeStop() {
+		x.refuse(stoppingRefusal, 0)
 		return false
 	}
 	x.account = account
 	x.service = x.route.Service(rand.Float64())
 	x.fingerprint = strike.Fingerprint(account.Name+" "+x.request.Method+" "+x.request.URL.RequestURI(), x.body)
 	x.parts = append(slices.Clone(x.caller.SharedParts), poison.RequestPart(x.fingerprint))
-	x.setDeadline()
 	x.gateway.requests.Inc(1)
 	return true
 }
@@ -131,7 +128,12 @@
 	if !x.route.Repeatable() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	stop := context.AfterFunc(x.gateway.drain.Context(), cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 // run makes attempts until one succeeds or no further attempt is allowed.
@@ -220,6 +222,8 @@
 		return false
 	case x.faultyTarget != "", x.noTarget, !x.barred.MaySend():
 		return false
+	case x.endedByStop():
+		return false
 	}
 	return x.attempts == 0 || x.gateway.takeRetry(x.service)
 }
@@ -234,6 +238,8 @@
 		x.deliver(x.fallback)
 	case !x.mayHaveRun:
 		x.refuseNotRun()
+	case x.gateway.drain.Over():
+		x.respond(http.StatusGatewayTimeout, "stopped")
 	case time.Now().Before(x.deadline):
 		x.respond(http.StatusBadGateway, "outcome_unknown")
 	default:
@@ -243,6 +249,10 @@
 
 // refuseNotRun refuses a request that no target has run.
 func (x *exchange) refuseNotRun() {
+	if !x.endsBeforeStop() {
+		x.refuse(stoppingRefusal, 0)
+		return
+	}
 	targets := x.gateway.state.View().Targets[x.service]
 	remaining, resting := x.gateway.rests.allResting(targets, time.Now())
 	if resting && x.barred.MaySend() {
@@ -322,6 +332,7 @@
 func (x *exchange) respond(status int, reason string) {
 	x.logOutcome(reason, status)
 	x.gateway.countRefusal(reason)
+	x.closeWhileStopping()
 	header := x.writer.Header()
 	header.Set("Content-Type", "text/plain")
 	x.writer.WriteHeader(status)
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -90,9 +90,14 @@
 }
 
 func startGateway(t *testing.T, name, store string, seeds []string) (*Gateway, context.CancelFunc, chan error) {
+	t.Helper()
+	return startNode(t, testNode(t, name, store, seeds))
+}
+
+func testNode(t *testing.T, name, store string, seeds []string) fleet.Node {
 	t.Helper()
 	ports := freePorts(t, 4)
-	node := fleet.Node{
+	return fleet.Node{
 		Name: name, IP: "127.0.0.1", Domain: "d1",
 		CallerAddress: localAddress(ports[0]), HealthAddress: localAddress(ports[1]), ControlAddress: localAddress(ports[2]),
 		Ports:        [2]int{ports[3], 0},
@@ -101,6 +106,10 @@
 		GracePeriod:  8 * time.Second,
 		Bounds:       fleet.Bounds{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5},
 	}
+}
+
+func startNode(t *testing.T, node fleet.Node) (*Gateway, context.CancelFunc, chan error) {
+	t.Helper()
 	log := eventlog.New(io.Discard)
 	g := New(node, log)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -108,7 +117,7 @@
 	go func() {
 		err := g.run(ctx)
 		if err != nil && ctx.Err() == nil {
-			t.Logf("gateway %s ended: %v", name, err)
+			t.Logf("gateway %s ended: %v", node.Name, err)
 		}
 		ended <- err
 	}()
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -12,31 +12,52 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"quetzalbend/internal/drain"
 	"quetzalbend/internal/eventlog"
-	"quetzalbend/internal/pause"
 	"quetzalbend/platform"
 )
 
 const (
-	maxHeaderBytes     = 64 << 10
-	headerTimeout      = 10 * time.Second
-	idleTimeout        = 2 * time.Minute
-	drainDelay         = 3 * time.Second         // time in which the platform stops sending new connections
-	streamAcceptPeriod = 2500 * time.Millisecond // how long after SIGTERM new streams are accepted
+	maxHeaderBytes    = 64 << 10
+	headerTimeout     = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	healthPath        = "/v1/readiness"
+	peerStatePath     = "/fleet"
+	admissionPath     = "/admission"
+	nodesQuery        = "nodes" // asks for the records of the gateways
+	metricsPath       = "/metrics"
+	protobufMediaType = "application/x-protobuf"
+)
+
+// Times of the drain in the usual grace period. A shorter one shortens them alike, as the
+// process is killed at its end.
+const (
+	usualGrace         = 8 * time.Second
+	callAcceptPeriod   = 3 * time.Second         // time in which the platform stops sending new connections
+	streamAcceptPeriod = 2500 * time.Millisecond // how long after SIGTERM all streams are accepted
+	answerMargin       = 200 * time.Millisecond  // time for the answers to requests that are given up
 	graceMargin        = 500 * time.Millisecond  // the drain ends this long before SIGKILL
-	healthPath         = "/v1/readiness"
-	peerStatePath      = "/fleet"
-	admissionPath      = "/admission"
-	nodesQuery         = "nodes" // asks for the records of the gateways
-	metricsPath        = "/metrics"
-	protobufMediaType  = "application/x-protobuf"
 )
 
+// ofGrace returns a time of the drain for a grace period.
+func ofGrace(grace, usual time.Duration) time.Duration {
+	return min(usual, time.Duration(float64(usual)*grace.Seconds()/usualGrace.Seconds()))
+}
+
+// drainPlan keeps connections for as long as requests run: a request that comes on one is
+// answered that it has not run, where a closed connection would leave that open.
+func drainPlan(grace time.Duration) drain.Plan {
+	end := grace - ofGrace(grace, graceMargin)
+	answers := end - ofGrace(grace, answerMargin)
+	return drain.Plan{Accept: ofGrace(grace, callAcceptPeriod), Keep: answers, Answers: answers, Close: end}
+}
+
 // serve serves callers, health checks and peers until ctx ends. It then drains:
-// it returns once all running requests have ended or the grace period is over.
+// it returns once all callers' connections are closed or the grace period is over.
 func (g *Gateway) serve(ctx, background context.Context) error {
 	group := &errgroup.Group{}
 	callers := g.server(g)
+	g.drain.Watch(callers)
 	if err := g.listen(group, callers, g.node.CallerAddress); err != nil {
 		return err
 	}
@@ -52,7 +73,10 @@
 	case <-ctx.Done():
 	case <-background.Done(): // another goroutine of the gateway has failed
 	}
-	g.drain(background, callers)
+	g.log.State("stopping", eventlog.Fields{"grace_ms": g.node.GracePeriod.Milliseconds()})
+	if err := g.drain.Run(background, callers); err != nil {
+		g.log.Problem("connections closed at the end of the grace period", err, nil)
+	}
 	for _, server := range []*http.Server{health, control} {
 		if err := server.Close(); err != nil {
 			g.log.Problem("listener not closed", err, nil)
@@ -84,28 +108,7 @@
 	return nil
 }
 
-// drain fails the health check, continues to serve until the platform has
-// noticed, and then waits for running requests to end.
-func (g *Gateway) drain(ctx context.Context, callers *http.Server) {
-	started := time.Now()
-	g.drainingSince.Store(started.UnixNano())
-	g.log.State("stopping", eventlog.Fields{"grace_ms": g.node.GracePeriod.Milliseconds()})
-	pause.For(ctx, drainDelay)
-	ctx, cancel := context.WithDeadline(ctx, started.Add(g.node.GracePeriod-graceMargin))
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		g.log.Problem("requests aborted at the end of the grace period", err, nil)
-	}
-}
-
-// refusesStreams reports whether a stream that begins now could be cut by the
-// end of the grace period.
-func (g *Gateway) refusesStreams(now time.Time) bool {
-	drainingSince := g.drainingSince.Load()
-	return drainingSince != 0 && now.Sub(time.Unix(0, drainingSince)) > streamAcceptPeriod
-}
-
-func (g *Gateway) ready() bool { return !g.draining() && g.state.View() != nil }
+func (g *Gateway) ready() bool { return !g.drain.Started() && g.state.View() != nil }
 
 func (g *Gateway) serveHealth(w http.ResponseWriter, r *http.Request) {
 	switch {
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -206,6 +206,7 @@
 	}
 	x.stream.started = true
 	platform.CallerHeaders(x.writer.Header(), from)
+	x.closeWhileStopping()
 	x.writer.WriteHeader(http.StatusOK)
 	x.observeFirstEvent()
 }
