Entry: each request that is taken by a leaving entry is answered

Seen by callers: a request on a connection that was kept open had no answer once notice_ms had passed, and a call or stream that ran at the end of grace_ms was cut off, without the problem that says whether it has run.

Cause: the same use of http.Server.Shutdown and Close as in the gateway. Shutdown closes idle connections at once; Close at the end of the grace cuts the rest.

Now the entry uses internal/drain as the gateway does. After notice_ms a request is taken if its timeout ends within the grace, and refused (503 "leaving", ran "no") otherwise; idle connections are kept for notice_ms once more; just before the end of the grace, what runs is answered 504 "entry_stopped" or, as a stream, with the event of that problem and an abort.

--- a/internal/adapter/callerhttp/body.go
+++ b/internal/adapter/callerhttp/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net/http"
 	"os"
@@ -33,6 +34,7 @@
 	}
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(time.Now().Add(h.bounds.BodyTimeout))
+	defer context.AfterFunc(h.drain.Context(), func() { _ = control.SetReadDeadline(time.Now()) })()
 	body := bytes.NewBuffer(make([]byte, 0, min(length+bytes.MinRead, initialBodyBytes)))
 	if _, err := body.ReadFrom(http.MaxBytesReader(x.w, x.r.Body, h.bounds.BodyBytes)); err != nil {
 		return nil, bodyFailure(err)
--- a/internal/adapter/callerhttp/chat.go
+++ b/internal/adapter/callerhttp/chat.go
@@ -133,6 +133,7 @@
 // writeAnswer writes an answer that is not streamed. Content-Type is contentType
 // unless the answer sets it.
 func (h *handler) writeAnswer(x *exchange, answer *dispatch.Answer, contentType string) {
+	h.closeWhileLeaving(x.w)
 	header := x.w.Header()
 	header.Set("Content-Type", contentType)
 	for _, line := range answer.Headers {
--- a/internal/adapter/callerhttp/config.go
+++ b/internal/adapter/callerhttp/config.go
@@ -1,6 +1,10 @@
 package callerhttp
 
-import "time"
+import (
+	"time"
+
+	"quetzalbend/internal/drain"
+)
 
 // Bounds limits what callers may send and hold. Zero fields get the defaults.
 type Bounds struct {
@@ -49,7 +53,8 @@
 	Bounds     Bounds
 	Tables     Tables
 	Dispatcher Dispatcher
-	Limiter    Limiter     // nil: no limits
-	Recorder   Recorder    // nil: no measurements
-	Leaving    func() bool // whether callers should connect elsewhere; nil: never
+	Limiter    Limiter      // nil: no limits
+	Recorder   Recorder     // nil: no measurements
+	Leaving    func() bool  // whether callers should connect elsewhere; nil: never
+	Drain      *drain.Drain // of the server; nil: it is never drained
 }
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -16,6 +16,7 @@
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/dispatch"
+	"quetzalbend/internal/drain"
 )
 
 // TimeoutHeader is the request header by which a caller shortens the deadline,
@@ -33,6 +34,7 @@
 	limiter       Limiter
 	recorder      Recorder
 	leaving       func() bool
+	drain         *drain.Drain
 	heldBodyBytes atomic.Int64 // total that requests have reserved for their bodies
 }
 
@@ -44,6 +46,7 @@
 		limiter:    cfg.Limiter,
 		recorder:   cfg.Recorder,
 		leaving:    cfg.Leaving,
+		drain:      cfg.Drain,
 	}
 	if h.leaving == nil {
 		h.leaving = func() bool { return false }
@@ -87,9 +90,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{w: w, r: r, start: time.Now(), id: newRequestID(), table: h.tables.Table()}
 		w.Header().Set(RequestIDHeader, x.id)
-		if h.leaving() {
-			w.Header().Set("Connection", "close")
-		}
+		h.closeWhileLeaving(w)
 		defer func() { h.heldBodyBytes.Add(-x.reserved) }()
 		failed := h.authenticate(x)
 		if failed == nil {
@@ -102,10 +103,18 @@
 		if failed.streaming {
 			x.stream.fail(failed.problem(x.id))
 		}
+		h.closeWhileLeaving(w)
 		failed.write(w, x.id)
 	}
 }
 
+// closeWhileLeaving asks the caller to connect elsewhere for its next request.
+func (h *handler) closeWhileLeaving(w http.ResponseWriter) {
+	if h.leaving() || h.drain.Started() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func newRequestID() string {
 	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
 }
@@ -156,18 +165,25 @@
 	if failed != nil {
 		return nil, failed
 	}
+	req.Deadline = x.start.Add(timeout)
+	if !h.drain.Takes(time.Now(), req.Deadline) {
+		return nil, leavingFailure()
+	}
 	release, refusal := h.limiter.Admit(x.catalog(), x.account, demandOf(x, req))
 	if refusal != nil {
 		return nil, limitFailure(refusal)
 	}
 	outcome := Outcome{Code: CodeOK}
 	defer func() { release(outcome) }()
-	req.Deadline = x.start.Add(timeout)
 	ctx, cancel := context.WithDeadline(x.r.Context(), req.Deadline)
 	defer cancel()
+	defer context.AfterFunc(h.drain.Context(), cancel)()
 	answer, err := h.dispatcher.Do(ctx, x.table, req, out)
 	if err != nil {
 		failed := dispatchFailure(err)
+		if failed.code == dispatch.CodeCallerGone && x.r.Context().Err() == nil {
+			failed = failed.atStop()
+		}
 		outcome.Code = failed.code
 		if x.stream != nil {
 			outcome.Tokens = x.stream.pieces
--- a/internal/adapter/callerhttp/problem.go
+++ b/internal/adapter/callerhttp/problem.go
@@ -25,6 +25,8 @@
 	CodeKeyRequired       = "idempotency_key_required"
 	CodeInvalidKey        = "invalid_idempotency_key"
 	CodeNotFound          = "not_found"
+	CodeLeaving           = "leaving"       // the entry leaves, and might have left before the answer
+	CodeStopped           = "entry_stopped" // the entry has left before the answer
 	problemContentType    = "application/problem+json"
 	statusCallerGone      = 499 // no caller receives it, as the caller has disconnected
 	problemTypeURNPrefix  = "urn:quetzalbend:problem:"
@@ -48,6 +50,7 @@
 	CodeBadRequest:              http.StatusBadRequest,
 	CodeBodyTooLarge:            http.StatusRequestEntityTooLarge,
 	CodeBodyTimeout:             http.StatusRequestTimeout,
+	CodeStopped:                 http.StatusGatewayTimeout,
 	CodeUnknownModel:            http.StatusNotFound,
 	CodeUnknownService:          http.StatusNotFound,
 	CodeNoRoute:                 http.StatusNotFound,
@@ -85,6 +88,23 @@
 	return &failure{code: code, ran: wire.Ran_RAN_NO, detail: detail}
 }
 
+// leavingFailure returns the failure of a request that other entries can take at once.
+func leavingFailure() *failure {
+	failed := refuse(CodeLeaving, "")
+	failed.retryAfter = time.Second
+	return failed
+}
+
+// atStop returns the failure of a request that was given up as the entry left.
+func (f *failure) atStop() *failure {
+	if f.ran == wire.Ran_RAN_NO && !f.streaming {
+		return leavingFailure()
+	}
+	stopped := *f
+	stopped.code = CodeStopped
+	return &stopped
+}
+
 // dispatchFailure returns the failure for an error of the dispatcher.
 func dispatchFailure(err error) *failure {
 	cause, ok := dispatch.AsFailure(err)
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -6,17 +6,22 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"quetzalbend/internal/drain"
 )
 
 // NewServer returns the HTTP server for callers. It speaks HTTP/1.1 and HTTP/2,
 // the latter also without TLS.
 func NewServer(cfg Config) *http.Server {
 	cfg.Bounds = cfg.Bounds.withDefaults()
+	if cfg.Drain == nil {
+		cfg.Drain = drain.New(drain.Plan{})
+	}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
+	server := &http.Server{
 		Handler:           newHandler(cfg),
 		Protocols:         protocols,
 		MaxHeaderBytes:    cfg.Bounds.HeaderBytes,
@@ -24,6 +29,8 @@
 		IdleTimeout:       cfg.Bounds.IdleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
+	cfg.Drain.Watch(server)
+	return server
 }
 
 // LimitListener returns a listener with at most limit open connections; further
--- a/internal/adapter/callerhttp/sse.go
+++ b/internal/adapter/callerhttp/sse.go
@@ -44,6 +44,7 @@
 	if !s.started {
 		s.started = true
 		s.firstAt = now
+		s.handler.closeWhileLeaving(s.x.w)
 		header := s.x.w.Header()
 		header.Set("Content-Type", "text/event-stream")
 		header.Set("Cache-Control", "no-cache")
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -20,6 +20,7 @@
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/dispatch"
+	"quetzalbend/internal/drain"
 	"quetzalbend/internal/metrics"
 	"quetzalbend/internal/settingssync"
 )
@@ -48,6 +49,7 @@
 	cfg             Config
 	tables          *tables
 	health          *health
+	drain           *drain.Drain // of the callers' server
 	registry        *metrics.Registry
 	security        *security
 	pool            *link.Pool
@@ -90,6 +92,7 @@
 		cfg:             cfg,
 		tables:          table,
 		health:          &health{tables: table},
+		drain:           drain.New(cfg.drainPlan()),
 		registry:        metrics.New(),
 		pool:            link.NewPool(links),
 		security:        security,
@@ -207,6 +210,7 @@
 		Limiter:    newLimiter(e.limits),
 		Recorder:   newRecorder(e.registry),
 		Leaving:    e.health.isLeaving,
+		Drain:      e.drain,
 	})
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	return server
--- a/internal/app/entry/vms.go
+++ b/internal/app/entry/vms.go
@@ -45,13 +45,3 @@
 		}
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
