--- a/internal/app/entry/leave_test.go
+++ b/internal/app/entry/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -102,3 +103,44 @@
 	assert.Assert(t, strings.Contains(body, `"code":"entry_stopped"`), "%s", body)
 	assert.NilError(t, <-done)
 }
+
+// A request on an HTTP/2 connection of a leaving entry had no answer.
+func TestRequestOnAnHTTP2ConnectionOfALeavingEntryIsAnswered(t *testing.T) {
+	const notice = time.Second
+	s := newTestSystem(t)
+	s.putDefaults()
+	close(s.release)
+	e, leave, done := s.start("e0", func(c *Config) { c.NoticeMS, c.GraceMS = notice.Milliseconds(), 3000 })
+	waitReady(t, e)
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	dials := 0
+	transport := &http.Transport{Protocols: protocols, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}}
+	defer transport.CloseIdleConnections()
+	send := func() (int, string) {
+		body := `{"model":"draft","messages":[{"role":"user","content":"hi"}]}`
+		request, err := http.NewRequest(http.MethodPost, "http://"+e.CallersAddr()+"/v1/chat/completions", strings.NewReader(body))
+		assert.NilError(t, err)
+		request.Header.Set("Authorization", "Bearer secret")
+		answer, err := transport.RoundTrip(request)
+		assert.NilError(t, err)
+		defer func() { _ = answer.Body.Close() }()
+		text, err := io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		return answer.StatusCode, string(text)
+	}
+	status, text := send()
+	assert.Equal(t, status, http.StatusOK, "%s", text)
+	leaving := time.Now()
+	leave()
+	eventually(t, "the notice time is over", func() bool { return time.Since(leaving) > notice+notice/5 })
+	status, text = send()
+	assert.Equal(t, status, http.StatusServiceUnavailable, "%s", text)
+	assert.Assert(t, strings.Contains(text, `"code":"leaving"`), "%s", text)
+	assert.Equal(t, dials, 1)
+	assert.NilError(t, <-done)
+	assert.Assert(t, time.Since(leaving) < 2*notice, "left after %s without connections", time.Since(leaving))
+}
