link: answers are written when Shutdown returns

A stopping agent, or the entries' server for other entries, ends its process after Server.Shutdown. Shutdown returned once handlers had returned and sessions were closed, while the connection's own goroutine still wrote what they had sent last: an answer that was sent in the last moment could be lost with the process.

Ruled out: sessions that are closed with streams that run (they are waited for).

--- a/internal/adapter/link/coalesce.go
+++ b/internal/adapter/link/coalesce.go
@@ -18,6 +18,7 @@
 type coalescer struct {
 	net.Conn
 	timeout time.Duration // of one write to the connection
+	flushed chan struct{} // closed when nothing is written any more
 
 	lock    sync.Mutex
 	changed sync.Cond // uses lock; pending, closed or err has changed
@@ -28,7 +29,7 @@
 }
 
 func coalesce(conn net.Conn, timeout time.Duration) *coalescer {
-	c := &coalescer{Conn: conn, timeout: timeout}
+	c := &coalescer{Conn: conn, timeout: timeout, flushed: make(chan struct{})}
 	c.changed.L = &c.lock
 	go c.flush()
 	return c
@@ -68,6 +69,7 @@
 // write, or until a write fails.
 func (c *coalescer) flush() {
 	defer func() { _ = c.Conn.Close() }()
+	defer close(c.flushed)
 	for {
 		data, open := c.takePending()
 		if !open {
--- a/internal/adapter/link/link_test.go
+++ b/internal/adapter/link/link_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"quetzalbend/internal/pause"
 	"quetzalbend/internal/wire"
 )
 
@@ -106,6 +107,60 @@
 	assert.NilError(t, <-stopped)
 }
 
+// slowListener accepts connections whose writes take long.
+type slowListener struct {
+	net.Listener
+	slow    *atomic.Bool
+	written *atomic.Int64 // bytes that were written slowly
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &slowConn{conn, l}, err
+}
+
+type slowConn struct {
+	net.Conn
+	listener slowListener
+}
+
+func (c *slowConn) Write(data []byte) (int, error) {
+	if !c.listener.slow.Load() {
+		return c.Conn.Write(data)
+	}
+	pause.For(context.Background(), closeWriteTimeout/4)
+	n, err := c.Conn.Write(data)
+	c.listener.written.Add(int64(n))
+	return n, err
+}
+
+// The process ended after Shutdown while the last answers were still to be written.
+func TestAnswersAreWrittenWhenShutdownReturns(t *testing.T) {
+	const size = 10 << 10 // bytes of the last answer
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	listener := slowListener{tcp, &atomic.Bool{}, &atomic.Int64{}}
+	release := make(chan struct{})
+	server := NewServer(Config{}, func(_ context.Context, _ *wire.Open, stream *Stream) {
+		_ = stream.Send(&wire.AnswerFrame{})
+		<-release
+		_ = stream.Send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Chunk{Chunk: &wire.Chunk{Data: make([]byte, size)}}})
+	})
+	go func() { _ = server.Serve(listener) }()
+	pool := NewPool(Config{})
+	defer func() { _ = pool.Close() }()
+	stream, err := pool.Open(context.Background(), tcp.Addr().String(), newCall())
+	assert.NilError(t, err)
+	assert.NilError(t, stream.Receive(&wire.AnswerFrame{}))
+	listener.slow.Store(true)
+	close(release)
+	assert.NilError(t, server.Shutdown(t.Context()))
+	assert.Assert(t, listener.written.Load() > size, "%d bytes were written", listener.written.Load())
+	frame := &wire.AnswerFrame{}
+	assert.NilError(t, stream.Receive(frame))
+	assert.Equal(t, len(frame.GetChunk().GetData()), size)
+}
+
 // A peer that stops answering is noticed when a stream is opened to it, long
 // before the next probe of its session.
 func TestSessionOfSilentPeerClosesSoonAfterStreamIsOpened(t *testing.T) {
--- a/internal/adapter/link/server.go
+++ b/internal/adapter/link/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -24,7 +25,7 @@
 
 	lock         sync.Mutex
 	listener     net.Listener
-	sessions     map[*yamux.Session]struct{}
+	sessions     map[*yamux.Session]*coalescer // with their connections
 	shuttingDown bool
 	streams      sync.WaitGroup
 }
@@ -34,7 +35,7 @@
 	return &Server{
 		config:   config.withDefaults(),
 		handler:  handler,
-		sessions: make(map[*yamux.Session]struct{}),
+		sessions: make(map[*yamux.Session]*coalescer),
 	}
 }
 
@@ -63,7 +64,8 @@
 }
 
 // Shutdown stops accepting sessions and streams, waits until the running streams
-// have ended or ctx ends, and then closes all sessions.
+// have ended or ctx ends, and then closes all sessions. What was sent on them is
+// written when it returns, if their peers read.
 func (s *Server) Shutdown(ctx context.Context) error {
 	sessions := s.startShutdown()
 	done := make(chan struct{})
@@ -77,27 +79,28 @@
 	case <-ctx.Done():
 		err = errors.Wrap(ctx.Err(), "wait for running streams")
 	}
-	for _, session := range sessions {
+	for session := range sessions {
 		_ = session.Close()
 	}
+	for _, conn := range sessions {
+		<-conn.flushed
+	}
 	return err
 }
 
 // startShutdown closes the listener, tells the peers to open no more streams and
 // returns the sessions.
-func (s *Server) startShutdown() []*yamux.Session {
+func (s *Server) startShutdown() map[*yamux.Session]*coalescer {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.shuttingDown = true
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
-	sessions := make([]*yamux.Session, 0, len(s.sessions))
 	for session := range s.sessions {
 		_ = session.GoAway()
-		sessions = append(sessions, session)
 	}
-	return sessions
+	return maps.Clone(s.sessions)
 }
 
 func (s *Server) isShuttingDown() bool {
@@ -107,12 +110,13 @@
 }
 
 func (s *Server) serveSession(conn net.Conn) {
-	session, err := yamux.Server(coalesce(conn, s.config.WriteTimeout), s.config.session())
+	written := coalesce(conn, s.config.WriteTimeout)
+	session, err := yamux.Server(written, s.config.session())
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
-	if !s.addSession(session) {
+	if !s.addSession(session, written) {
 		_ = session.Close()
 		return
 	}
@@ -161,13 +165,13 @@
 }
 
 // addSession returns false if the server is shutting down.
-func (s *Server) addSession(session *yamux.Session) bool {
+func (s *Server) addSession(session *yamux.Session, conn *coalescer) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if s.shuttingDown {
 		return false
 	}
-	s.sessions[session] = struct{}{}
+	s.sessions[session] = conn
 	return true
 }
 
