Stop: tests of many requests at its end, of bodies without end, and of what a stop says of a request

TestRequestThatIsPassedOnIsAnsweredBeforeAStopEnds also checks that a stop is no strike against the request: without the guard in recordAttempt it fails with "1 != 0". With it, outOfTime need not know of the stop. TestRequestWhoseBodyNeverEndsIsAnsweredByALeavingEntry fails without the end of body reads ("unexpected EOF"). TestManyRequestsThatRunAreAllAnsweredBeforeAStopEnds, 90 requests, passes, also with -race.

--- a/internal/app/entry/leave_test.go
+++ b/internal/app/entry/leave_test.go
@@ -144,3 +144,17 @@
 	assert.NilError(t, <-done)
 	assert.Assert(t, time.Since(leaving) < 2*notice, "left after %s without connections", time.Since(leaving))
 }
+
+// A request whose body never ended was cut off without an answer.
+func TestRequestWhoseBodyNeverEndsIsAnsweredByALeavingEntry(t *testing.T) {
+	s := newTestSystem(t)
+	s.putDefaults()
+	e, leave, done := s.start("e0", func(c *Config) { c.GraceMS = 500 })
+	waitReady(t, e)
+	kept := connect(t, e)
+	_, err := io.WriteString(kept.conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nContent-Length: 100\r\n\r\n{")
+	assert.NilError(t, err)
+	leave()
+	kept.assertProblem(http.StatusRequestTimeout, "body_timeout", "no")
+	assert.NilError(t, <-done)
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -160,7 +160,7 @@
 
 // outOfTime reports whether an attempt was ended for its time, and not by its target.
 func (x *exchange) outOfTime(watch *watchdog) bool {
-	return watch.fired() || !time.Now().Before(x.deadline) || x.gateway.drain.Over()
+	return watch.fired() || !time.Now().Before(x.deadline)
 }
 
 func (x *exchange) targetRequest(ctx context.Context, target registry.Usable) *http.Request {
--- a/internal/app/gateway/stop_test.go
+++ b/internal/app/gateway/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -187,12 +188,35 @@
 				assert.Equal(t, got.status, http.StatusGatewayTimeout)
 				assert.Assert(t, time.Since(b.stopped) > testGrace*5/6, "given up after %s", time.Since(b.stopped))
 				assert.Equal(t, ran(one), 1)
+				assert.Equal(t, len(b.gateway.strikes.Counts(time.Now())), 0, "the stop counts against the request")
 				b.assertEnds()
 			})
 		}
 	}
 }
 
+// Answers that are due at the same moment, the last one of a stop, must all be written.
+func TestManyRequestsThatRunAreAllAnsweredBeforeAStopEnds(t *testing.T) {
+	t.Parallel()
+	const requests = 90 // of the 100 connections that the target allows
+	one := platformtest.NewTarget(t, "i-1", slices.Repeat([]platformtest.Behavior{platformtest.Hang}, requests)...)
+	b := newStopBed(t, one)
+	raw := make([]*rawRequest, requests)
+	for i := range raw {
+		raw[i] = b.connect()
+		raw[i].sendHead("/long/once/", longDeadline)
+		raw[i].send("pay")
+	}
+	b.wait("the requests run", func() bool { return arrived(one) == requests })
+	b.tellToStop()
+	for _, r := range raw {
+		got := r.answer()
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	}
+	b.assertEnds()
+}
+
 // A request on a connection that was kept open was cut off without an answer.
 func TestRequestOnAKeptConnectionIsAnsweredUntilAStopEnds(t *testing.T) {
 	t.Parallel()
