--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -85,6 +85,11 @@
 	if o != delivered {
 		x.logAttempt(o, target.ID, now)
 	}
+	if o.lost() && x.gateway.drain.Over() { // it tells nothing of the target
+		x.attempts++
+		x.mayHaveRun = true
+		return false
+	}
 	x.recordCrashSigns(o, target, now)
 	switch o {
 	case delivered:
@@ -243,6 +248,7 @@
 func (x *exchange) deliver(response *bufferedResponse) {
 	header := x.writer.Header()
 	platform.CallerHeaders(header, response.header)
+	x.closeWhileStopping()
 	x.writer.WriteHeader(response.status)
 	if _, err := x.writer.Write(response.body); err != nil {
 		x.logOutcome("answer_not_delivered", response.status)
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -96,9 +96,17 @@
 
 // startPrepared starts a gateway that prepare has changed before.
 func startPrepared(t *testing.T, name, store string, seeds []string, prepare func(*Gateway)) (*Gateway, context.CancelFunc, chan error) {
+	t.Helper()
+	g := New(testNode(t, name, store, seeds), eventlog.New(io.Discard))
+	prepare(g)
+	stop, ended := run(t, g)
+	return g, stop, ended
+}
+
+func testNode(t *testing.T, name, store string, seeds []string) fleet.Node {
 	t.Helper()
 	ports := freePorts(t, 4)
-	node := fleet.Node{
+	return fleet.Node{
 		Name: name, IP: "127.0.0.1", Domain: "d1",
 		CallerAddress: localAddress(ports[0]), HealthAddress: localAddress(ports[1]), ControlAddress: localAddress(ports[2]),
 		Ports:        [2]int{ports[3], 0},
@@ -107,19 +115,28 @@
 		GracePeriod:  8 * time.Second,
 		Bounds:       fleet.Bounds{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5},
 	}
-	log := eventlog.New(io.Discard)
-	g := New(node, log)
-	prepare(g)
+}
+
+func startNode(t *testing.T, node fleet.Node) (*Gateway, context.CancelFunc, chan error) {
+	t.Helper()
+	g := New(node, eventlog.New(io.Discard))
+	stop, ended := run(t, g)
+	return g, stop, ended
+}
+
+// run runs a gateway until the end of the test.
+func run(t *testing.T, g *Gateway) (context.CancelFunc, chan error) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() {
 		err := g.run(ctx)
 		if err != nil && ctx.Err() == nil {
-			t.Logf("gateway %s ended: %v", name, err)
+			t.Logf("gateway %s ended: %v", g.node.Name, err)
 		}
 		ended <- err
 	}()
-	return g, cancel, ended
+	return cancel, ended
 }
 
 // startGateways starts gateways beside the first one, at the same store, and waits until
