An answer whose status is none is no answer; cut answers tested at each byte

Seen while an answer's head was cut at each byte and varied: a target that answered with status 000 or 099 made the handler panic ("invalid WriteHeader code 99"), and its caller's connection ended without an answer, though the request had been passed on; with 101, 600 or 999 the caller got that status. In the product's own interface the service's client took the same statuses for answers; the agent would keep them under the call's key, and a replay would end in the same way.

Cause: net/http reads any three digits as a status and returns 101 as a final answer; neither side checked it.

Fix: a status outside 200 to 599 is no answer. What was sent may have run: 502, or another attempt where it may be repeated.

Before: TestAnswerWithAStatusThatIsNoneIsNoAnswer failed with "EOF" for 000 and 099 and with the status itself for 101, 600 and 999; TestStatusThatIsNoneIsAnError failed for all five. Both pass now.

Ruled out by the other tests of this commit, which held before any change: a head cut at any byte, closed in order or reset, is never taken for a shorter one (status line, signature, Content-Length). That is so for calls and streams, repeatable or not, first attempt and resumption, HTTP/1.1 and 1.0, lines that end with a bare LF, after an interim answer, and in the body, the chunks and the trailers behind them; engines and services alike.

--- a/internal/adapter/service/client.go
+++ b/internal/adapter/service/client.go
@@ -15,6 +15,7 @@
 const (
 	maxAnswerBytes     = 8 << 20
 	maxAnswerHeadBytes = 64 << 10
+	maxStatus          = 599
 )
 
 // KeyHeader is the header that passes a call's idempotency key to the service.
@@ -82,6 +83,9 @@
 		return Answer{}, errors.Wrapf(err, "call service %s", c.base)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return Answer{}, errors.Errorf("answer of service %s has status %d", c.base, response.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, errors.Wrapf(err, "read answer of service %s", c.base)
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -18,6 +18,7 @@
 const (
 	maxAnswerBytes     = 4 << 20  // of an answer that is not streamed
 	maxAnswerHeadBytes = 64 << 10 // of a target's answer
+	maxStatus          = 599
 )
 
 // outcome is how an attempt ended.
@@ -192,7 +193,7 @@
 	if decoded.Leaving {
 		x.gateway.state.RecordLeaving(target.ID, target.Born)
 	}
-	if !x.isAnswered(decoded) {
+	if !x.isAnswered(response.StatusCode, decoded) {
 		return unknown
 	}
 	x.gateway.limits.observe(target, decoded)
@@ -228,7 +229,10 @@
 
 // isAnswered reports whether an answer belongs to the request. Targets repeat its id. A
 // rejection without it may be that of an earlier request, while the target runs this one.
-func (x *exchange) isAnswered(answer platform.TargetAnswer) bool {
+func (x *exchange) isAnswered(status int, answer platform.TargetAnswer) bool {
+	if status < http.StatusOK || status > maxStatus {
+		return false
+	}
 	if answer.RequestID == "" {
 		return !answer.NotRun || x.caller.RequestID == ""
 	}
