An answer that ends with its connection does so for the caller

Cause: the gateway read such an answer to the end of its connection and framed it anew.

A reset was told from an end before as well, and still is.

Then an answer cut by the gateway itself must not look like an end either: while it lasts, the caller's connection is set to end with a reset, also if the process is killed. That mends the same fault for callers of HTTP/1.0, who read each stream and each call over 2 KiB to the end of the connection: a stream broken off was closed in order. Calls with an end have a Content-Length for them now.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"quetzalbend/internal/adapter/unframed"
 	"quetzalbend/internal/core/registry"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/eventlog"
@@ -48,6 +49,7 @@
 	status int
 	header http.Header
 	body   []byte
+	framed bool // its end was marked
 }
 
 func (x *exchange) chooseTarget() (registry.Usable, bool) {
@@ -218,12 +220,17 @@
 		return unknown
 	}
 	x.memory.Grow(int64(len(body)))
-	buffered := &bufferedResponse{response.StatusCode, response.Header, body}
-	if response.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() {
-		x.fallback = buffered
+	return x.complete(&bufferedResponse{response.StatusCode, response.Header, body, unframed.IsFramed(response)})
+}
+
+// complete relays a complete answer to the caller, unless another attempt may give a better
+// one.
+func (x *exchange) complete(response *bufferedResponse) outcome {
+	if response.status >= http.StatusInternalServerError && x.route.Repeatable() {
+		x.fallback = response
 		return failed
 	}
-	x.deliver(buffered)
+	x.deliver(response)
 	return delivered
 }
 
@@ -241,10 +248,12 @@
 
 // deliver sends a complete answer to the caller.
 func (x *exchange) deliver(response *bufferedResponse) {
-	header := x.writer.Header()
-	platform.CallerHeaders(header, response.header)
-	x.writer.WriteHeader(response.status)
-	if _, err := x.writer.Write(response.body); err != nil {
+	x.startAnswer(response.status, response.header, response.framed, len(response.body))
+	_, err := x.writer.Write(response.body)
+	if err == nil {
+		err = x.finishAnswer()
+	}
+	if err != nil {
 		x.logOutcome("answer_not_delivered", response.status)
 		return
 	}
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -48,9 +48,12 @@
 	noTarget      bool              // no target may be sent the request now
 	fallback      *bufferedResponse // error answer of a target, sent if no attempt succeeds
 	stream        streamPosition
-	answered      bool // a target has begun to write an answer and went on
-	barred        poison.Decision
-	blamed        []string // parts to which a crash of the target of the running attempt is due
+	// endsWithConnection is set if only the end of the caller's connection ends the answer
+	// that has begun.
+	endsWithConnection bool
+	answered           bool // a target has begun to write an answer and went on
+	barred             poison.Decision
+	blamed             []string // parts to which a crash of the target of the running attempt is due
 }
 
 // ServeHTTP handles one caller's request.
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"quetzalbend/internal/adapter/unframed"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/pause"
 	"quetzalbend/platform"
@@ -67,6 +68,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       unframed.WithConnection,
 	}
 }
 
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/adapter/unframed"
 	"quetzalbend/internal/eventlog"
-	"quetzalbend/platform"
 )
 
 // streamPosition is how much of a stream the caller has received.
@@ -156,7 +156,7 @@
 		}
 		if !begun {
 			begun = true
-			x.startStream(response.Header)
+			x.startStream(response)
 		}
 		if err := x.writeEvent(next); err != nil {
 			return x.callerLeft()
@@ -195,23 +195,24 @@
 // maybeComplete reports whether an answer without events may be a whole one: that of a
 // caller who has had all events, if its end is marked.
 func (x *exchange) maybeComplete(response *http.Response) bool {
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return framed && x.caller.LastEvent > 0 && !x.stream.started
+	return unframed.IsFramed(response) && x.caller.LastEvent > 0 && !x.stream.started
 }
 
 // startStream sends the caller the headers of the first target that answered.
-func (x *exchange) startStream(from http.Header) {
+func (x *exchange) startStream(from *http.Response) {
 	if x.stream.started {
 		return
 	}
 	x.stream.started = true
-	platform.CallerHeaders(x.writer.Header(), from)
-	x.writer.WriteHeader(http.StatusOK)
+	x.startAnswer(http.StatusOK, from.Header, unframed.IsFramed(from), -1)
 	x.observeFirstEvent()
 }
 
 func (x *exchange) finishStream(response *http.Response) outcome {
-	x.startStream(response.Header)
+	x.startStream(response)
+	if x.finishAnswer() != nil {
+		return x.callerLeft()
+	}
 	x.observeLatency()
 	x.logOutcome("streamed", http.StatusOK)
 	return delivered
