An empty answer without length is asked for elsewhere once, if it may be repeated

Cause: an answer of which nothing but a head came, and whose end nothing marks, was taken for an answer on a par with one that has a body.

Weighed: a refusal (sound answers of this kind must be served) and a second look only for short bodies (none is shorter than another by what is known). A second attempt costs a run, so it is made only where the request may be repeated, once, within maxAttempts and the retry budget; the target isn't held for suspect and the request not for one that crashes targets. If no attempt gives a better answer, the empty one is delivered as it came, also where the second fails, is no answer, or is late (then at the deadline). For services whose sound answers are empty and without length each lookup costs a second run as long as the budget lasts; a length of 0 or 204 spares it.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -34,9 +34,10 @@
 	unknown                  // the request was sent, but its answer is missing or incomplete
 	cut                      // like unknown, but events of this attempt were already relayed
 	timedOut                 // like unknown, but the watchdog or the deadline ended the attempt
+	doubtful                 // the answer may be cut, see isEmptyUnframed
 )
 
-var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out"}
+var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out", "doubtful"}
 
 func (o outcome) String() string { return outcomeNames[o] }
 
@@ -98,6 +99,9 @@
 		x.gateway.loads.markSuspect(target.ID, now)
 	case notRun:
 		x.attempts++
+	case doubtful:
+		x.attempts++
+		x.mayHaveRun = true
 	case unknown, cut:
 		x.attempts++
 		x.mayHaveRun = true
@@ -226,9 +230,14 @@
 // complete relays a complete answer to the caller, unless another attempt may give a better
 // one.
 func (x *exchange) complete(response *bufferedResponse) outcome {
-	if response.status >= http.StatusInternalServerError && x.route.Repeatable() {
-		x.fallback = response
+	switch {
+	case response.status >= http.StatusInternalServerError && x.route.Repeatable():
+		x.keepFallback(response)
 		return failed
+	case response.isEmptyUnframed() && x.route.Repeatable() && !x.doubted:
+		x.doubted = true
+		x.keepFallback(response)
+		return doubtful
 	}
 	x.deliver(response)
 	return delivered
--- a/internal/app/gateway/framing.go
+++ b/internal/app/gateway/framing.go
@@ -9,6 +9,20 @@
 	"quetzalbend/platform"
 )
 
+// isEmptyUnframed reports whether an answer of success is no more than a head, so that it
+// may be cut.
+func (r *bufferedResponse) isEmptyUnframed() bool {
+	return !r.framed && len(r.body) == 0 && r.status < http.StatusMultipleChoices
+}
+
+// keepFallback keeps an answer for the case that no attempt succeeds. An error does not
+// replace a success.
+func (x *exchange) keepFallback(response *bufferedResponse) {
+	if x.fallback == nil || !x.fallback.isEmptyUnframed() {
+		x.fallback = response
+	}
+}
+
 // resetsWhenClosed sets whether the end of the caller's connection shows as a reset.
 func (x *exchange) resetsWhenClosed(resets bool) {
 	if err := unframed.ResetWhenClosed(x.request, resets); err != nil {
--- a/internal/app/gateway/framing_test.go
+++ b/internal/app/gateway/framing_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 
 	"quetzalbend/internal/adapter/rawanswer"
 	"quetzalbend/internal/adapter/unframed"
+	"quetzalbend/platform/platformtest"
 )
 
 // rawReply is what a caller received, byte for byte.
@@ -146,6 +148,56 @@
 	}
 }
 
+// The answer of a target that stops after its head looks like an empty one.
+func TestLookupIsSentElsewhereAfterAnEmptyAnswerWithoutLength(t *testing.T) {
+	sound := platformtest.NewTarget(t, "i-1")
+	b := newTestbed(t, sound)
+	server := rawanswer.NewServer(t, func(r *http.Request) rawanswer.Answer {
+		return rawanswer.Answer{Bytes: rawHead(r, statusOK)}
+	})
+	b.addRawTarget("raw-0", server)
+	b.wait("the target is known", func() bool { return len(b.gateway.state.View().Targets["app"]) == 2 })
+	for server.Requests() < 5 { // the choice between equal targets is random
+		got := b.get(numbered("/read/"))
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, "answer of i-1")
+	}
+}
+
+func TestEmptyAnswerWithoutLengthIsDeliveredIfNoOtherIsBetter(t *testing.T) {
+	for name, test := range map[string]struct {
+		path       string
+		runs, want int
+		second     string // status line of the second target's answer
+	}{
+		"all are empty":          {"/read/", 2, http.StatusOK, statusOK},
+		"another answers later":  {"/short/", 2, http.StatusOK, ""},
+		"another fails":          {"/read/", 2, http.StatusOK, "HTTP/1.1 500 Internal Server Error"},
+		"another is no answer":   {"/read/", 2, http.StatusOK, "HTTP/1.1 2"},
+		"it may not be repeated": {"/once-twice/", 1, http.StatusOK, statusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var arrivals atomic.Int64
+			b, server := newRawTestbed(t, 2, func(r *http.Request) rawanswer.Answer {
+				if arrivals.Add(1) == 1 {
+					return rawanswer.Answer{Bytes: rawHead(r, statusOK)}
+				}
+				if test.second == "" {
+					return rawanswer.Answer{Hold: t.Context().Done()}
+				}
+				return rawanswer.Answer{Bytes: rawHead(r, test.second)}
+			})
+			got := b.rawRequest("HTTP/1.1", test.path)
+			assert.NilError(t, got.err)
+			assert.Equal(t, strings.Fields(got.head)[1], fmt.Sprint(test.want))
+			assert.Equal(t, got.body, "")
+			assertUnframed(t, got)
+			assert.Equal(t, server.Requests(), test.runs)
+		})
+	}
+}
+
 // A lookup without a body to answer has an end that is known.
 func TestAnswerThatHasNoBodyIsWhole(t *testing.T) {
 	b, server := newRawTestbed(t, 2, func(r *http.Request) rawanswer.Answer {
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -46,7 +46,8 @@
 	faultyTarget  string            // target that a rejection named as the faulty one
 	usableTargets int               // number of usable targets of the service
 	noTarget      bool              // no target may be sent the request now
-	fallback      *bufferedResponse // error answer of a target, sent if no attempt succeeds
+	fallback      *bufferedResponse // error or empty answer of a target, sent if no attempt succeeds
+	doubted       bool              // an answer was doubtful
 	stream        streamPosition
 	// endsWithConnection is set if only the end of the caller's connection ends the answer
 	// that has begun.
