Own interface: a service's answer that ends with its connection stays so

What callers saw: an entry gave a Content-Length to each answer of a service, also to one whose end nothing had marked, so that an answer cut after its head or in its body looked whole; the agent kept it so under the call's key and replayed it.

Cause: the client of a service read such an answer to the end of its connection and dropped what it knew of the end.

Fix: the client marks it, and the mark goes with the head over the link, into the claim log, to an entry that asks for an outcome, and to the caller: over HTTP/1 neither length nor chunks are sent, and until the body is out, the end of the connection is a reset. HTTP/2 has an end of its own in each answer; there no length is sent and nothing else can be said.

Ruled out: engines. Their streams have an event at the end, and the JSON of an answer with status 200 shows a cut (TestAnswerThatIsCutAnywhereIsAnError, held before); only the errors of an engine had the fault. Orders and reports are cut with an error as well.

Not done here: a second attempt after an empty answer, as the gateway makes.

--- a/internal/adapter/callerhttp/chat.go
+++ b/internal/adapter/callerhttp/chat.go
@@ -8,6 +8,7 @@
 	"time"
 	"unicode/utf8"
 
+	"quetzalbend/internal/adapter/unframed"
 	"quetzalbend/internal/core/catalog"
 	"quetzalbend/internal/core/rendezvous"
 	"quetzalbend/internal/core/strike"
@@ -143,10 +144,42 @@
 	if answer.Replayed {
 		header.Set("Idempotent-Replayed", "true")
 	}
-	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	control := http.NewResponseController(x.w)
 	_ = control.SetWriteDeadline(time.Now().Add(h.bounds.WriteTimeout))
-	x.w.WriteHeader(answer.Status)
-	_, _ = x.w.Write(answer.Body)
+	if answer.Unframed {
+		writeUnframed(x, answer)
+	} else {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		x.w.WriteHeader(answer.Status)
+		_, _ = x.w.Write(answer.Body)
+	}
 	_ = control.SetWriteDeadline(time.Time{})
 }
+
+// writeUnframed writes an answer that may be cut. It ends for the caller as it did for the
+// agent, with the connection; HTTP/2 knows no such end.
+func writeUnframed(x *exchange, answer *dispatch.Answer) {
+	endsWithConnection := x.r.ProtoMajor == 1
+	if endsWithConnection {
+		x.w.Header().Set("Transfer-Encoding", unframed.TransferEncoding)
+		resetWhenClosed(x, true)
+	}
+	x.w.WriteHeader(answer.Status)
+	if _, err := x.w.Write(answer.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if endsWithConnection {
+		resetWhenClosed(x, false)
+	}
+}
+
+// resetWhenClosed aborts the answer if the connection cannot be set up for one that ends
+// with it.
+func resetWhenClosed(x *exchange, resets bool) {
+	if err := unframed.ResetWhenClosed(x.r, resets); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"quetzalbend/internal/adapter/unframed"
 )
 
 // NewServer returns the HTTP server for callers. It speaks HTTP/1.1 and HTTP/2,
@@ -22,6 +24,7 @@
 		MaxHeaderBytes:    cfg.Bounds.HeaderBytes,
 		ReadHeaderTimeout: cfg.Bounds.HeaderTimeout,
 		IdleTimeout:       cfg.Bounds.IdleTimeout,
+		ConnContext:       unframed.WithConnection,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 }
@@ -69,6 +72,9 @@
 	release func()
 }
 
+// NetConn returns the connection that takes the slot.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // Close frees the connection's slot.
 func (c *limitedConn) Close() error {
 	err := c.Conn.Close()
--- a/internal/adapter/engine/answer.go
+++ b/internal/adapter/engine/answer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/adapter/unframed"
 )
 
 const (
@@ -27,6 +29,9 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Unframed is set if only the end of the connection ends an answer that is not
+	// streamed. One with status 200 is checked by its content besides.
+	Unframed bool
 
 	peer     string // base URL of the engine
 	stream   bool
@@ -41,6 +46,7 @@
 	return &Answer{
 		Status:   response.StatusCode,
 		Header:   response.Header,
+		Unframed: !unframed.IsFramed(response),
 		peer:     peer,
 		stream:   completion.Stream && response.StatusCode == http.StatusOK,
 		body:     response.Body,
--- a/internal/adapter/service/client.go
+++ b/internal/adapter/service/client.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/adapter/unframed"
 )
 
 const (
@@ -63,6 +65,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Unframed is set if only the end of the connection ended the body, which may be cut.
+	Unframed bool
 }
 
 // Do makes the call once and reads the complete answer. After an error without
@@ -93,7 +97,7 @@
 	if len(body) > maxAnswerBytes {
 		return Answer{}, errors.Errorf("answer of service %s is over %d bytes", c.base, maxAnswerBytes)
 	}
-	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Unframed: !unframed.IsFramed(response)}, nil
 }
 
 func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
--- a/internal/adapter/service/cut_test.go
+++ b/internal/adapter/service/cut_test.go
@@ -39,10 +39,26 @@
 			answer, err := ask(t, rawanswer.Answer{Bytes: whole})
 			assert.NilError(t, err)
 			assert.Equal(t, string(answer.Body), body)
+			assert.Assert(t, !answer.Unframed)
 		})
 	}
 }
 
+func TestAnswerThatEndsWithItsConnectionIsMarked(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		for _, body := range []string{"", "half"} {
+			t.Run(version+" "+body, func(t *testing.T) {
+				answer, err := ask(t, rawanswer.Answer{Bytes: version + " 200 OK\r\n\r\n" + body})
+				assert.NilError(t, err)
+				assert.Equal(t, string(answer.Body), body)
+				assert.Assert(t, answer.Unframed)
+				_, err = ask(t, rawanswer.Answer{Bytes: version + " 200 OK\r\n\r\n" + body, Reset: true})
+				assert.Assert(t, err != nil)
+			})
+		}
+	}
+}
+
 func TestStatusThatIsNoneIsAnError(t *testing.T) {
 	for _, status := range []int{0, 99, 101, 600, 999} {
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
--- a/internal/app/agent/answer.go
+++ b/internal/app/agent/answer.go
@@ -46,8 +46,8 @@
 	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Refused{Refused: refusal}, Load: a.load()})
 }
 
-func (a *answerWriter) head(status int, header http.Header) error {
-	head := &wire.Head{Status: int32(status), Headers: wireHeaders(header)}
+func (a *answerWriter) head(status int, header http.Header, unframed bool) error {
+	head := &wire.Head{Status: int32(status), Headers: wireHeaders(header), Unframed: unframed}
 	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Head{Head: head}})
 }
 
--- a/internal/app/agent/model.go
+++ b/internal/app/agent/model.go
@@ -66,7 +66,7 @@
 		g.incarnation = named
 	}
 	g.agent.gate.confirm(g.ticket, g.incarnation)
-	if err := g.out.head(response.Status, response.Header); err != nil {
+	if err := g.out.head(response.Status, response.Header, response.Unframed); err != nil {
 		return err
 	}
 	return g.relay(ctx, response)
--- a/internal/app/agent/once.go
+++ b/internal/app/agent/once.go
@@ -125,7 +125,7 @@
 
 // toClaim converts a service's answer to the form that the log keeps.
 func toClaim(response service.Answer) *claims.Answer {
-	kept := &claims.Answer{Status: response.Status, Body: response.Body}
+	kept := &claims.Answer{Status: response.Status, Body: response.Body, Unframed: response.Unframed}
 	for _, h := range wireHeaders(response.Header) {
 		kept.Headers = append(kept.Headers, claims.Header{Name: h.GetName(), Value: h.GetValue()})
 	}
@@ -138,7 +138,7 @@
 	for _, h := range kept.Headers {
 		header.Add(h.Name, h.Value)
 	}
-	return service.Answer{Status: kept.Status, Header: header, Body: kept.Body}
+	return service.Answer{Status: kept.Status, Header: header, Body: kept.Body, Unframed: kept.Unframed}
 }
 
 // serveAsk answers an entry that asks for the outcome of a call that may not be
@@ -171,7 +171,7 @@
 		outcome.Ran = wire.Ran_RAN_YES
 		if !state.Answer.Dropped {
 			kept := fromClaim(state.Answer)
-			outcome.Head = &wire.Head{Status: int32(kept.Status), Headers: wireHeaders(kept.Header)}
+			outcome.Head = &wire.Head{Status: int32(kept.Status), Headers: wireHeaders(kept.Header), Unframed: kept.Unframed}
 			outcome.Body = kept.Body
 		}
 	case claims.Free, claims.Unanswered:
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -76,7 +76,7 @@
 }
 
 func relayService(out *answerWriter, response service.Answer, replayed bool) error {
-	if err := out.head(response.Status, response.Header); err != nil {
+	if err := out.head(response.Status, response.Header, response.Unframed); err != nil {
 		return err
 	}
 	for body := response.Body; len(body) > 0; {
--- a/internal/core/claims/record.go
+++ b/internal/core/claims/record.go
@@ -104,6 +104,8 @@
 	Headers []Header `json:"headers,omitempty"`
 	Body    []byte   `json:"body,omitempty"`
 	Dropped bool     `json:"dropped,omitempty"` // headers and body are no longer kept
+	// Unframed is set if the service marked no end of the body, which may be cut.
+	Unframed bool `json:"unframed,omitempty"`
 }
 
 // Batch is one record of the stream: ops of one incarnation.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -239,6 +239,7 @@
 func (a *attempt) head(head *wire.Head) (result, bool) {
 	a.answer.Status = int(head.GetStatus())
 	a.answer.Headers = head.GetHeaders()
+	a.answer.Unframed = head.GetUnframed()
 	if a.answer.Status == http.StatusOK {
 		return result{}, false
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -327,3 +327,24 @@
 	assert.Equal(t, failure.Code, CodePartCrashes)
 	assert.Assert(t, deaths <= 6, "%d targets died", deaths)
 }
+
+// The caller must know no less than the agent of an answer that may be cut.
+func TestAnswerWithoutAMarkedEndStaysSo(t *testing.T) {
+	for _, unframed := range []bool{false, true} {
+		head := &wire.Head{Status: 200, Unframed: unframed}
+		whole := answersWith(&wire.Admitted{}, head, &wire.Chunk{Data: []byte("half")}, &wire.Final{Frames: 1, Bytes: 4})
+		lost := func(open *wire.Open) ([]proto.Message, error) {
+			if open.GetCall() != nil {
+				return frames(&wire.Admitted{}), io.EOF
+			}
+			return []proto.Message{&wire.Outcome{Ran: wire.Ran_RAN_YES, Head: head, Body: []byte("half")}}, io.EOF
+		}
+		for name, agent := range map[string]agent{"answered": whole, "asked for": lost} {
+			f := newFixture(t, agent)
+			answer, _, failure := f.do(serviceRequest())
+			assert.Assert(t, failure == nil, "%s: %v", name, failure)
+			assert.Equal(t, string(answer.Body), "half")
+			assert.Equal(t, answer.Unframed, unframed, name)
+		}
+	}
+}
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -68,6 +68,7 @@
 			Status:   status,
 			Headers:  head.GetHeaders(),
 			Body:     outcome.GetBody(),
+			Unframed: head.GetUnframed(),
 			Replayed: true,
 			Target:   agent.Target.Name,
 			Attempts: r.attempts,
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -42,6 +42,7 @@
 	Status   int
 	Headers  []*wire.Header
 	Body     []byte
+	Unframed bool  // the target marked no end of the body, which may be cut
 	Tokens   int64 // model calls: tokens generated
 	Replayed bool  // answer of an earlier run under the same key
 	Target   string
