--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -203,7 +203,8 @@
 
 func versionPath(version int) string { return fmt.Sprintf("/v%d/", version) }
 
-func (s *soak) addGateway(i int) {
+// addGateway starts a gateway with further lines in its settings file.
+func (s *soak) addGateway(i int, lines ...string) {
 	ports := soakPorts(s.t, 4)
 	g := &soakGateway{name: fmt.Sprint("gateway-", i), address: ports[0], storeLink: newSoakLink(s.t, s.store.Address())}
 	_, internal, err := net.SplitHostPort(ports[3])
@@ -218,6 +219,7 @@
 	for name, value := range settings {
 		fmt.Fprintf(&text, "%s=%s\n", name, value)
 	}
+	text.WriteString(strings.Join(lines, "\n"))
 	assert.NilError(s.t, os.WriteFile(s.settingsFile(g), []byte(text.String()), 0o600))
 	s.gateways = append(s.gateways, g)
 	assert.NilError(s.t, s.startGateway(g))
