gateway: the path reaches the target byte for byte

Cause: the URL to the target was written anew from the decoded path.

Fix: the path is sent as it came; a whole URL as target of the request, and a path that begins with two slashes, still go through net/url. The query was unchanged before.

The product's own interface still encodes such paths.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -173,6 +174,7 @@
 	url := *x.request.URL
 	url.Scheme = "http"
 	url.Host = target.Address
+	url.Opaque = sentPath(x.request)
 	request := &http.Request{
 		Method: x.request.Method,
 		URL:    &url,
@@ -192,6 +194,16 @@
 	return request.WithContext(ctx)
 }
 
+// sentPath returns the path as the caller sent it, since net/url would encode some of its
+// characters. It returns "" if the caller sent a whole URL, or a path that looks like one.
+func sentPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
+		return ""
+	}
+	return path
+}
+
 // receive classifies a target's answer and relays it to the caller, unless it is
 // a failure after which another attempt may follow.
 func (x *exchange) receive(response *http.Response, target registry.Usable, watch *watchdog) outcome {
