entry: an empty answer without a marked end is asked for elsewhere once

What callers saw: as at the gateway, a service that stopped after the head of its answer and closed gave them a 200 with an empty body, though other targets would have answered.

Fix: the same as there: one more attempt, if the call may be repeated, another target is eligible and the budget of retries allows it. If that attempt gives no answer, whatever the reason, the empty one is delivered, without a length.

Before: TestLookupIsSentElsewhereAfterAnEmptyAnswerWithoutAMarkedEnd failed in 4 of 7 cases ("" for "whole", one call for two); the other three, in which no second attempt may be made, held. All pass now, also with -race.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -328,6 +328,51 @@
 	assert.Assert(t, deaths <= 6, "%d targets died", deaths)
 }
 
+// The answer of a target that stops after its head looks like an empty one.
+func TestLookupIsSentElsewhereAfterAnEmptyAnswerWithoutAMarkedEnd(t *testing.T) {
+	empty := answersWith(&wire.Admitted{}, &wire.Head{Status: 200, Unframed: true}, &wire.Final{})
+	whole := answersWith(&wire.Admitted{}, &wire.Head{Status: 200}, &wire.Chunk{Data: []byte("whole")}, &wire.Final{Frames: 1, Bytes: 5})
+	marked := answersWith(&wire.Admitted{}, &wire.Head{Status: 200}, &wire.Final{})
+	failing := answersWith(&wire.Admitted{}, &wire.Failed{Reason: reasonAnswerCut, Ran: wire.Ran_RAN_YES})
+	for name, test := range map[string]struct {
+		first, others agent
+		idempotent    bool
+		calls         int
+		body          string
+	}{
+		"another answers":     {empty, whole, true, 2, "whole"},
+		"another is empty":    {empty, empty, true, 2, ""},
+		"another fails":       {empty, failing, true, 2, ""},
+		"another refuses":     {empty, refuses, true, 2, ""},
+		"no other":            {empty, nil, true, 1, ""},
+		"end is marked":       {marked, whole, true, 1, ""},
+		"may not be repeated": {empty, whole, false, 1, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answered := 0
+			inTurn := func(open *wire.Open) ([]proto.Message, error) {
+				answered++
+				if answered == 1 {
+					return test.first(open)
+				}
+				return test.others(open)
+			}
+			agents := []agent{inTurn, inTurn, inTurn}
+			if test.others == nil {
+				agents = agents[:1]
+			}
+			f := newFixture(t, agents...)
+			request := serviceRequest()
+			request.Service.Idempotent = test.idempotent
+			answer, _, failure := f.do(request)
+			assert.Assert(t, failure == nil, "%v", failure)
+			assert.Equal(t, answer.Status, 200)
+			assert.Equal(t, string(answer.Body), test.body)
+			assert.Equal(t, len(f.links.calls), test.calls)
+		})
+	}
+}
+
 // The caller must know no less than the agent of an answer that may be cut.
 func TestAnswerWithoutAMarkedEndStaysSo(t *testing.T) {
 	for _, unframed := range []bool{false, true} {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -63,6 +63,9 @@
 		if action == retry.Ask {
 			answer, failure = r.queryOutcome(ctx)
 		}
+		if failure != nil && r.doubtful != nil {
+			answer = r.doubtful
+		}
 		switch {
 		case answer != nil:
 			answer.Attempts = r.attempts
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -33,6 +34,7 @@
 	last         *routing.Member
 	refusal      *Failure // latest refusal for lack of capacity
 	blamed       []string // parts of the prompt to which a crash of the target of this attempt is due
+	doubtful     *Answer  // an answer that may be cut, the caller's if the next attempt gives no better one
 }
 
 // step makes one attempt and returns the answer, or the failure and the action to
@@ -63,11 +65,24 @@
 		if verdict == strike.Suspect {
 			r.d.cfg.Strikes.ClearStrikes(r.req.Fingerprint, r.d.cfg.Now())
 		}
+		if r.asksElsewhere(result.answer) {
+			r.doubtful = result.answer
+			return nil, retry.Retry, nil
+		}
 		return result.answer, retry.GiveUp, nil
 	}
 	return r.decideNext(ctx, member, result)
 }
 
+// asksElsewhere reports whether an answer is no more than a head, whose body may be cut, and
+// another target may be asked for a better one. It is done once for a request.
+func (r *run) asksElsewhere(answer *Answer) bool {
+	if r.doubtful != nil || !answer.Unframed || len(answer.Body) > 0 || answer.Status >= http.StatusMultipleChoices {
+		return false
+	}
+	return r.req.repeatable() && r.pick(r.d.cfg.Now()) != nil && r.d.budget.Withdraw()
+}
+
 // everyTurn makes each entry send trials of suspect parts at any time: entries do not
 // know which others are alive.
 func everyTurn(int64) bool { return true }
