--- a/internal/app/gateway/cold_test.go
+++ b/internal/app/gateway/cold_test.go
@@ -19,8 +19,9 @@
 
 // mostInASecond returns the largest number of requests that reached a target within a
 // second.
-func mostInASecond(target *platformtest.Target) int {
-	arrivals := target.Arrivals()
+func mostInASecond(target *platformtest.Target) int { return mostOfASecond(target.Arrivals()) }
+
+func mostOfASecond(arrivals []platformtest.Arrival) int {
 	most, first := 0, 0
 	for i := range arrivals {
 		for arrivals[i].At.Sub(arrivals[first].At) >= time.Second {
