--- a/internal/core/limits/limiter_test.go
+++ b/internal/core/limits/limiter_test.go
@@ -49,32 +49,46 @@
 func newCluster(entries int, limits schema.Limits) *cluster {
 	c := &cluster{now: time.Unix(1000, 0), blocked: func(int, int) bool { return false }}
 	c.account = AccountSubject("team", "account", limits)
+	c.limiters = make([]*Limiter, entries)
 	for i := range entries {
-		l := New(Config{StaleAfter: 4 * interval, Guard: 3 * interval})
-		var peers []string
-		for j := range entries {
-			if j != i {
-				peers = append(peers, fmt.Sprint(j))
-			}
-		}
-		l.SetPeers(c.now, peers)
-		c.limiters = append(c.limiters, l)
+		c.start(i)
+	}
+	for i := range entries {
+		c.askHeld(i)
 	}
 	return c
 }
 
+// start replaces the limiter of entry i by that of a new process.
+func (c *cluster) start(i int) {
+	c.limiters[i] = New(Config{Name: fmt.Sprint(i), StaleAfter: 4 * interval, Guard: 3 * interval})
+	var peers []string
+	for j := range c.limiters {
+		if j != i {
+			peers = append(peers, fmt.Sprint(j))
+		}
+	}
+	c.limiters[i].SetPeers(c.now, peers)
+}
+
 // report delivers a report of entry i to all others that it can reach.
 func (c *cluster) report(i int) {
-	from := c.limiters[i]
-	report := from.Report(c.now)
-	for j, to := range c.limiters {
+	report := c.limiters[i].Report(c.now)
+	for j := range c.limiters {
 		if i != j && !c.blocked(i, j) {
-			to.Receive(c.now, fmt.Sprint(i), report.Usage)
-			from.Delivered(c.now, fmt.Sprint(j), report.Number)
+			c.deliver(i, j, report)
 		}
 	}
 }
 
+// deliver delivers a report of entry i to entry j.
+func (c *cluster) deliver(i, j int, report Report) {
+	to := c.limiters[j]
+	to.Receive(c.now, fmt.Sprint(i), report.Usage)
+	to.ReceiveNumbers(c.now, fmt.Sprint(i), report.Number, report.Received[fmt.Sprint(j)])
+	c.limiters[i].Delivered(c.now, fmt.Sprint(j), report.Number)
+}
+
 // run offers rate[i] requests a second to entry i for some intervals and
 // returns how many were admitted in each interval. The entries report one after
 // the other, spread over the interval.
@@ -176,6 +190,44 @@
 	}
 }
 
+func TestShareDoesNotGrowWhileAReportIsStored(t *testing.T) {
+	c := newCluster(2, schema.Limits{RequestsPerSecond: 100})
+	for range 12 {
+		c.run(1, []int{200, 200})
+	}
+	l := c.limiters[0]
+	usage := make([]Usage, 0, DefaultMaxReport)
+	for i := range DefaultMaxReport - 1 {
+		usage = append(usage, Usage{Subject: fmt.Sprint(i)})
+	}
+	usage = append(usage, Usage{Subject: c.account.Name, Demand: Amounts{Requests: 200}})
+	stored := make(chan struct{})
+	go func() {
+		defer close(stored)
+		for range 300 {
+			l.Receive(c.now, "1", usage)
+		}
+	}()
+	for reading := true; reading; {
+		select {
+		case <-stored:
+			reading = false
+		default:
+		}
+		l.Delivered(c.now, "1", 0)
+		shard := l.shardOf(c.account.Name)
+		shard.mu.Lock()
+		s := shard.subjects[c.account.Name]
+		l.updateShares(s)
+		if s.share[Requests] > 50.5 {
+			t.Errorf("share of %g", s.share[Requests])
+			reading = false
+		}
+		shard.mu.Unlock()
+	}
+	<-stored
+}
+
 func TestConcurrencyAndTokenLimitsAreEnforced(t *testing.T) {
 	l := New(Config{})
 	now := time.Unix(1000, 0)
@@ -228,6 +280,30 @@
 	assert.Equal(t, left, 0)
 }
 
+// Each entry forgets an account while it is idle.
+func TestLowRateHoldsForAccountsThatAreIdleBetweenRequests(t *testing.T) {
+	const entries, duration = 8, 30 * time.Minute
+	limit := schema.Limits{RequestsPerSecond: 0.01}
+	for _, pause := range []time.Duration{65, 90, 400} {
+		c := newCluster(entries, limit)
+		admitted := 0
+		for start, next := c.now, c.now; c.now.Sub(start) < duration; c.round() {
+			if c.now.Before(next) {
+				continue
+			}
+			next = next.Add(pause * time.Second)
+			for _, l := range c.limiters {
+				if grant, _ := l.Admit(c.now, c.account, Subject{}, Subject{}); grant != nil {
+					grant.Release(c.now, 0)
+					admitted++
+				}
+			}
+		}
+		allowed := limit.RequestsPerSecond*duration.Seconds() + entries // a request may be saved up at each
+		assert.Assert(t, float64(admitted) <= allowed, "pauses of %d s: %d of %g", pause, admitted, allowed)
+	}
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	l := New(Config{})
 	now := time.Unix(1000, 0)
