--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 
+	"quetzalbend/internal/adapter/unframed"
 	"quetzalbend/internal/drain"
 )
 
@@ -27,6 +28,7 @@
 		MaxHeaderBytes:    cfg.Bounds.HeaderBytes,
 		ReadHeaderTimeout: cfg.Bounds.HeaderTimeout,
 		IdleTimeout:       cfg.Bounds.IdleTimeout,
+		ConnContext:       unframed.WithConnection,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 	cfg.Drain.Watch(server)
@@ -76,6 +78,9 @@
 	release func()
 }
 
+// NetConn returns the connection that takes the slot.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // Close frees the connection's slot.
 func (c *limitedConn) Close() error {
 	err := c.Conn.Close()
--- a/internal/adapter/service/client.go
+++ b/internal/adapter/service/client.go
@@ -10,11 +10,14 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/adapter/unframed"
 )
 
 const (
 	maxAnswerBytes     = 8 << 20
 	maxAnswerHeadBytes = 64 << 10
+	maxStatus          = 599
 )
 
 // KeyHeader is the header that passes a call's idempotency key to the service.
@@ -62,6 +65,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Unframed is set if only the end of the connection ended the body, which may be cut.
+	Unframed bool
 }
 
 // Do makes the call once and reads the complete answer. After an error without
@@ -82,6 +87,9 @@
 		return Answer{}, errors.Wrapf(err, "call service %s", c.base)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return Answer{}, errors.Errorf("answer of service %s has status %d", c.base, response.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, errors.Wrapf(err, "read answer of service %s", c.base)
@@ -89,7 +97,7 @@
 	if len(body) > maxAnswerBytes {
 		return Answer{}, errors.Errorf("answer of service %s is over %d bytes", c.base, maxAnswerBytes)
 	}
-	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Unframed: !unframed.IsFramed(response)}, nil
 }
 
 func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -5,8 +5,10 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
+	"quetzalbend/internal/adapter/unframed"
 	"quetzalbend/internal/core/registry"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/eventlog"
@@ -16,6 +18,7 @@
 const (
 	maxAnswerBytes     = 4 << 20  // of an answer that is not streamed
 	maxAnswerHeadBytes = 64 << 10 // of a target's answer
+	maxStatus          = 599
 )
 
 // outcome is how an attempt ended.
@@ -31,9 +34,10 @@
 	cut                      // like unknown, but events of this attempt were already relayed
 	timedOut                 // like unknown, but the watchdog or the deadline ended the attempt
 	expired                  // not sent, since its lent admission had expired
+	doubtful                 // the answer may be cut, see isEmptyUnframed
 )
 
-var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out", "expired"}
+var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out", "expired", "doubtful"}
 
 func (o outcome) String() string { return outcomeNames[o] }
 
@@ -46,6 +50,7 @@
 	status int
 	header http.Header
 	body   []byte
+	framed bool // its end was marked
 }
 
 func (x *exchange) chooseTarget() (*sending, bool) {
@@ -104,6 +109,9 @@
 		x.gateway.loads.markSuspect(target.ID, now)
 	case notRun:
 		x.attempts++
+	case doubtful:
+		x.attempts++
+		x.mayHaveRun = true
 	case unknown, cut:
 		x.attempts++
 		x.mayHaveRun = true
@@ -175,6 +183,7 @@
 	url := *x.request.URL
 	url.Scheme = "http"
 	url.Host = target.Address
+	url.Opaque = sentPath(x.request)
 	request := &http.Request{
 		Method: x.request.Method,
 		URL:    &url,
@@ -194,6 +203,16 @@
 	return request.WithContext(ctx)
 }
 
+// sentPath returns the path as the caller sent it, since net/url would encode some of its
+// characters. It returns "" if the caller sent a whole URL, or a path that looks like one.
+func sentPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
+		return ""
+	}
+	return path
+}
+
 // receive classifies a target's answer and relays it to the caller, unless it is
 // a failure after which another attempt may follow.
 func (x *exchange) receive(response *http.Response, target registry.Usable, watch *watchdog) outcome {
@@ -201,7 +220,7 @@
 	if decoded.Leaving {
 		x.gateway.state.RecordLeaving(target.ID, target.Born)
 	}
-	if !x.isAnswered(decoded) {
+	if !x.isAnswered(response.StatusCode, decoded) {
 		return unknown
 	}
 	x.gateway.limits.observe(target, decoded)
@@ -226,18 +245,31 @@
 		return unknown
 	}
 	x.memory.Grow(int64(len(body)))
-	buffered := &bufferedResponse{response.StatusCode, response.Header, body}
-	if response.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() {
-		x.fallback = buffered
+	return x.complete(&bufferedResponse{response.StatusCode, response.Header, body, unframed.IsFramed(response)})
+}
+
+// complete relays a complete answer to the caller, unless another attempt may give a better
+// one.
+func (x *exchange) complete(response *bufferedResponse) outcome {
+	switch {
+	case response.status >= http.StatusInternalServerError && x.route.Repeatable():
+		x.keepFallback(response)
 		return failed
+	case response.isEmptyUnframed() && x.route.Repeatable() && !x.doubted:
+		x.doubted = true
+		x.keepFallback(response)
+		return doubtful
 	}
-	x.deliver(buffered)
+	x.deliver(response)
 	return delivered
 }
 
 // isAnswered reports whether an answer belongs to the request. Targets repeat its id. A
 // rejection without it may be that of an earlier request, while the target runs this one.
-func (x *exchange) isAnswered(answer platform.TargetAnswer) bool {
+func (x *exchange) isAnswered(status int, answer platform.TargetAnswer) bool {
+	if status < http.StatusOK || status > maxStatus {
+		return false
+	}
 	if answer.RequestID == "" {
 		return !answer.NotRun || x.caller.RequestID == ""
 	}
@@ -246,11 +278,12 @@
 
 // deliver sends a complete answer to the caller.
 func (x *exchange) deliver(response *bufferedResponse) {
-	header := x.writer.Header()
-	platform.CallerHeaders(header, response.header)
-	x.closeWhileStopping()
-	x.writer.WriteHeader(response.status)
-	if _, err := x.writer.Write(response.body); err != nil {
+	x.startAnswer(response.status, response.header, response.framed, len(response.body))
+	_, err := x.writer.Write(response.body)
+	if err == nil {
+		err = x.finishAnswer()
+	}
+	if err != nil {
 		x.logOutcome("answer_not_delivered", response.status)
 		return
 	}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"quetzalbend/internal/adapter/unframed"
 	"quetzalbend/internal/drain"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/platform"
@@ -91,6 +92,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       unframed.WithConnection,
 	}
 }
 
