gateway: bytes of targets are reserved in the memory budget before they are read

Callers saw: their requests ended with the gateway that served them, whose process had outgrown the memory of its VM, while a faulty target sent bytes without end.

Cause: an answer was read whole with io.ReadAll and counted in the budget only when it was complete; heads and events were counted never. One answer is bounded (4 MiB, 64 KiB, 256 KiB), all together were not.

Now: - internal/body reads bodies of callers and of targets into buffers that are reserved before they are used. A body with a length is given at most 64 KiB at once and more as it comes. - The head and the first 16 KiB of each answer are reserved before its request is sent; if there is no memory for them, the request is refused as not run, reason "memory". So a small answer to what may not be repeated is never lost for want of memory. It is no strike against the request and no sign of a crash. - A buffer that was outgrown is given back; before, it stayed counted, so that a body counted for twice its size. - Error answers that are kept during retries stay reserved until they are replaced.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -9,6 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"quetzalbend/internal/body"
 	"quetzalbend/internal/core/registry"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/eventlog"
@@ -17,7 +20,7 @@
 
 const (
 	maxAnswerBytes     = 4 << 20  // of an answer that is not streamed
-	maxAnswerHeadBytes = 64 << 10 // of a target's answer
+	maxAnswerHeadBytes = 16 << 10 // of a target's answer
 )
 
 // outcome is how an attempt ended.
@@ -32,9 +35,10 @@
 	unknown                  // the request was sent, but its answer is missing or incomplete
 	cut                      // like unknown, but events of this attempt were already relayed
 	timedOut                 // like unknown, but the watchdog or the deadline ended the attempt
+	noMemory                 // like unknown or cut, but this gateway had no memory for the answer
 )
 
-var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out"}
+var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out", "no_memory"}
 
 func (o outcome) String() string { return outcomeNames[o] }
 
@@ -102,7 +106,7 @@
 		if x.request.Context().Err() == nil {
 			x.gateway.strikes.Strike(x.fingerprint, strike.ConnectionLost, now)
 		}
-	case failed, timedOut:
+	case failed, timedOut, noMemory:
 		x.attempts++
 		x.mayHaveRun = true
 		x.gateway.loads.markSuspect(target.ID, now)
@@ -127,6 +131,7 @@
 // leaves in the middle of a stream.
 func (x *exchange) attempt(ctx context.Context, target registry.Usable) outcome {
 	defer x.gateway.loads.release(target.ID)
+	x.answer.SetSource(x.gateway.loads.answers(target.ID))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := newWatchdog(x, target.ID, cancel)
@@ -208,24 +213,31 @@
 	case x.stream.started:
 		return failed
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerBytes))
+	content, err := x.readAnswer(response)
 	if err != nil {
 		x.gateway.log.Decision("answer broken", eventlog.Fields{"request": x.caller.RequestID, "target": target.ID, "error": err.Error()})
-		if x.outOfTime(watch) {
-			return timedOut
-		}
-		return unknown
+		return x.brokenOutcome(err, watch)
 	}
-	x.memory.Grow(int64(len(body)))
-	buffered := &bufferedResponse{response.StatusCode, response.Header, body}
+	buffered := &bufferedResponse{response.StatusCode, response.Header, content}
 	if response.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() {
-		x.fallback = buffered
+		x.keepFallback(buffered)
 		return failed
 	}
 	x.deliver(buffered)
 	return delivered
 }
 
+// brokenOutcome returns the outcome of an attempt whose answer could not be read whole.
+func (x *exchange) brokenOutcome(err error, watch *watchdog) outcome {
+	switch {
+	case errors.Is(err, body.ErrNoMemory):
+		return noMemory
+	case x.outOfTime(watch):
+		return timedOut
+	}
+	return unknown
+}
+
 // isAnswered reports whether an answer belongs to the request. Targets repeat its id. A
 // rejection without it may be that of an earlier request, while the target runs this one.
 func (x *exchange) isAnswered(answer platform.TargetAnswer) bool {
--- a/internal/app/gateway/body.go
+++ b/internal/app/gateway/body.go
@@ -6,22 +6,20 @@
 
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/body"
 	"quetzalbend/internal/core/fleet"
-	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/eventlog"
 )
 
 const (
-	defaultMaxBody   = 4 << 20 // bytes
-	firstBodyBytes   = 4 << 10 // of the buffer for a body without a length
-	heapOfMemory     = 0.7     // part of the memory from which the heap is collected more often
-	noMemoryRefusal  = "memory"
-	bodyGrowthFactor = 2
+	defaultMaxBody  = 4 << 20 // bytes
+	heapOfMemory    = 0.7     // part of the memory from which the heap is collected more often
+	noMemoryRefusal = "memory"
+	// aheadBytes of each answer are reserved before its request is sent, so that no small
+	// answer is lost for want of memory.
+	aheadBytes = 16 << 10
 )
 
-// errNoMemory reports that all requests together hold as much as they may.
-var errNoMemory = errors.New("no memory for the body")
-
 // readBody reads the whole body. If that fails, it ends the request and returns
 // false.
 func (x *exchange) readBody(limits fleet.Limits) bool {
@@ -30,8 +28,8 @@
 		limit = defaultMaxBody
 	}
 	from := http.MaxBytesReader(x.writer, x.request.Body, limit)
-	body, err := readWithin(from, min(x.request.ContentLength, limit+1), x.memory)
-	if errors.Is(err, errNoMemory) {
+	whole, err := body.Read(from, min(x.request.ContentLength, limit+1), limit, x.memory)
+	if errors.Is(err, body.ErrNoMemory) {
 		// The rest is read before the answer, since closing the connection on it would
 		// reset it.
 		x.memory.Release()
@@ -49,49 +47,33 @@
 		x.gateway.log.Decision("request not read", eventlog.Fields{"request": x.caller.RequestID, "error": err.Error()})
 		panic(http.ErrAbortHandler)
 	}
-	x.body = body
+	x.body = whole
 	return true
 }
 
-// readWithin reads all that follows into a buffer for which it reserves the memory. length
-// is the number of bytes, negative if it is not known.
-func readWithin(from io.Reader, length int64, reserved *memory.Reservation) ([]byte, error) {
-	size := length
-	if length < 0 {
-		size = firstBodyBytes
-	}
-	if !reserved.TryGrow(size) {
-		return nil, errNoMemory
-	}
-	body := make([]byte, 0, size)
-	for {
-		if len(body) == cap(body) {
-			more, err := nextByte(from)
-			if err != nil || more == nil {
-				return body, err
-			}
-			if !reserved.TryGrow(int64(bodyGrowthFactor*cap(body) + firstBodyBytes)) {
-				return nil, errNoMemory
-			}
-			body = append(append(make([]byte, 0, bodyGrowthFactor*cap(body)+firstBodyBytes), body...), more...)
-		}
-		n, err := from.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
+// reserveAnswer reserves memory for the answer of an attempt and reports whether there is
+// any. What the attempt before has read is given back.
+func (x *exchange) reserveAnswer() bool {
+	x.answer.Release()
+	reserved, allowed := x.gateway.memory.ReserveAnswer(maxAnswerHeadBytes+eventBuffer, aheadBytes)
+	x.answer = reserved
+	return allowed
 }
 
-// nextByte returns the next byte, nil at the end.
-func nextByte(from io.Reader) ([]byte, error) {
-	next := make([]byte, 1)
-	_, err := io.ReadFull(from, next)
-	if errors.Is(err, io.EOF) {
-		return nil, nil
-	}
-	return next, err
+// readAnswer reads the body of a target's answer that is not streamed.
+func (x *exchange) readAnswer(response *http.Response) ([]byte, error) {
+	from := http.MaxBytesReader(nil, response.Body, maxAnswerBytes)
+	return body.Read(from, min(response.ContentLength, maxAnswerBytes+1), maxAnswerBytes, x.answer)
+}
+
+// keepFallback keeps an error answer of a target in place of an earlier one.
+func (x *exchange) keepFallback(answer *bufferedResponse) {
+	x.fallback = answer
+	x.fallbackMemory, x.answer = x.answer, x.fallbackMemory
+}
+
+func (x *exchange) releaseMemory() {
+	x.memory.Release()
+	x.answer.Release()
+	x.fallbackMemory.Release()
 }
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -35,7 +35,7 @@
 	account     *fleet.Account
 	service     string
 	body        []byte
-	memory      *memory.Reservation // for the body and a buffered answer
+	memory      *memory.Reservation // for the body
 	fingerprint string              // identifies the request in the table of failures attributed to it, see package strike
 	parts       []string            // what may crash targets: the shared parts of the prompt, and the request as a whole
 
@@ -47,10 +47,15 @@
 	usableTargets int               // number of usable targets of the service
 	noTarget      bool              // no target may be sent the request now
 	fallback      *bufferedResponse // error answer of a target, sent if no attempt succeeds
-	stream        streamPosition
-	answered      bool // a target has begun to write an answer and went on
-	barred        poison.Decision
-	blamed        []string // parts to which a crash of the target of the running attempt is due
+
+	answer         *memory.Reservation // for the answer of the running attempt
+	fallbackMemory *memory.Reservation
+
+	stream   streamPosition
+	noMemory bool // there is no memory for an answer, so that the request was not sent
+	answered bool // a target has begun to write an answer and went on
+	barred   poison.Decision
+	blamed   []string // parts to which a crash of the target of the running attempt is due
 }
 
 // ServeHTTP handles one caller's request.
@@ -61,8 +66,9 @@
 		arrived: time.Now(),
 		tried:   make(map[string]bool),
 		memory:  g.memory.Reserve(),
+		answer:  g.memory.Reserve(), fallbackMemory: g.memory.Reserve(),
 	}
-	defer x.memory.Release()
+	defer x.releaseMemory()
 	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -182,6 +188,10 @@
 	if decision.Trial {
 		defer x.gateway.poison.endTrial(x)
 	}
+	if !x.reserveAnswer() {
+		x.noMemory = true
+		return true
+	}
 	target, found := x.chooseTarget()
 	if !found {
 		target, found = x.borrow(ctx)
@@ -218,7 +228,7 @@
 		return false
 	case x.stream.anonymous:
 		return false
-	case x.faultyTarget != "", x.noTarget, !x.barred.MaySend():
+	case x.faultyTarget != "", x.noTarget, x.noMemory, !x.barred.MaySend():
 		return false
 	}
 	return x.attempts == 0 || x.gateway.takeRetry(x.service)
@@ -260,6 +270,8 @@
 		return "part_kills_targets"
 	case !x.barred.MaySend():
 		return "part_may_kill_targets"
+	case x.noMemory:
+		return noMemoryRefusal
 	case x.faultyTarget != "":
 		return "group_broken"
 	case x.attempts > 0:
--- a/internal/app/gateway/loads.go
+++ b/internal/app/gateway/loads.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/quota"
 	"quetzalbend/internal/core/share"
 	"quetzalbend/internal/wire"
@@ -26,6 +27,7 @@
 	suspectUntil time.Time
 	lastEvent    time.Time // last event of any stream of the target
 	lastUsed     time.Time
+	answers      memory.Source // what this gateway holds of the target's answers
 }
 
 // peerLoad is the content of the latest load datagram of a peer.
@@ -87,6 +89,13 @@
 	return sum
 }
 
+// answers returns what counts the bytes of a target's answers.
+func (l *loads) answers(id string) *memory.Source {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &l.target(id, time.Now()).answers
+}
+
 // release removes a finished attempt from the target's load.
 func (l *loads) release(id string) {
 	l.mu.Lock()
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 
+	"quetzalbend/internal/body"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/platform"
 )
@@ -51,7 +53,9 @@
 }
 
 const (
-	eventBuffer = 4 << 10 // bytes
+	eventBuffer    = 4 << 10 // bytes
+	eventGrowth    = 2
+	keptEventBytes = 8 << 10 // of the buffer for the next event
 	// maxFillerBytes limits an event, and what a stream sends between two events that take
 	// it further.
 	maxFillerBytes = 256 << 10
@@ -76,27 +80,34 @@
 )
 
 // eventReader splits a stream into complete events.
-type eventReader struct{ from *bufio.Reader }
+type eventReader struct {
+	from     *bufio.Reader
+	reserved *memory.Reservation
+	raw      []byte // buffer of the event that is read
+}
 
-func newEventReader(from io.Reader) *eventReader {
-	return &eventReader{bufio.NewReaderSize(from, eventBuffer)}
+// newEventReader returns a reader that reserves the memory of events. That of its own
+// buffer of eventBuffer bytes is reserved already.
+func newEventReader(from io.Reader, reserved *memory.Reservation) *eventReader {
+	return &eventReader{from: bufio.NewReaderSize(from, eventBuffer), reserved: reserved}
 }
 
 // next returns the next complete event, or io.EOF if the stream ended after a
-// complete event.
+// complete event. The event is valid until the next call.
 func (r *eventReader) next() (event, error) {
 	var e event
+	r.reset()
 	for {
-		line, err := r.line(maxFillerBytes - len(e.raw))
-		e.raw = append(e.raw, line...)
+		line, err := r.line()
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.raw) > 0 {
+			if errors.Is(err, io.EOF) && len(r.raw) > 0 {
 				return event{}, errCutEvent
 			}
 			return event{}, err
 		}
 		content := bytes.TrimRight(line, "\r\n")
 		if len(content) == 0 {
+			e.raw = r.raw
 			return e, nil
 		}
 		if value, found := bytes.CutPrefix(content, []byte("id:")); found {
@@ -111,24 +122,51 @@
 	}
 }
 
-// line returns the next line of at most limit bytes.
-func (r *eventReader) line(limit int) ([]byte, error) {
-	var line []byte
+// reset empties the buffer, and gives a large one back.
+func (r *eventReader) reset() {
+	if cap(r.raw) > keptEventBytes {
+		r.reserved.Shrink(int64(cap(r.raw)))
+		r.raw = nil
+	}
+	r.raw = r.raw[:0]
+}
+
+// line adds the next line to the event and returns it.
+func (r *eventReader) line() ([]byte, error) {
+	begin := len(r.raw)
 	for {
 		part, err := r.from.ReadSlice('\n')
-		line = append(line, part...)
-		switch {
-		case len(line) > limit:
-			return nil, errLongEvent
-		case !errors.Is(err, bufio.ErrBufferFull):
-			return line, err
+		if errGrow := r.add(part); errGrow != nil {
+			return nil, errGrow
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return r.raw[begin:], err
 		}
 	}
 }
 
+// add appends a part of a line to the event.
+func (r *eventReader) add(part []byte) error {
+	size := len(r.raw) + len(part)
+	if size > maxFillerBytes {
+		return errLongEvent
+	}
+	if size > cap(r.raw) {
+		size = min(max(eventGrowth*cap(r.raw), size, eventBuffer), maxFillerBytes)
+		if !r.reserved.TryGrow(int64(size)) {
+			return body.ErrNoMemory
+		}
+		larger := append(make([]byte, 0, size), r.raw...)
+		r.reserved.Shrink(int64(cap(r.raw)))
+		r.raw = larger
+	}
+	r.raw = append(r.raw, part...)
+	return nil
+}
+
 // relay sends a stream's events to the caller as they arrive.
 func (x *exchange) relay(response *http.Response, target string, watch *watchdog) outcome {
-	reader := newEventReader(response.Body)
+	reader := newEventReader(response.Body, x.answer)
 	begun := false
 	var progress streamProgress
 	for {
@@ -168,13 +206,11 @@
 // whether events of this attempt were relayed.
 func (x *exchange) streamBroken(err error, target string, begun bool, watch *watchdog) outcome {
 	x.gateway.log.Decision("stream broken", eventlog.Fields{"request": x.caller.RequestID, "target": target, "error": err.Error()})
-	switch {
-	case x.outOfTime(watch):
-		return timedOut
-	case begun:
+	broken := x.brokenOutcome(err, watch)
+	if broken == unknown && begun {
 		return cut
 	}
-	return unknown
+	return broken
 }
 
 // writeEvent sends an event to the caller.
