--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -35,8 +35,8 @@
 	loadInterval     = 60 * time.Millisecond  // between datagrams while requests run
 	idleInterval     = 300 * time.Millisecond // between datagrams while none run; less than readers.MaxReadAge, since peers rely on a reported read only up to that age
 	datagramBytes    = 64 << 10               // the largest that UDP carries
-	maxStateBytes    = 32 << 20
-	aliveAge         = time.Second // after its last datagram, a gateway counts as alive
+	maxStateBytes    = 8 << 20                // of a peer: settings of 256 KiB a record, and some hundred bytes for each target and gateway
+	aliveAge         = time.Second            // after its last datagram, a gateway counts as alive
 )
 
 // peerRecord is a gateway's record in the store.
@@ -300,7 +300,7 @@
 		return nil, errors.Wrap(err, "fetch state of peer")
 	}
 	defer response.Body.Close() //nolint:errcheck // only the result of reading matters
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxStateBytes))
 	if err != nil {
 		return nil, errors.Wrapf(err, "fetch state of peer %s", address)
 	}
