agent: bytes of engines and services are reserved in a memory budget before they are read

Callers saw: calls of others at the same target ended with the agent's process, which had outgrown its memory, while an engine or a service sent bytes without end.

Cause: an agent had no bound on all answers together. Each was read whole with io.ReadAll, up to 8 MiB, and sent to the entry in one copied frame if it came from an engine; an event of a stream took up to 1 MiB, and more while it was read.

Now a setting memory_bytes (default 1 GiB) gives the agent the budget of internal/core/memory. The call as received and the beginning of its answer are reserved before it is run, and it is refused as target_busy, not run, if there is no memory; entries then try other targets. The rest of an answer is reserved as it is read; one that finds no memory fails with the reason no_memory, which is no strike against the request and no sign that the target died. Answers of engines that are not streamed are sent in frames of 256 KiB, as those of services were. Heads and read buffers do not count for making an answer a large one, in the gateway as well.

FuzzCall makes its answer writer with the new field; what it asserts is unchanged.

Not bounded by it: the first message of a link, up to 16 MiB, which an entry sends, is received before its memory can be reserved.

--- a/internal/adapter/engine/answer.go
+++ b/internal/adapter/engine/answer.go
@@ -9,10 +9,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/body"
+	"quetzalbend/internal/core/memory"
 )
 
 const (
-	maxLineBytes   = 1 << 20                // bytes of one line of a stream
+	maxLineBytes   = 1 << 20 // bytes of one line of a stream
+	keptLineBytes  = 4 << 10 // of the buffer for the next line
+	lineGrowth     = 2
+	lineCopies     = 2                      // the line and the event made of it
 	readBufferSize = 64 << 10               // bytes
 	bodyEndTimeout = 100 * time.Millisecond // to wait for the end of the body after a complete answer
 )
@@ -30,8 +36,11 @@
 
 	peer     string // base URL of the engine
 	stream   bool
+	length   int64 // of the body; negative: unknown
 	body     io.ReadCloser
 	reader   *bufio.Reader
+	memory   *memory.Reservation
+	line     []byte // buffer of the line that is read
 	position int64
 	finished bool // the event with the finish reason was received
 	done     bool // the answer was received completely
@@ -43,7 +52,9 @@
 		Header:   response.Header,
 		peer:     peer,
 		stream:   completion.Stream && response.StatusCode == http.StatusOK,
+		length:   response.ContentLength,
 		body:     response.Body,
+		memory:   completion.Memory,
 		reader:   bufio.NewReaderSize(response.Body, readBufferSize),
 		position: completion.ResumeFrom,
 	}
@@ -62,7 +73,7 @@
 }
 
 // Next returns the next piece, io.EOF after a complete answer, or an error with
-// ErrTruncated or ErrMalformed in its chain. Each piece of a stream holds one event
+// ErrTruncated, ErrMalformed or body.ErrNoMemory in its chain. Each piece of a stream holds one event
 // and therefore at most one token.
 func (a *Answer) Next() (Piece, error) {
 	switch {
@@ -77,12 +88,16 @@
 
 // readWhole reads the whole body of an answer that is not streamed.
 func (a *Answer) readWhole() (Piece, error) {
-	data, err := io.ReadAll(io.LimitReader(a.reader, maxAnswerBytes+1))
-	if err != nil {
-		return Piece{}, errors.Wrapf(ErrTruncated, "read answer of engine %s: %v", a.peer, err)
-	}
-	if len(data) > maxAnswerBytes {
+	from := http.MaxBytesReader(nil, io.NopCloser(a.reader), maxAnswerBytes)
+	data, err := body.Read(from, min(a.length, maxAnswerBytes+1), maxAnswerBytes, a.memory)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, body.ErrNoMemory):
+		return Piece{}, errors.Wrapf(err, "read answer of engine %s", a.peer)
+	case errors.As(err, &tooLarge):
 		return Piece{}, errors.Wrapf(ErrMalformed, "answer of engine %s is over %d bytes", a.peer, maxAnswerBytes)
+	case err != nil:
+		return Piece{}, errors.Wrapf(ErrTruncated, "read answer of engine %s: %v", a.peer, err)
 	}
 	a.done = true
 	if a.Status != http.StatusOK {
@@ -126,22 +141,48 @@
 	}
 }
 
-// readLine returns the next line without its line end.
+// readLine returns the next line without its line end. It is valid until the next call.
 func (a *Answer) readLine() ([]byte, error) {
-	var line []byte
+	a.resetLine()
 	for {
 		part, err := a.reader.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > maxLineBytes {
-			return nil, errors.Wrapf(ErrMalformed, "event of engine %s is over %d bytes", a.peer, maxLineBytes)
+		if errAdd := a.addToLine(part); errAdd != nil {
+			return nil, errAdd
 		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, errors.Wrapf(ErrTruncated, "read event of engine %s: %v", a.peer, err)
 		}
 		if err == nil {
-			return bytes.TrimRight(line, "\r\n"), nil
+			return bytes.TrimRight(a.line, "\r\n"), nil
+		}
+	}
+}
+
+// resetLine empties the buffer, and gives a large one back.
+func (a *Answer) resetLine() {
+	if cap(a.line) > keptLineBytes {
+		a.memory.Shrink(lineCopies * int64(cap(a.line)))
+		a.line = nil
+	}
+	a.line = a.line[:0]
+}
+
+func (a *Answer) addToLine(part []byte) error {
+	size := len(a.line) + len(part)
+	if size > maxLineBytes {
+		return errors.Wrapf(ErrMalformed, "event of engine %s is over %d bytes", a.peer, maxLineBytes)
+	}
+	if size > cap(a.line) {
+		size = max(lineGrowth*cap(a.line), size)
+		if !a.memory.TryGrow(lineCopies * int64(size)) {
+			return errors.Wrapf(body.ErrNoMemory, "read event of engine %s", a.peer)
 		}
+		larger := append(make([]byte, 0, size), a.line...)
+		a.memory.Shrink(lineCopies * int64(cap(a.line)))
+		a.line = larger
 	}
+	a.line = append(a.line, part...)
+	return nil
 }
 
 // event is one server-sent event of a chat completion.
--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/core/memory"
 )
 
 const (
@@ -20,6 +22,8 @@
 	maxShortAnswerBytes = 64 << 10 // of a load report or the answer to an order
 	maxAnswerBytes      = 8 << 20  // of an answer that is not streamed
 	maxAnswerHeadBytes  = 64 << 10
+	// HeadBytes is what the head of an answer and the buffer for reading it may take.
+	HeadBytes = maxAnswerHeadBytes + readBufferSize
 )
 
 // Headers between the agent and the engine.
@@ -82,6 +86,8 @@
 	ResumeFrom int64 // number of tokens at the start of the answer to leave out
 	Stream     bool
 	Sent       func() // called when the request has been written, if set
+	// Memory is for the answer, with HeadBytes reserved; nil: unlimited.
+	Memory *memory.Reservation
 }
 
 // Complete sends a chat completion and returns when the status and headers of the
--- a/internal/adapter/service/client.go
+++ b/internal/adapter/service/client.go
@@ -4,17 +4,20 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"quetzalbend/internal/body"
+	"quetzalbend/internal/core/memory"
 )
 
 const (
-	maxAnswerBytes     = 8 << 20
-	maxAnswerHeadBytes = 64 << 10
+	maxAnswerBytes = 8 << 20
+	// HeadBytes is what the head of an answer may take.
+	HeadBytes = 64 << 10
 )
 
 // KeyHeader is the header that passes a call's idempotency key to the service.
@@ -43,7 +46,7 @@
 	return &http.Transport{
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHeadBytes,
+		MaxResponseHeaderBytes: HeadBytes,
 		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
 	}
 }
@@ -55,6 +58,8 @@
 	Header http.Header
 	Body   []byte
 	Key    string // idempotency key; empty if the call is idempotent
+	// Memory is for the answer, with HeadBytes reserved; nil: unlimited.
+	Memory *memory.Reservation
 }
 
 // Answer is the complete answer of the service.
@@ -65,7 +70,8 @@
 }
 
 // Do makes the call once and reads the complete answer. After an error without
-// ErrNotSent in its chain the service may have run the call. Redirects are not
+// ErrNotSent in its chain the service may have run the call; body.ErrNoMemory in it reports
+// that there is no memory for the answer. Redirects are not
 // followed but returned like any other answer.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
 	gotConnection := false
@@ -82,14 +88,12 @@
 		return Answer{}, errors.Wrapf(err, "call service %s", c.base)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	from := http.MaxBytesReader(nil, response.Body, maxAnswerBytes)
+	content, err := body.Read(from, min(response.ContentLength, maxAnswerBytes+1), maxAnswerBytes, call.Memory)
 	if err != nil {
 		return Answer{}, errors.Wrapf(err, "read answer of service %s", c.base)
 	}
-	if len(body) > maxAnswerBytes {
-		return Answer{}, errors.Errorf("answer of service %s is over %d bytes", c.base, maxAnswerBytes)
-	}
-	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: content}, nil
 }
 
 func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -20,6 +20,7 @@
 	"quetzalbend/internal/claimlog"
 	"quetzalbend/internal/core/admission"
 	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/settings"
 	"quetzalbend/internal/metrics"
 	"quetzalbend/internal/settingssync"
@@ -54,6 +55,7 @@
 	gateLock     sync.Mutex  // held while the gate is closed or opened
 	gate         *gate
 	outcomes     *outcomes
+	memory       *memory.Budget  // for calls and their answers
 	work         context.Context // parent of the contexts of all calls; cancelled with errLeaving after the grace time
 	stopWork     context.CancelCauseFunc
 	streams      *streamDrain
@@ -65,12 +67,14 @@
 	if err != nil {
 		return err
 	}
+	memory.LimitHeap(config.MemoryBytes)
 	return agent.Run(ctx)
 }
 
 // New returns an agent with the configuration of its start-up file.
 func New(config Config) (*Agent, error) {
 	a := &Agent{config: config, incarnation: rand.Text(), registry: metrics.New(), outcomes: newOutcomes()}
+	a.memory = memory.NewBudget(config.MemoryBytes)
 	a.settings = settingssync.NewReceiver(config.Name, a.incarnation)
 	a.work, a.stopWork = context.WithCancelCause(context.Background())
 	a.streams = newStreamDrain(a.work, config.grace())
--- a/internal/app/agent/answer.go
+++ b/internal/app/agent/answer.go
@@ -25,6 +25,7 @@
 	bytes     int64 // body bytes sent
 	position  int64 // tokens that the caller has received
 	notRun    bool  // the call was refused
+	holding   *holding
 }
 
 func (a *answerWriter) send(frame *wire.AnswerFrame) error {
@@ -59,6 +60,21 @@
 	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Chunk{Chunk: chunk}})
 }
 
+const chunkSize = 256 << 10 // bytes of an answer in one frame, except those of an event
+
+// chunks sends a part of an answer that is not streamed, in several frames if it is large:
+// a frame is copied as a whole at both ends of the link.
+func (a *answerWriter) chunks(data []byte, position int64) error {
+	for len(data) > 0 {
+		size := min(len(data), chunkSize)
+		if err := a.chunk(data[:size], position); err != nil {
+			return err
+		}
+		data = data[size:]
+	}
+	return nil
+}
+
 func (a *answerWriter) final(replayed bool) error {
 	final := &wire.Final{Frames: a.frames, Bytes: a.bytes, Tokens: a.position, Replayed: replayed}
 	return a.send(&wire.AnswerFrame{Body: &wire.AnswerFrame_Final{Final: final}, Load: a.load()})
--- a/internal/app/agent/call.go
+++ b/internal/app/agent/call.go
@@ -21,7 +21,8 @@
 	defer cancel()
 	go watchCaller(stream, cancel)
 
-	out := &answerWriter{stream: stream, requestID: call.GetRequestId(), load: a.load}
+	out := &answerWriter{stream: stream, requestID: call.GetRequestId(), load: a.load, holding: a.newHolding()}
+	defer out.holding.release()
 	a.outcomes.begin(call.GetRequestId())
 	defer func() { a.outcomes.end(call.GetRequestId(), out.notRun) }()
 	if err := a.run(ctx, call, out); err != nil {
@@ -36,6 +37,9 @@
 	if a.refusesNewWork() {
 		return a.refuse(call, out, &wire.Refused{Reason: reasonLeaving})
 	}
+	if !out.holding.reserveCall(call) {
+		return a.refuseForMemory(call, out)
+	}
 	switch {
 	case call.GetModel() != nil && a.engine != nil:
 		return a.runModel(ctx, call, out)
--- a/internal/app/agent/config.go
+++ b/internal/app/agent/config.go
@@ -17,6 +17,9 @@
 	maxLoadIntervalMS     = 10_000
 	defaultOrderLifeMS    = 5_000
 	maxOrderLifeMS        = 600_000
+	defaultMemoryBytes    = 1 << 30
+	minMemoryBytes        = 16 << 20
+	maxMemoryBytes        = 1 << 40
 	wantBaseURL           = "a base URL such as http://127.0.0.1:7000"
 	wantListen            = "an IP address and port such as 127.0.0.1:7000"
 	wantTargetName        = "the name of the target in the settings"
@@ -39,6 +42,7 @@
 	GraceMS        int64       `json:"grace_ms,omitempty"`         // for running work when the target leaves, default 30000
 	LoadIntervalMS int64       `json:"load_interval_ms,omitempty"` // between readings of the engine's load, default 50
 	OrderLifeMS    int64       `json:"order_life_ms,omitempty"`    // time for which a sent order may still reach the engine, default 5000
+	MemoryBytes    int64       `json:"memory_bytes,omitempty"`     // that the process may use, default 1073741824
 }
 
 // Check fills in defaults and returns the problems that it finds.
@@ -50,6 +54,7 @@
 	report.Range("grace_ms", config.GraceMS, 1, maxGraceMS, "milliseconds")
 	report.Range("load_interval_ms", config.LoadIntervalMS, 1, maxLoadIntervalMS, "milliseconds")
 	report.Range("order_life_ms", config.OrderLifeMS, 1, maxOrderLifeMS, "milliseconds")
+	report.Range("memory_bytes", config.MemoryBytes, minMemoryBytes, maxMemoryBytes, "bytes")
 	if config.Rank != nil {
 		config.Rank.check(report)
 	}
@@ -70,6 +75,7 @@
 		{&c.GraceMS, defaultGraceMS},
 		{&c.LoadIntervalMS, defaultLoadIntervalMS},
 		{&c.OrderLifeMS, defaultOrderLifeMS},
+		{&c.MemoryBytes, defaultMemoryBytes},
 	}
 	for _, d := range defaults {
 		if *d.field == 0 {
--- a/internal/app/agent/fuzz_test.go
+++ b/internal/app/agent/fuzz_test.go
@@ -51,7 +51,8 @@
 		record := &recorder{}
 		ctx, cancel := agent.callContext(t.Context(), call)
 		defer cancel()
-		out := &answerWriter{stream: record, requestID: call.GetRequestId(), load: agent.load}
+		out := &answerWriter{stream: record, requestID: call.GetRequestId(), load: agent.load, holding: agent.newHolding()}
+		defer out.holding.release()
 		assert.NilError(t, agent.run(ctx, call, out))
 		for i, frame := range record.frames {
 			assert.Equal(t, frame.GetSequence(), int64(i))
--- a/internal/app/agent/model.go
+++ b/internal/app/agent/model.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/adapter/engine"
+	"quetzalbend/internal/body"
 	"quetzalbend/internal/core/admission"
 	"quetzalbend/internal/metrics"
 	"quetzalbend/internal/wire"
@@ -39,6 +40,10 @@
 		g.end = admission.Unused
 		return err
 	}
+	if !a.reserveAnswer(out.holding) {
+		g.end = admission.Unused
+		return a.refuseForMemory(call, out)
+	}
 	return g.run(ctx)
 }
 
@@ -50,6 +55,7 @@
 	g.out.position = g.call.GetModel().GetResumePosition()
 	g.incarnation = g.agent.gate.incarnation()
 	completion := completionOf(g.call)
+	completion.Memory = g.out.holding.answer
 	completion.Sent = func() {
 		g.agent.gate.updateState(func(c *admission.Controller, now time.Time) { c.Sent(now, g.ticket.request.ID) })
 	}
@@ -111,7 +117,7 @@
 		if piece.Position > g.out.position {
 			g.recordToken()
 		}
-		if err := g.out.chunk(piece.Data, piece.Position); err != nil {
+		if err := g.send(piece); err != nil {
 			return err
 		}
 		if !g.lastToken.IsZero() {
@@ -120,6 +126,14 @@
 	}
 }
 
+// send relays a piece of the answer. An event of a stream is one frame.
+func (g *generation) send(piece engine.Piece) error {
+	if g.call.GetModel().GetStream() {
+		return g.out.chunk(piece.Data, piece.Position)
+	}
+	return g.out.chunks(piece.Data, piece.Position)
+}
+
 // recordToken records how long the engine took to produce a token of a stream.
 func (g *generation) recordToken() {
 	if !g.call.GetModel().GetStream() {
@@ -156,6 +170,10 @@
 		failure.Reason = endReason(ctx)
 		return g.out.failed(failure)
 	}
+	if errors.Is(err, body.ErrNoMemory) {
+		failure.Reason = reasonNoMemory
+		return g.out.failed(failure)
+	}
 	g.end = admission.Broken
 	switch {
 	case errors.Is(err, engine.ErrMalformed):
--- a/internal/app/agent/once.go
+++ b/internal/app/agent/once.go
@@ -80,7 +80,7 @@
 	work := call.GetService()
 	result := a.claims.Do(ctx, claimRequest(call), func() claimlog.Outcome {
 		_ = out.admitted() // the caller may be gone; the call is run regardless
-		outcome := a.runClaimed(work)
+		outcome := a.runClaimed(work, out.holding)
 		switch {
 		case outcome.NotSent:
 			end = admission.NotSent
@@ -110,10 +110,10 @@
 }
 
 // runClaimed sends a call to the service after its claim has won.
-func (a *Agent) runClaimed(work *wire.ServiceCall) claimlog.Outcome {
+func (a *Agent) runClaimed(work *wire.ServiceCall, held *holding) claimlog.Outcome {
 	ctx, cancel := context.WithTimeout(a.work, a.serviceTimeout())
 	defer cancel()
-	response, err := a.service.Do(ctx, serviceCall(work))
+	response, err := a.service.Do(ctx, serviceCall(work, held))
 	if errors.Is(err, service.ErrNotSent) {
 		return claimlog.Outcome{NotSent: true}
 	}
--- a/internal/app/agent/reasons.go
+++ b/internal/app/agent/reasons.go
@@ -15,6 +15,7 @@
 	reasonTargetDied    = "target_died"
 	reasonCut           = "answer_cut"
 	reasonMalformed     = "answer_malformed"
+	reasonNoMemory      = "no_memory" // the agent has no memory for the answer
 	reasonCancelled     = "cancelled"
 	reasonDeadline      = "deadline"
 )
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -7,13 +7,12 @@
 	"github.com/pkg/errors"
 
 	"quetzalbend/internal/adapter/service"
+	"quetzalbend/internal/body"
 	"quetzalbend/internal/core/admission"
 	"quetzalbend/internal/metrics"
 	"quetzalbend/internal/wire"
 )
 
-const chunkSize = 256 << 10 // bytes of a service's answer in one frame
-
 // runService runs a service call and relays its answer.
 func (a *Agent) runService(ctx context.Context, call *wire.Call, out *answerWriter) error {
 	work := call.GetService()
@@ -35,6 +34,10 @@
 	}
 	end := admission.Finished
 	defer func() { a.gate.release(t, end) }()
+	if !a.reserveAnswer(out.holding) {
+		end = admission.Unused
+		return a.refuseForMemory(call, out)
+	}
 	began := time.Now()
 	defer func() { a.registry.Observe(metrics.Latency, metricsKey(call), time.Since(began)) }()
 	if !work.GetIdempotent() {
@@ -49,25 +52,29 @@
 	if err := out.admitted(); err != nil {
 		return admission.Unused, err
 	}
-	response, err := a.service.Do(ctx, serviceCall(call.GetService()))
+	response, err := a.service.Do(ctx, serviceCall(call.GetService(), out.holding))
 	if errors.Is(err, service.ErrNotSent) {
 		return admission.NotSent, a.refuse(call, out, &wire.Refused{Reason: reasonUnreachable, Detail: err.Error()})
 	}
 	if err != nil && ctx.Err() != nil {
 		return admission.Cancelled, out.failed(&wire.Failed{Reason: endReason(ctx), Detail: err.Error()})
 	}
+	if errors.Is(err, body.ErrNoMemory) {
+		return admission.Cancelled, out.failed(&wire.Failed{Reason: reasonNoMemory, Detail: err.Error()})
+	}
 	if err != nil {
 		return admission.Broken, out.failed(&wire.Failed{Reason: reasonCut, Detail: err.Error()})
 	}
 	return admission.Finished, relayService(out, response, false)
 }
 
-func serviceCall(work *wire.ServiceCall) service.Call {
+func serviceCall(work *wire.ServiceCall, held *holding) service.Call {
 	call := service.Call{
 		Method: work.GetMethod(),
 		Path:   work.GetPath(),
 		Header: httpHeaders(work.GetHeaders()),
 		Body:   work.GetBody(),
+		Memory: held.answer,
 	}
 	if !work.GetIdempotent() {
 		call.Key = work.GetIdempotencyKey()
@@ -79,12 +86,8 @@
 	if err := out.head(response.Status, response.Header); err != nil {
 		return err
 	}
-	for body := response.Body; len(body) > 0; {
-		size := min(len(body), chunkSize)
-		if err := out.chunk(body[:size], 0); err != nil {
-			return err
-		}
-		body = body[size:]
+	if err := out.chunks(response.Body, 0); err != nil {
+		return err
 	}
 	return out.final(replayed)
 }
--- a/internal/app/gateway/body.go
+++ b/internal/app/gateway/body.go
@@ -13,7 +13,6 @@
 
 const (
 	defaultMaxBody  = 4 << 20 // bytes
-	heapOfMemory    = 0.7     // part of the memory from which the heap is collected more often
 	noMemoryRefusal = "memory"
 	// aheadBytes of each answer are reserved before its request is sent, so that no small
 	// answer is lost for want of memory.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -90,9 +89,7 @@
 // Run runs the gateway of this node until SIGTERM, followed by the drain.
 func Run(ctx context.Context) error {
 	return hosted.Run(ctx, func(ctx context.Context, node fleet.Node, log *eventlog.Log) error {
-		if node.MemoryBytes > 0 {
-			debug.SetMemoryLimit(int64(float64(node.MemoryBytes) * heapOfMemory))
-		}
+		memory.LimitHeap(node.MemoryBytes)
 		return New(node, log).run(ctx)
 	})
 }
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -1,7 +1,8 @@
 // Package body reads the bodies of requests and answers into memory that is reserved
 // before it is used, see package internal/core/memory.
 //
-// Package internal/app/gateway uses it.
+// The programs that serve requests use it, through internal/app/gateway, the adapters of
+// callers, engines and services, and internal/dispatch.
 package body
 
 import (
--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -7,16 +7,20 @@
 // of memory. So answers may use what requests must leave, each has a first part that is
 // reserved before its request is sent, and small ones may use what large ones must leave.
 //
-// Packages internal/body and internal/app/gateway use it.
+// Package internal/body and the programs that serve requests use it.
 package memory
 
-import "sync/atomic"
+import (
+	"runtime/debug"
+	"sync/atomic"
+)
 
 const (
 	// LargeBytes is what a request or an answer may hold before it counts as large. Large
 	// ones leave some of the budget to the others.
 	LargeBytes     = 64 << 10
 	budgetOfMemory = 0.45 // the rest is for the runtime, sockets and what is not counted
+	heapOfMemory   = 0.7  // from which the heap is collected more often
 )
 
 // Parts of the budget up to which a reservation may grow.
@@ -50,11 +54,13 @@
 // budget for the others.
 type Source struct{ used atomic.Int64 }
 
-// Reservation is what one request holds, or one answer. It is not safe for concurrent use.
+// Reservation is what one request holds, or one answer. A nil one allows everything. It is
+// not safe for concurrent use.
 type Reservation struct {
 	budget *Budget
 	source *Source // nil: none
 	answer bool
+	head   int64 // bytes of held that do not make an answer large
 	held   int64
 	ahead  int64 // bytes of held that are reserved and not in use yet
 }
@@ -67,6 +73,7 @@
 // the bytes ahead first. The reservation must be released.
 func (b *Budget) ReserveAnswer(head, ahead int64) (*Reservation, bool) {
 	r := b.Reserve()
+	r.head = head
 	allowed := r.TryGrow(head + ahead)
 	if allowed {
 		r.ahead = ahead
@@ -84,6 +91,9 @@
 
 // TryGrow adds bytes if the budget allows it, and reports whether it does.
 func (r *Reservation) TryGrow(bytes int64) bool {
+	if r == nil {
+		return true
+	}
 	if bytes <= r.ahead {
 		r.ahead -= bytes
 		return true
@@ -101,7 +111,7 @@
 
 // limit returns up to how many bytes the budget may be used if the reservation grows.
 func (r *Reservation) limit(more int64) int64 {
-	large := r.held+more > LargeBytes
+	large := r.held-r.head+more > LargeBytes
 	part := smallRequestPart
 	switch {
 	case r.answer && large:
@@ -121,6 +131,9 @@
 
 // Shrink gives bytes back, such as those of a buffer that was outgrown.
 func (r *Reservation) Shrink(bytes int64) {
+	if r == nil {
+		return
+	}
 	r.budget.used.Add(-bytes)
 	r.add(-bytes)
 }
@@ -134,6 +147,17 @@
 
 // Release gives all bytes back.
 func (r *Reservation) Release() {
+	if r == nil {
+		return
+	}
 	r.Shrink(r.held)
 	r.ahead = 0
 }
+
+// LimitHeap makes the runtime collect garbage in time in a process that may use so many
+// bytes of memory; 0 sets no limit.
+func LimitHeap(processBytes int64) {
+	if processBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(processBytes) * heapOfMemory))
+	}
+}
