memory: large answers leave memory to small requests

Found by the entry's test on the way: with large answers and small requests both bounded by 0.85 of the budget, answers without end filled it up to there, and requests of others were refused ("busy") until they timed out. Cause: the two parts were equal, so that large answers left memory to small answers only. Large answers now leave it at 0.7, large requests at 0.6.

The new test fails with the parts before. No existing check is changed.

--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -25,9 +25,9 @@
 
 // Parts of the budget up to which a reservation may grow.
 const (
-	largeRequestPart = 0.7
+	largeRequestPart = 0.6
 	smallRequestPart = 0.85
-	largeAnswerPart  = 0.85
+	largeAnswerPart  = 0.7
 	smallAnswerPart  = 1
 	// A source may hold more than sourcePart by large answers only while less than
 	// sharedPart of the budget is used.
--- a/internal/core/memory/budget_test.go
+++ b/internal/core/memory/budget_test.go
@@ -52,6 +52,18 @@
 	assert.Assert(t, !reservedAhead.TryGrow(1))
 }
 
+func TestSmallRequestsAreSentWhileLargeAnswersHoldAllThatTheyMay(t *testing.T) {
+	const process, large, small = 100 << 20, 1 << 20, 32 << 10
+	budget := NewBudget(process)
+	fill(func() bool {
+		answer, allowed := budget.ReserveAnswer(small, 0)
+		return allowed && answer.TryGrow(large)
+	})
+	_, allowed := budget.ReserveAnswer(small, small)
+	assert.Assert(t, allowed)
+	assert.Assert(t, budget.Reserve().TryGrow(small))
+}
+
 func TestSourceWithLargeAnswersLeavesMemoryToOthers(t *testing.T) {
 	const process, large = 100 << 20, 1 << 20
 	budget := NewBudget(process)
