entry: answers are reserved in a memory budget before they are held

Callers saw: their requests ended with the entry that served them, which had outgrown its memory, while agents passed on answers that a faulty target did not end.

Cause: an entry bounded the bodies of all callers together (256 MiB, no setting), and each answer (16 MiB), but not all answers together. What a stream sends after a token and before the next is held back until the answer is known to be whole: events without a token, without end, were held without any bound.

Now a setting memory_bytes (default 1 GiB) gives the entry one budget for requests and answers, in place of the fixed bound on bodies. A body is reserved as it is read, then once more for the copy that is sent; the beginning of the answer is reserved before the request is sent. Without memory it is refused as busy and not run, as before. What is held back of a stream is bounded by answer_bytes.

TestBodiesOfAllCallersAreBounded gives the bound as a budget, since Bounds.BodiesBytes is gone; it asserts the same.

Not counted: the window of each link stream, up to 0.5 MiB in an entry that reads slower than its agent sends.

--- a/internal/adapter/callerhttp/body.go
+++ b/internal/adapter/callerhttp/body.go
@@ -1,19 +1,19 @@
 package callerhttp
 
 import (
-	"bytes"
 	"errors"
 	"net/http"
 	"os"
 	"time"
+
+	"quetzalbend/internal/body"
 )
 
-// initialBodyBytes is the most memory allocated for a body before any of it has
-// arrived.
-const initialBodyBytes = 8 << 10
+// aheadBytes of each answer are reserved before its request is sent.
+const aheadBytes = 16 << 10
 
-// readBody reads the body of a request within the bounds on size and time. For a
-// body of unknown length it reserves Bounds.BodyBytes.
+// readBody reads the body of a request within the bounds on size and time, and reserves
+// memory for it and for the copy of it that is sent.
 func (h *handler) readBody(x *exchange) ([]byte, *failure) {
 	length := x.r.ContentLength
 	if length > h.bounds.BodyBytes {
@@ -23,35 +23,38 @@
 	if length == 0 {
 		return nil, nil
 	}
-	if length < 0 {
-		length = h.bounds.BodyBytes
-	}
-	if !h.reserve(x, length) {
-		failed := refuse(CodeBusy, "")
-		failed.retryAfter = time.Second
-		return nil, failed
-	}
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(time.Now().Add(h.bounds.BodyTimeout))
-	body := bytes.NewBuffer(make([]byte, 0, min(length+bytes.MinRead, initialBodyBytes)))
-	if _, err := body.ReadFrom(http.MaxBytesReader(x.w, x.r.Body, h.bounds.BodyBytes)); err != nil {
+	from := http.MaxBytesReader(x.w, x.r.Body, h.bounds.BodyBytes)
+	whole, err := body.Read(from, length, h.bounds.BodyBytes, x.memory)
+	if err == nil && !x.memory.TryGrow(int64(len(whole))) {
+		err = body.ErrNoMemory
+	}
+	if errors.Is(err, body.ErrNoMemory) {
+		return nil, busy()
+	}
+	if err != nil {
 		return nil, bodyFailure(err)
 	}
 	// Clear the deadline: it would also apply to the server's background read, which
 	// detects that the caller has disconnected.
 	_ = control.SetReadDeadline(time.Time{})
-	return body.Bytes(), nil
+	return whole, nil
 }
 
-// reserve adds the length of a body to the bytes held, if Bounds.BodiesBytes allows
-// it. The bytes are released when the exchange ends.
-func (h *handler) reserve(x *exchange, length int64) bool {
-	if h.heldBodyBytes.Add(length) > h.bounds.BodiesBytes {
-		h.heldBodyBytes.Add(-length)
-		return false
-	}
-	x.reserved = length
-	return true
+// reserveAnswer reserves memory for the beginning of the answer, and reports whether there
+// is any.
+func (h *handler) reserveAnswer(x *exchange) bool {
+	reserved, allowed := h.memory.ReserveAnswer(0, aheadBytes)
+	x.answer = reserved
+	return allowed
+}
+
+// busy returns the failure of a request for which there is no memory.
+func busy() *failure {
+	failed := refuse(CodeBusy, "")
+	failed.retryAfter = time.Second
+	return failed
 }
 
 // bodyFailure returns the failure for an error while reading a body.
--- a/internal/adapter/callerhttp/config.go
+++ b/internal/adapter/callerhttp/config.go
@@ -1,12 +1,15 @@
 package callerhttp
 
-import "time"
+import (
+	"time"
+
+	"quetzalbend/internal/core/memory"
+)
 
 // Bounds limits what callers may send and hold. Zero fields get the defaults.
 type Bounds struct {
 	HeaderBytes   int           // of the header of one request
 	BodyBytes     int64         // of the body of one request
-	BodiesBytes   int64         // of all bodies held at once
 	HeaderTimeout time.Duration // to receive a request's header
 	BodyTimeout   time.Duration // to receive a request's body
 	WriteTimeout  time.Duration // for the caller to receive a piece of the answer
@@ -18,7 +21,6 @@
 const (
 	DefaultHeaderBytes   = 32 << 10
 	DefaultBodyBytes     = 1 << 20
-	DefaultBodiesBytes   = 256 << 20
 	DefaultHeaderTimeout = 5 * time.Second
 	DefaultBodyTimeout   = 10 * time.Second
 	DefaultWriteTimeout  = 15 * time.Second
@@ -29,7 +31,6 @@
 func (b Bounds) withDefaults() Bounds {
 	setDefault(&b.HeaderBytes, DefaultHeaderBytes)
 	setDefault(&b.BodyBytes, DefaultBodyBytes)
-	setDefault(&b.BodiesBytes, DefaultBodiesBytes)
 	setDefault(&b.HeaderTimeout, DefaultHeaderTimeout)
 	setDefault(&b.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&b.WriteTimeout, DefaultWriteTimeout)
@@ -47,6 +48,7 @@
 // Config configures the HTTP server for callers.
 type Config struct {
 	Bounds     Bounds
+	Memory     *memory.Budget // for all requests and answers held at once; nil: unlimited
 	Tables     Tables
 	Dispatcher Dispatcher
 	Limiter    Limiter     // nil: no limits
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -9,10 +9,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/dispatch"
@@ -27,13 +27,13 @@
 const RequestIDHeader = "X-Request-Id"
 
 type handler struct {
-	bounds        Bounds
-	tables        Tables
-	dispatcher    Dispatcher
-	limiter       Limiter
-	recorder      Recorder
-	leaving       func() bool
-	heldBodyBytes atomic.Int64 // total that requests have reserved for their bodies
+	bounds     Bounds
+	tables     Tables
+	dispatcher Dispatcher
+	limiter    Limiter
+	recorder   Recorder
+	leaving    func() bool
+	memory     *memory.Budget
 }
 
 func newHandler(cfg Config) http.Handler {
@@ -44,6 +44,10 @@
 		limiter:    cfg.Limiter,
 		recorder:   cfg.Recorder,
 		leaving:    cfg.Leaving,
+		memory:     cfg.Memory,
+	}
+	if h.memory == nil {
+		h.memory = memory.NewBudget(0)
 	}
 	if h.leaving == nil {
 		h.leaving = func() bool { return false }
@@ -74,7 +78,8 @@
 	stream  *sseWriter // nil if the answer is not streamed
 	tokens  int64
 
-	reserved int64 // bytes reserved for the body
+	memory *memory.Reservation // for the body
+	answer *memory.Reservation // for the answer; nil until the request is to be sent
 }
 
 // catalog returns the catalog of the request's routing table. It stays the same
@@ -90,7 +95,8 @@
 		if h.leaving() {
 			w.Header().Set("Connection", "close")
 		}
-		defer func() { h.heldBodyBytes.Add(-x.reserved) }()
+		x.memory = h.memory.Reserve()
+		defer x.releaseMemory()
 		failed := h.authenticate(x)
 		if failed == nil {
 			failed = endpoint(x)
@@ -106,6 +112,11 @@
 	}
 }
 
+func (x *exchange) releaseMemory() {
+	x.memory.Release()
+	x.answer.Release()
+}
+
 func newRequestID() string {
 	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
 }
@@ -156,6 +167,10 @@
 	if failed != nil {
 		return nil, failed
 	}
+	if !h.reserveAnswer(x) {
+		return nil, busy()
+	}
+	req.Memory = x.answer
 	release, refusal := h.limiter.Admit(x.catalog(), x.account, demandOf(x, req))
 	if refusal != nil {
 		return nil, limitFailure(refusal)
--- a/internal/adapter/callerhttp/problem.go
+++ b/internal/adapter/callerhttp/problem.go
@@ -18,7 +18,7 @@
 	CodeBadRequest        = "bad_request"
 	CodeBodyTooLarge      = "body_too_large"
 	CodeBodyTimeout       = "body_timeout"
-	CodeBusy              = "busy" // all request bodies together would exceed Bounds.BodiesBytes
+	CodeBusy              = "busy" // there is no memory for the request
 	CodeUnknownModel      = "unknown_model"
 	CodeUnknownService    = "unknown_service"
 	CodeNoRoute           = "no_route"
@@ -67,6 +67,7 @@
 	dispatch.CodeOutcomeUnknown: http.StatusBadGateway,
 	dispatch.CodeAnswerLost:     http.StatusBadGateway,
 	dispatch.CodeAnswerTooLarge: http.StatusBadGateway,
+	dispatch.CodeNoMemory:       http.StatusBadGateway,
 }
 
 // failure describes why a request failed: it was refused before it reached the
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/core/settings"
@@ -332,7 +333,9 @@
 		<-release
 		return &dispatch.Answer{Status: http.StatusOK}, nil
 	}}
-	addr := startServer(t, Config{Dispatcher: d, Bounds: Bounds{BodiesBytes: int64(len(chatBody)) + 10}})
+	// A request holds its body twice and the beginning of its answer.
+	held := int64(2*len(chatBody) + aheadBytes)
+	addr := startServer(t, Config{Dispatcher: d, Memory: memory.NewBudget((held + 100) * 100 / 38)}) // requests may use 0.85 of 0.45 of it
 	done := make(chan int)
 	go func() {
 		resp, _ := sendRequest(t, addr, "POST", chatPath, chatBody)
--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -30,8 +30,9 @@
 	LinksTLS                     *keys.Files         `json:"links_tls,omitempty"`     // mutual TLS to agents and entries, default: plain TCP
 	Bounds                       Bounds              `json:"bounds"`
 	Routing                      Routing             `json:"routing"`
-	NoticeMS                     int64               `json:"notice_ms,omitempty"` // between failing /readyz and refusing connections, default 5000
-	GraceMS                      int64               `json:"grace_ms,omitempty"`  // for running requests after notice_ms, default 610000
+	MemoryBytes                  int64               `json:"memory_bytes,omitempty"` // that the process may use, default 1073741824
+	NoticeMS                     int64               `json:"notice_ms,omitempty"`    // between failing /readyz and refusing connections, default 5000
+	GraceMS                      int64               `json:"grace_ms,omitempty"`     // for running requests after notice_ms, default 610000
 }
 
 // Bounds limits callers' requests and connections and the answers that are
@@ -77,6 +78,9 @@
 	defaultAnswerBytes  = 16 << 20
 	hourInMS            = 3600000
 	maxBytesSetting     = 64 << 20
+	defaultMemoryBytes  = 1 << 30
+	minMemoryBytes      = 16 << 20
+	maxMemoryBytes      = 1 << 40
 )
 
 // Check fills in defaults and returns the problems that it finds.
@@ -141,6 +145,7 @@
 	}{
 		{"notice_ms", &c.NoticeMS, 1, hourInMS, defaultNoticeMS, "milliseconds"},
 		{"grace_ms", &c.GraceMS, 1, hourInMS, defaultGraceMS, "milliseconds"},
+		{"memory_bytes", &c.MemoryBytes, minMemoryBytes, maxMemoryBytes, defaultMemoryBytes, "bytes"},
 		{"bounds.header_bytes", &b.HeaderBytes, 1024, maxBytesSetting, callerhttp.DefaultHeaderBytes, "bytes"},
 		{"bounds.body_bytes", &b.BodyBytes, 1024, maxBytesSetting, callerhttp.DefaultBodyBytes, "bytes"},
 		{"bounds.header_timeout_ms", &b.HeaderTimeoutMS, 1, hourInMS, callerhttp.DefaultHeaderTimeout.Milliseconds(), "milliseconds"},
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -16,6 +16,7 @@
 	"quetzalbend/internal/adapter/link"
 	"quetzalbend/internal/adapter/platform"
 	"quetzalbend/internal/core/limits"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/strike"
@@ -59,6 +60,7 @@
 	node            *settingssync.Node
 	feeder          *settingssync.Feeder
 	settingsMetrics gometrics.Registry // metrics of node
+	memory          *memory.Budget     // for callers' requests and their answers
 
 	callers   net.Listener
 	operators net.Listener
@@ -71,6 +73,7 @@
 	if err != nil {
 		return err
 	}
+	memory.LimitHeap(cfg.MemoryBytes)
 	return e.Run(ctx)
 }
 
@@ -91,6 +94,7 @@
 		tables:          table,
 		health:          &health{tables: table},
 		registry:        metrics.New(),
+		memory:          memory.NewBudget(cfg.MemoryBytes),
 		pool:            link.NewPool(links),
 		security:        security,
 		platform:        platform.NewClient(platform.Config{BaseURL: cfg.Platform, Node: cfg.Name}),
@@ -202,6 +206,7 @@
 func (e *Entry) newCallersServer(ctx context.Context) *http.Server {
 	server := callerhttp.NewServer(callerhttp.Config{
 		Bounds:     e.cfg.Bounds.callers(),
+		Memory:     e.memory,
 		Tables:     e.tables,
 		Dispatcher: e.newDispatcher(),
 		Limiter:    newLimiter(e.limits),
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -23,6 +23,9 @@
 // later tokens.
 const firstTokenStallFactor = 4
 
+// bufferGrowth is by how much a buffer grows that is too small for an answer.
+const bufferGrowth = 2
+
 // claimFirstFrameFactor multiplies the first frame's timeout for a call that may
 // not be repeated: its agent first claims the key in the platform's log.
 const claimFirstFrameFactor = 3
@@ -84,7 +87,12 @@
 	}
 	stop := context.AfterFunc(ctx, a.interrupt)
 	defer stop()
-	return a.receive()
+	ended := a.receive()
+	a.discard(&a.trailing)
+	if ended.answer == nil {
+		a.discard(&a.answer.Body)
+	}
+	return ended
 }
 
 // openFailed returns the result of a stream that could not be opened.
@@ -253,24 +261,48 @@
 
 func (a *attempt) chunk(chunk *wire.Chunk) (result, bool) {
 	if !a.relaying {
-		if len(a.answer.Body)+len(chunk.GetData()) > a.run.d.cfg.AnswerBytes {
-			a.cancel()
-			return result{outcome: retry.Failed, code: CodeAnswerTooLarge, ran: wire.Ran_RAN_YES, permanent: true}, true
-		}
-		a.answer.Body = append(a.answer.Body, chunk.GetData()...)
-		return result{}, false
+		return a.hold(&a.answer.Body, chunk.GetData())
 	}
 	if chunk.GetPosition() == a.run.position && a.run.position > 0 {
-		a.trailing = append(a.trailing, chunk.GetData()...)
-		return result{}, false
+		return a.hold(&a.trailing, chunk.GetData())
 	}
 	// Data held back before a further token is not trailing: a resumed stream may begin
 	// with a chunk that the caller already has.
-	a.trailing = nil
+	a.discard(&a.trailing)
 	a.run.position = chunk.GetPosition()
 	return a.write(chunk.GetData())
 }
 
+// hold adds a part of the answer to a buffer, for which it reserves the memory.
+func (a *attempt) hold(buffer *[]byte, data []byte) (result, bool) {
+	size, limit := len(*buffer)+len(data), a.run.d.cfg.AnswerBytes
+	if size > limit {
+		return a.cannotHold(CodeAnswerTooLarge)
+	}
+	if size > cap(*buffer) {
+		size = min(max(bufferGrowth*cap(*buffer), size), limit)
+		if !a.run.req.Memory.TryGrow(int64(size)) {
+			return a.cannotHold(CodeNoMemory)
+		}
+		larger := append(make([]byte, 0, size), *buffer...)
+		a.discard(buffer)
+		*buffer = larger
+	}
+	*buffer = append(*buffer, data...)
+	return result{}, false
+}
+
+func (a *attempt) cannotHold(code string) (result, bool) {
+	a.cancel()
+	return result{outcome: retry.Failed, code: code, ran: wire.Ran_RAN_YES, permanent: true}, true
+}
+
+// discard gives the memory of a buffer back.
+func (a *attempt) discard(buffer *[]byte) {
+	a.run.req.Memory.Shrink(int64(cap(*buffer)))
+	*buffer = nil
+}
+
 // write writes a piece of a streamed answer to the caller.
 func (a *attempt) write(data []byte) (result, bool) {
 	a.run.started = true
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,7 +25,7 @@
 	FirstFrameTimeout time.Duration       // time that an agent has to send its first frame
 	StallTimeout      time.Duration       // gap between frames after which a stream is resumed at another target
 	AvoidPeriod       time.Duration       // how long an unreachable target is not picked
-	AnswerBytes       int                 // maximum size of an answer that is not streamed
+	AnswerBytes       int                 // maximum size of an answer that is not streamed, and of what is held back of a stream
 	Now               func() time.Time    // time.Now if nil
 	Random            func() uint64       // rand.Uint64 if nil
 	QueryInterval     time.Duration       // between rounds of querying agents for an outcome
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -22,6 +22,7 @@
 	CodeOutcomeUnknown   = "outcome_unknown"       // a call that may not be repeated may have run
 	CodeAnswerLost       = "answer_lost"           // the call ran, but its answer is lost
 	CodeAnswerTooLarge   = "answer_too_large"      // the answer is larger than the limit
+	CodeNoMemory         = "no_memory"             // there is no memory for the rest of the answer
 	CodeRefusedByTarget  = "refused"               // the agent gave no reason
 	codeMalformedAnswer  = "malformed_answer"
 	codeConnectionBroken = "connection_broken"
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/wire"
 )
@@ -21,6 +22,7 @@
 	SharedParts []string // hashes of the parts of the prompt that other requests may have as well
 	Model       *wire.ModelCall
 	Service     *wire.ServiceCall
+	Memory      *memory.Reservation // for the answer; nil: unlimited
 }
 
 // repeatable reports whether the request may run more than once.
