platform, gateway: heads of the store, of peers and of rank agents are bounded

Callers saw nothing yet. The clients of the store, of peers, of rank agents and of the platform of the product's own interface used the default of net/http, which takes 10 MiB of a head.

--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -22,7 +22,9 @@
 const (
 	defaultTimeout = 2 * time.Second
 	maxAnswerBytes = 64 << 20
-	maxIdleConns   = 4
+
+	maxAnswerHeadBytes = 64 << 10
+	maxIdleConns       = 4
 )
 
 // Config configures a Client.
@@ -58,9 +60,10 @@
 		node:    cfg.Node,
 		timeout: cfg.Timeout,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     time.Minute,
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			IdleConnTimeout:        time.Minute,
+			MaxResponseHeaderBytes: maxAnswerHeadBytes,
 		}},
 	}
 }
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -91,7 +91,7 @@
 func newPeers(g *Gateway) *peers {
 	return &peers{
 		gateway: g,
-		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeadBytes}},
 		started: time.Now(),
 		nodes:   make(map[string]peerNode),
 		readers: make(map[string]readerState),
--- a/internal/ranklink/client.go
+++ b/internal/ranklink/client.go
@@ -20,6 +20,7 @@
 	idleConnTimeout      = 5 * time.Second // closes an unused connection to an agent
 	maxIdleConnsPerAgent = 2
 	maxReplyBytes        = 1 << 20
+	maxReplyHeadBytes    = 64 << 10
 )
 
 // Client reads the state of ranks and sends them orders through their agents.
@@ -30,7 +31,12 @@
 
 // NewClient returns a client for agents that listen on port.
 func NewClient(port int) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerAgent, IdleConnTimeout: idleConnTimeout, DisableCompression: true}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost:    maxIdleConnsPerAgent,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxReplyHeadBytes,
+	}
 	return &Client{client: &http.Client{Transport: transport}, port: port}
 }
 
