--- a/internal/adapter/callerhttp/config.go
+++ b/internal/adapter/callerhttp/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/drain"
 )
 
@@ -10,7 +11,6 @@
 type Bounds struct {
 	HeaderBytes   int           // of the header of one request
 	BodyBytes     int64         // of the body of one request
-	BodiesBytes   int64         // of all bodies held at once
 	HeaderTimeout time.Duration // to receive a request's header
 	BodyTimeout   time.Duration // to receive a request's body
 	WriteTimeout  time.Duration // for the caller to receive a piece of the answer
@@ -22,7 +22,6 @@
 const (
 	DefaultHeaderBytes   = 32 << 10
 	DefaultBodyBytes     = 1 << 20
-	DefaultBodiesBytes   = 256 << 20
 	DefaultHeaderTimeout = 5 * time.Second
 	DefaultBodyTimeout   = 10 * time.Second
 	DefaultWriteTimeout  = 15 * time.Second
@@ -33,7 +32,6 @@
 func (b Bounds) withDefaults() Bounds {
 	setDefault(&b.HeaderBytes, DefaultHeaderBytes)
 	setDefault(&b.BodyBytes, DefaultBodyBytes)
-	setDefault(&b.BodiesBytes, DefaultBodiesBytes)
 	setDefault(&b.HeaderTimeout, DefaultHeaderTimeout)
 	setDefault(&b.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&b.WriteTimeout, DefaultWriteTimeout)
@@ -51,6 +49,7 @@
 // Config configures the HTTP server for callers.
 type Config struct {
 	Bounds     Bounds
+	Memory     *memory.Budget // for all requests and answers held at once; nil: unlimited
 	Tables     Tables
 	Dispatcher Dispatcher
 	Limiter    Limiter      // nil: no limits
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -9,10 +9,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"quetzalbend/internal/core/catalog"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/dispatch"
@@ -28,14 +28,14 @@
 const RequestIDHeader = "X-Request-Id"
 
 type handler struct {
-	bounds        Bounds
-	tables        Tables
-	dispatcher    Dispatcher
-	limiter       Limiter
-	recorder      Recorder
-	leaving       func() bool
-	drain         *drain.Drain
-	heldBodyBytes atomic.Int64 // total that requests have reserved for their bodies
+	bounds     Bounds
+	tables     Tables
+	dispatcher Dispatcher
+	limiter    Limiter
+	recorder   Recorder
+	leaving    func() bool
+	drain      *drain.Drain
+	memory     *memory.Budget
 }
 
 func newHandler(cfg Config) http.Handler {
@@ -47,6 +47,10 @@
 		recorder:   cfg.Recorder,
 		leaving:    cfg.Leaving,
 		drain:      cfg.Drain,
+		memory:     cfg.Memory,
+	}
+	if h.memory == nil {
+		h.memory = memory.NewBudget(0)
 	}
 	if h.leaving == nil {
 		h.leaving = func() bool { return false }
@@ -77,7 +81,8 @@
 	stream  *sseWriter // nil if the answer is not streamed
 	tokens  int64
 
-	reserved int64 // bytes reserved for the body
+	memory *memory.Reservation // for the body
+	answer *memory.Reservation // for the answer; nil until the request is to be sent
 }
 
 // catalog returns the catalog of the request's routing table. It stays the same
@@ -91,7 +96,8 @@
 		x := &exchange{w: w, r: r, start: time.Now(), id: newRequestID(), table: h.tables.Table()}
 		w.Header().Set(RequestIDHeader, x.id)
 		h.closeWhileLeaving(w)
-		defer func() { h.heldBodyBytes.Add(-x.reserved) }()
+		x.memory = h.memory.Reserve()
+		defer x.releaseMemory()
 		failed := h.authenticate(x)
 		if failed == nil {
 			failed = endpoint(x)
@@ -115,6 +121,11 @@
 	}
 }
 
+func (x *exchange) releaseMemory() {
+	x.memory.Release()
+	x.answer.Release()
+}
+
 func newRequestID() string {
 	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
 }
@@ -169,6 +180,10 @@
 	if !h.drain.Takes(time.Now(), req.Deadline) {
 		return nil, leavingFailure()
 	}
+	if !h.reserveAnswer(x) {
+		return nil, busy()
+	}
+	req.Memory = x.answer
 	release, refusal := h.limiter.Admit(x.catalog(), x.account, demandOf(x, req))
 	if refusal != nil {
 		return nil, limitFailure(refusal)
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -16,6 +16,7 @@
 	"quetzalbend/internal/adapter/link"
 	"quetzalbend/internal/adapter/platform"
 	"quetzalbend/internal/core/limits"
+	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/core/routing"
 	"quetzalbend/internal/core/strike"
@@ -62,6 +63,7 @@
 	node            *settingssync.Node
 	feeder          *settingssync.Feeder
 	settingsMetrics gometrics.Registry // metrics of node
+	memory          *memory.Budget     // for callers' requests and their answers
 
 	callers   net.Listener
 	operators net.Listener
@@ -74,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	memory.LimitHeap(cfg.MemoryBytes)
 	return e.Run(ctx)
 }
 
@@ -95,6 +98,7 @@
 		health:          &health{tables: table},
 		drain:           drain.New(cfg.drainPlan()),
 		registry:        metrics.New(),
+		memory:          memory.NewBudget(cfg.MemoryBytes),
 		pool:            link.NewPool(links),
 		security:        security,
 		platform:        platform.NewClient(platform.Config{BaseURL: cfg.Platform, Node: cfg.Name}),
@@ -220,6 +224,7 @@
 	limiter.permits = e.permits
 	server := callerhttp.NewServer(callerhttp.Config{
 		Bounds:     e.cfg.Bounds.callers(),
+		Memory:     e.memory,
 		Tables:     e.tables,
 		Dispatcher: e.newDispatcher(),
 		Limiter:    limiter,
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -8,7 +8,10 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"quetzalbend/internal/adapter/unframed"
+	"quetzalbend/internal/body"
 	"quetzalbend/internal/core/registry"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/eventlog"
@@ -17,7 +20,7 @@
 
 const (
 	maxAnswerBytes     = 4 << 20  // of an answer that is not streamed
-	maxAnswerHeadBytes = 64 << 10 // of a target's answer
+	maxAnswerHeadBytes = 16 << 10 // of a target's answer
 	maxStatus          = 599
 )
 
@@ -35,9 +38,12 @@
 	timedOut                 // like unknown, but the watchdog or the deadline ended the attempt
 	expired                  // not sent, since its lent admission had expired
 	doubtful                 // the answer may be cut, see isEmptyUnframed
+	noMemory                 // like unknown or cut, but this gateway had no memory for the answer
 )
 
-var outcomeNames = [...]string{"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out", "expired", "doubtful"}
+var outcomeNames = [...]string{
+	"delivered", "not_sent", "refused", "not_run", "failed", "unknown", "cut", "timed_out", "expired", "doubtful", "no_memory",
+}
 
 func (o outcome) String() string { return outcomeNames[o] }
 
@@ -119,7 +125,7 @@
 		if x.request.Context().Err() == nil {
 			x.gateway.strikes.Strike(x.fingerprint, strike.ConnectionLost, now)
 		}
-	case failed, timedOut:
+	case failed, timedOut, noMemory:
 		x.attempts++
 		x.mayHaveRun = true
 		x.gateway.loads.markSuspect(target.ID, now)
@@ -146,6 +152,7 @@
 	target := sent.target
 	defer x.gateway.loads.release(target.ID)
 	defer sent.end()
+	x.answer.SetSource(x.gateway.loads.answers(target.ID))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := newWatchdog(x, target.ID, cancel)
@@ -236,16 +243,12 @@
 	case x.stream.started:
 		return failed
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerBytes))
+	content, err := x.readAnswer(response)
 	if err != nil {
 		x.gateway.log.Decision("answer broken", eventlog.Fields{"request": x.caller.RequestID, "target": target.ID, "error": err.Error()})
-		if x.outOfTime(watch) {
-			return timedOut
-		}
-		return unknown
+		return x.brokenOutcome(err, watch)
 	}
-	x.memory.Grow(int64(len(body)))
-	return x.complete(&bufferedResponse{response.StatusCode, response.Header, body, unframed.IsFramed(response)})
+	return x.complete(&bufferedResponse{response.StatusCode, response.Header, content, unframed.IsFramed(response)})
 }
 
 // complete relays a complete answer to the caller, unless another attempt may give a better
@@ -264,6 +267,17 @@
 	return delivered
 }
 
+// brokenOutcome returns the outcome of an attempt whose answer could not be read whole.
+func (x *exchange) brokenOutcome(err error, watch *watchdog) outcome {
+	switch {
+	case errors.Is(err, body.ErrNoMemory):
+		return noMemory
+	case x.outOfTime(watch):
+		return timedOut
+	}
+	return unknown
+}
+
 // isAnswered reports whether an answer belongs to the request. Targets repeat its id. A
 // rejection without it may be that of an earlier request, while the target runs this one.
 func (x *exchange) isAnswered(status int, answer platform.TargetAnswer) bool {
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -35,7 +35,7 @@
 	account     *fleet.Account
 	service     string
 	body        []byte
-	memory      *memory.Reservation // for the body and a buffered answer
+	memory      *memory.Reservation // for the body
 	fingerprint string              // identifies the request in the table of failures attributed to it, see package strike
 	parts       []string            // what may crash targets: the shared parts of the prompt, and the request as a whole
 
@@ -48,10 +48,15 @@
 	noTarget      bool              // no target may be sent the request now
 	fallback      *bufferedResponse // error or empty answer of a target, sent if no attempt succeeds
 	doubted       bool              // an answer was doubtful
-	stream        streamPosition
+
+	answer         *memory.Reservation // for the answer of the running attempt
+	fallbackMemory *memory.Reservation
+
+	stream streamPosition
 	// endsWithConnection is set if only the end of the caller's connection ends the answer
 	// that has begun.
 	endsWithConnection bool
+	noMemory           bool // there is no memory for an answer, so that the request was not sent
 	answered           bool // a target has begun to write an answer and went on
 	barred             poison.Decision
 	blamed             []string // parts to which a crash of the target of the running attempt is due
@@ -65,8 +70,9 @@
 		arrived: time.Now(),
 		tried:   make(map[string]bool),
 		memory:  g.memory.Reserve(),
+		answer:  g.memory.Reserve(), fallbackMemory: g.memory.Reserve(),
 	}
-	defer x.memory.Release()
+	defer x.releaseMemory()
 	x.stream.last = x.caller.LastEvent
 	view := g.state.View()
 	if view == nil {
@@ -188,6 +194,10 @@
 	if decision.Trial {
 		defer x.gateway.poison.endTrial(x)
 	}
+	if !x.reserveAnswer() {
+		x.noMemory = true
+		return true
+	}
 	sent, found := x.chooseTarget()
 	if !found {
 		sent, found = x.borrow(ctx)
@@ -224,7 +234,7 @@
 		return false
 	case x.stream.anonymous:
 		return false
-	case x.faultyTarget != "", x.noTarget, !x.barred.MaySend():
+	case x.faultyTarget != "", x.noTarget, x.noMemory, !x.barred.MaySend():
 		return false
 	case x.endedByStop():
 		return false
@@ -274,6 +284,8 @@
 		return "part_kills_targets"
 	case !x.barred.MaySend():
 		return "part_may_kill_targets"
+	case x.noMemory:
+		return noMemoryRefusal
 	case x.faultyTarget != "":
 		return "group_broken"
 	case x.attempts > 0:
