--- a/scenarios/kill_test.go
+++ b/scenarios/kill_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -19,16 +18,12 @@
 
 	"quetzalbend/internal/adapter/rawanswer"
 	"quetzalbend/platform"
-	"quetzalbend/platform/platformtest"
 )
 
 // The end of the connection ends an answer without length and chunks: that of the process
 // must not look like it.
 func TestKilledGatewayResetsAStreamThatEndsWithItsConnection(t *testing.T) {
-	binaries, err := filepath.Abs("../bin")
-	assert.NilError(t, err)
-	s := &soak{t: t, store: platformtest.NewStore(t), processes: newProcesses(binaries, t.TempDir())}
-	t.Cleanup(s.processes.endAll)
+	s := &soak{gatewayFleet: newGatewayFleet(t, "kill")}
 	s.putSettings(1)
 	target := rawanswer.NewServer(t, func(r *http.Request) rawanswer.Answer {
 		head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + r.Header.Get("Attempt-Id") + "\r\nServer-Stamp: stamp\r\n"
--- a/scenarios/planned_stop_test.go
+++ b/scenarios/planned_stop_test.go
@@ -71,7 +71,7 @@
 }
 
 // callUntilGone sends requests one after the other until connections are refused.
-func (s *soak) callUntilGone(g *soakGateway, caller int, random *rand.Rand) {
+func (s *soak) callUntilGone(g *gatewayProcess, caller int, random *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	for n := 0; ; n++ {
@@ -104,7 +104,7 @@
 
 func (b *slowBody) Close() error { return nil }
 
-func (s *soak) sendSlowly(g *soakGateway, id string, client *http.Client, random *rand.Rand) outcome {
+func (s *soak) sendSlowly(g *gatewayProcess, id string, client *http.Client, random *rand.Rand) outcome {
 	got := outcome{id: id, path: soakPaths[random.IntN(len(soakPaths))], gateway: g, started: time.Now(), processFaulty: true}
 	body := &slowBody{first: strings.NewReader(id), last: strings.NewReader("!")}
 	if random.IntN(2) == 0 {
--- a/scenarios/soak_faults_test.go
+++ b/scenarios/soak_faults_test.go
@@ -19,7 +19,7 @@
 	begin, end      func()
 }
 
-func (s *soak) inject(f fault) {
+func (f fault) inject() {
 	time.Sleep(f.delay)
 	f.begin()
 	time.Sleep(f.duration)
@@ -99,22 +99,10 @@
 	f.end = func() { l.set(impairment{}) }
 }
 
-// freeze suspends or resumes a gateway's process, if it still runs.
-func (s *soak) freeze(g *soakGateway, stop bool) {
-	signal, delta := syscall.SIGCONT, -1
-	if stop {
-		signal, delta = syscall.SIGSTOP, 1
-	}
-	g.noteFault(delta)
-	if err := s.processes.signal(g.name, signal); err != nil {
-		s.t.Logf("%s not suspended or resumed: %v", g.name, err)
-	}
-}
-
 // restart signals a gateway's process to end, and starts a new one once it has
 // ended. The start fails without consequence if an overlapping fault has already
 // started one.
-func (s *soak) restart(f *fault, g *soakGateway, signal syscall.Signal) {
+func (s *soak) restart(f *fault, g *gatewayProcess, signal syscall.Signal) {
 	var ending *process
 	f.begin = func() {
 		g.noteFault(1)
@@ -129,7 +117,7 @@
 	f.end = func() {
 		defer g.noteFault(-1)
 		<-ending.ended
-		if err := s.startGateway(g); err != nil {
+		if err := s.start(g); err != nil {
 			s.t.Logf("%s not started: %v", g.name, err)
 		}
 		s.awaitReady(g)
@@ -138,7 +126,7 @@
 
 // awaitReady waits until a restarted gateway serves, which it does only after it
 // has received the settings.
-func (s *soak) awaitReady(g *soakGateway) {
+func (s *soak) awaitReady(g *gatewayProcess) {
 	until := time.Now().Add(soakFaultTime + soakRecovery)
 	for time.Now().Before(until) {
 		got := s.send(s.t.Context(), g, "/read/", fmt.Sprintf("ready-%s-%d", g.name, time.Now().UnixNano()), http.DefaultClient)
--- a/scenarios/soak_link_test.go
+++ b/scenarios/soak_link_test.go
@@ -34,6 +34,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newSoakLinkAt(t, listener, address)
+}
+
+func newSoakLinkAt(t *testing.T, listener net.Listener, address string) *soakLink {
 	l := &soakLink{listener: listener, address: address, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
 	go l.accept()
 	t.Cleanup(func() {
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -8,14 +8,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -40,24 +35,23 @@
 
 // Sizes and times of a run.
 const (
-	soakGateways    = 4
-	soakTargets     = 4
-	soakCallers     = 12
-	soakFaults      = 14
-	soakCrashes     = 3                       // of targets
-	soakNotices     = 2                       // returns of the store from a copy, and targets that ask for rest
-	soakRest        = "0.6"                   // seconds of rest
-	soakDowntime    = 500 * time.Millisecond  // of a crashed target
-	soakFaultTime   = 5 * time.Second         // in which all faults begin and end
-	soakMaxFault    = 2 * time.Second         // longest duration of a fault
-	soakRecovery    = 4 * time.Second         // from the last fault until every gateway must serve
-	soakGrace       = 2 * time.Second         // grace period of a gateway that is told to stop
-	soakDeadline    = 2 * time.Second         // deadline of a request
-	soakSlack       = 1500 * time.Millisecond // by which an answer may exceed the deadline
-	soakPause       = 25 * time.Millisecond   // of a caller between two requests
-	soakEvents      = 8
-	soakEventGap    = 20 * time.Millisecond
-	soakGatewayName = "quetzalbend-gateway"
+	soakGateways  = 4
+	soakTargets   = 4
+	soakCallers   = 12
+	soakFaults    = 14
+	soakCrashes   = 3                       // of targets
+	soakNotices   = 2                       // returns of the store from a copy, and targets that ask for rest
+	soakRest      = "0.6"                   // seconds of rest
+	soakDowntime  = 500 * time.Millisecond  // of a crashed target
+	soakFaultTime = 5 * time.Second         // in which all faults begin and end
+	soakMaxFault  = 2 * time.Second         // longest duration of a fault
+	soakRecovery  = 4 * time.Second         // from the last fault until every gateway must serve
+	soakGrace     = 2 * time.Second         // grace period of a gateway that is told to stop
+	soakDeadline  = 2 * time.Second         // deadline of a request
+	soakSlack     = 1500 * time.Millisecond // by which an answer may exceed the deadline
+	soakPause     = 25 * time.Millisecond   // of a caller between two requests
+	soakEvents    = 8
+	soakEventGap  = 20 * time.Millisecond
 )
 
 // TestSoak runs gateway processes, injects random faults and compares what
@@ -78,34 +72,20 @@
 
 // soak is the run of one seed.
 type soak struct {
-	t           *testing.T
+	*gatewayFleet
 	seed        uint64
 	random      *rand.Rand
-	store       *platformtest.Store
 	targets     []*platformtest.Target
 	targetLinks []*soakLink // by target
-	gateways    []*soakGateway
-	processes   *processes
 
 	mu       sync.Mutex
 	outcomes []outcome
 }
 
-// soakGateway is a gateway process and its link to the store.
-type soakGateway struct {
-	name      string
-	address   string // at which it serves callers
-	storeLink *soakLink
-
-	mu           sync.Mutex
-	lastFault    time.Time // when a fault of the process last began or ended
-	activeFaults int       // faults of the process that have not ended
-}
-
 // outcome is a request and what its caller got.
 type outcome struct {
 	id, path      string
-	gateway       *soakGateway
+	gateway       *gatewayProcess
 	started       time.Time
 	took          time.Duration
 	status        int
@@ -116,23 +96,10 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
-		t:      t,
-		seed:   seed,
-		random: rand.New(rand.NewPCG(seed, 0)),
-		store:  platformtest.NewStore(t),
+		gatewayFleet: newGatewayFleet(t, fmt.Sprint("soak-", seed)),
+		seed:         seed,
+		random:       rand.New(rand.NewPCG(seed, 0)),
 	}
-	binaries, err := filepath.Abs("../bin")
-	assert.NilError(t, err)
-	s.processes = newProcesses(binaries, t.TempDir())
-	t.Cleanup(func() {
-		if t.Failed() {
-			s.dumpStacks()
-		}
-		s.processes.endAll()
-		if t.Failed() {
-			s.keepLogs()
-		}
-	})
 	s.putSettings(1)
 	for i := range soakTargets {
 		target := platformtest.NewTarget(t, fmt.Sprint("i-", i))
@@ -151,26 +118,6 @@
 	return s
 }
 
-// dumpStacks ends the gateways with SIGQUIT, so that they log the stacks of their
-// goroutines.
-func (s *soak) dumpStacks() {
-	for _, g := range s.gateways {
-		if ending, err := s.processes.get(g.name); err == nil && s.processes.signal(g.name, syscall.SIGQUIT) == nil {
-			<-ending.ended
-		}
-	}
-}
-
-// keepLogs copies the logs of a failed run to the folder for temporary files,
-// since the test's own folder is deleted.
-func (s *soak) keepLogs() {
-	folder := filepath.Join(os.TempDir(), fmt.Sprint("quetzalbend-soak-", s.seed))
-	s.t.Logf("logs: %s", folder)
-	if err := os.CopyFS(folder, os.DirFS(s.processes.logs)); err != nil {
-		s.t.Logf("logs not kept: %v", err)
-	}
-}
-
 func (s *soak) putTarget(i int, state string) {
 	s.store.PutJSON(s.t, platform.TopicTargets, s.targets[i].ID, map[string]any{
 		"service": "app", "address": s.targetLinks[i].listenAddress(), "zone": fmt.Sprint("d", i%2+1), "version": "v1", "slots": 100,
@@ -203,73 +150,10 @@
 
 func versionPath(version int) string { return fmt.Sprintf("/v%d/", version) }
 
-// addGateway starts a gateway with further lines in its settings file.
-func (s *soak) addGateway(i int, lines ...string) {
-	ports := soakPorts(s.t, 4)
-	g := &soakGateway{name: fmt.Sprint("gateway-", i), address: ports[0], storeLink: newSoakLink(s.t, s.store.Address())}
-	_, internal, err := net.SplitHostPort(ports[3])
-	assert.NilError(s.t, err)
-	settings := map[string]string{
-		"nodeName": g.name, "ip": "127.0.0.1", "zone": fmt.Sprint("d", i%2+1),
-		"listen.front": ports[0], "listen.ready": ports[1], "listen.control": ports[2], "internalPorts": internal,
-		"platform.address": g.storeLink.listenAddress(), "contractParams.graceS": fmt.Sprint(soakGrace.Seconds()),
-		"contractParams.retrySlack": "1000",
-	}
-	var text strings.Builder
-	for name, value := range settings {
-		fmt.Fprintf(&text, "%s=%s\n", name, value)
-	}
-	text.WriteString(strings.Join(lines, "\n"))
-	assert.NilError(s.t, os.WriteFile(s.settingsFile(g), []byte(text.String()), 0o600))
-	s.gateways = append(s.gateways, g)
-	assert.NilError(s.t, s.startGateway(g))
-}
-
-func (s *soak) settingsFile(g *soakGateway) string {
-	return filepath.Join(s.processes.logs, g.name+".conf")
-}
-
-func (s *soak) startGateway(g *soakGateway) error {
-	return s.processes.startWithEnv([]string{platform.SettingsVariable + "=" + s.settingsFile(g)}, g.name, soakGatewayName)
-}
-
-// triedPorts counts the ports that were tried. They are below the range of
-// ephemeral ports, so that no other process is assigned a gateway's port while the
-// gateway is down.
-var triedPorts atomic.Int64
-
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-func soakPorts(t *testing.T, count int) []string {
-	t.Helper()
-	var ports []string
-	for len(ports) < count {
-		port := firstPort + int(triedPorts.Add(1))
-		assert.Assert(t, port < lastPort, "no port is left")
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if isFree(address) {
-			ports = append(ports, address)
-		}
-	}
-	return ports
-}
-
-// isFree reports whether a port is free for TCP and UDP.
-func isFree(address string) bool {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = listener.Close() }()
-	conn, err := net.ListenPacket("udp4", address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
+func (s *soak) addGateway(i int) {
+	s.add(fmt.Sprint("d", i%2+1), map[string]string{
+		"contractParams.graceS": fmt.Sprint(soakGrace.Seconds()), "contractParams.retrySlack": "1000",
+	})
 }
 
 // run injects the faults while callers send requests. Afterwards every gateway
@@ -283,18 +167,18 @@
 	}
 	for range soakFaults {
 		f := s.drawFault()
-		faults.Go(func() { s.inject(f) })
+		faults.Go(func() { f.inject() })
 	}
 	// Drawn apart, so that the other faults of a seed stay what they were.
 	crashes := rand.New(rand.NewPCG(s.seed, 1))
 	for range soakCrashes {
 		f := s.drawCrash(crashes)
-		faults.Go(func() { s.inject(f) })
+		faults.Go(func() { f.inject() })
 	}
 	notices := rand.New(rand.NewPCG(s.seed, 2))
 	for range soakNotices {
 		for _, f := range []fault{s.drawRestore(notices), s.drawRest(notices)} {
-			faults.Go(func() { s.inject(f) })
+			faults.Go(func() { f.inject() })
 		}
 	}
 	faults.Wait()
@@ -315,7 +199,7 @@
 
 // waitServed waits until a gateway serves a path. The first request should
 // succeed, unless a target still has queued misbehavior.
-func (s *soak) waitServed(g *soakGateway, path string) {
+func (s *soak) waitServed(g *gatewayProcess, path string) {
 	s.t.Helper()
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
 		got := s.send(s.t.Context(), g, path, fmt.Sprintf("check-%s-%s-%d", g.name, path, time.Now().UnixNano()), http.DefaultClient)
@@ -344,7 +228,7 @@
 	}
 }
 
-func (s *soak) send(ctx context.Context, g *soakGateway, path, id string, client *http.Client) outcome {
+func (s *soak) send(ctx context.Context, g *gatewayProcess, path, id string, client *http.Client) outcome {
 	got := outcome{id: id, path: path, gateway: g, started: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, 2*soakDeadline+soakSlack)
 	defer cancel()
@@ -371,21 +255,6 @@
 	return got
 }
 
-func (g *soakGateway) hadFaultSince(since time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.activeFaults > 0 || g.lastFault.After(since)
-}
-
-// noteFault adds delta to the number of active faults: 1 when a fault begins, -1
-// when it ends.
-func (g *soakGateway) noteFault(delta int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.activeFaults += delta
-	g.lastFault = time.Now()
-}
-
 // check compares what callers got with what targets ran, and checks that more
 // than half of the requests were served.
 func (s *soak) check() {
--- a/scenarios/upload_test.go
+++ b/scenarios/upload_test.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,7 +23,6 @@
 
 	"quetzalbend/internal/adapter/rawanswer"
 	"quetzalbend/platform"
-	"quetzalbend/platform/platformtest"
 )
 
 // Figures of a site's failure domain with one VM for the gateway.
@@ -60,13 +58,10 @@
 }
 
 func newUploads(t *testing.T) *uploads {
-	binaries, err := filepath.Abs("../bin")
-	assert.NilError(t, err)
 	u := &uploads{
-		soak:   &soak{t: t, store: platformtest.NewStore(t), processes: newProcesses(binaries, t.TempDir())},
+		soak:   &soak{gatewayFleet: newGatewayFleet(t, "upload")},
 		passed: make(map[string]bool),
 	}
-	t.Cleanup(u.processes.endAll)
 	u.store.PutJSON(t, platform.TopicSettings, platform.KeySettings, map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
@@ -85,7 +80,7 @@
 			"state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1,
 		})
 	}
-	u.addGateway(0, "limits.memoryMb="+strconv.Itoa(uploadMemoryMB))
+	u.add("d1", map[string]string{"limits.memoryMb": strconv.Itoa(uploadMemoryMB)})
 	u.waitServed(u.gateways[0], "/read/")
 	return u
 }
