--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -163,10 +163,11 @@
 }
 
 // Ports below those that systems give to connections and to listeners without a port of
-// their own, so that no other process gets one between the test's choice and its use.
+// their own, so that no other process gets one between the test's choice and its use. The
+// scenarios take those from 20000 on.
 const (
 	firstPort = 12000
-	lastPort  = 32000
+	lastPort  = 20000
 )
 
 // freePorts returns distinct ports on which no process listens, neither by TCP nor by UDP.
