gateway: tests of cold targets log an answer without a time to come back

TestColdTargetGetsNoMoreThanItsBoundFromManyGateways/announced failed once under the race detector at a load of about 14, with one such answer, and didn't say which.

--- a/internal/app/gateway/cold_test.go
+++ b/internal/app/gateway/cold_test.go
@@ -63,6 +63,7 @@
 					ok.Add(1)
 				case err != nil || wait <= 0:
 					bare.Add(1)
+					b.t.Logf("no time to come back: status %d, %q, %v", answer.status, answer.body, answer.err)
 				}
 			}
 		})
