gateway: tests that run in parallel take no port twice

Cause: ports were drawn at random and free again before the gateway took them, so tests that run in parallel drew the same one.

--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,30 +171,40 @@
 	lastPort  = 20000
 )
 
+// portsTried counts the ports that tests have tried. They run in parallel, so a port is tried
+// again only after all others: one that is free again may not be in use yet.
+var portsTried atomic.Int64
+
+func init() { portsTried.Store(rand.Int64N(lastPort - firstPort)) }
+
 // freePorts returns distinct ports on which no process listens, neither by TCP nor by UDP.
-// All listeners stay open until the end, since a port that is free again may be returned
-// twice.
 func freePorts(t *testing.T, count int) []int {
 	t.Helper()
 	var ports []int
 	for attempts := 0; len(ports) < count; attempts++ {
 		assert.Assert(t, attempts < 1000, "no free ports")
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		tcp, err := net.Listen("tcp", localAddress(port))
-		if err != nil {
-			continue
-		}
-		defer tcp.Close() //nolint:errcheck // the port is free afterwards either way
-		udp, err := net.ListenPacket("udp4", localAddress(port))
-		if err != nil {
-			continue
+		port := firstPort + int(portsTried.Add(1)%(lastPort-firstPort))
+		if isFree(port) {
+			ports = append(ports, port)
 		}
-		defer udp.Close() //nolint:errcheck // the port is free afterwards either way
-		ports = append(ports, port)
 	}
 	return ports
 }
 
+func isFree(port int) bool {
+	tcp, err := net.Listen("tcp", localAddress(port))
+	if err != nil {
+		return false
+	}
+	defer tcp.Close() //nolint:errcheck // the port is free afterwards either way
+	udp, err := net.ListenPacket("udp4", localAddress(port))
+	if err != nil {
+		return false
+	}
+	defer udp.Close() //nolint:errcheck // the port is free afterwards either way
+	return true
+}
+
 func localAddress(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 func (b *testbed) waitReady() {
