gateway: keep the start shares of two processes apart by the whole window

What callers saw: nothing; found by review. A gateway that restarts could use its start share while what the process before it had sent by its own still counted.

Cause: the check took the time from the announcement to the new start for the time since the last use, and asked for joinWait (1.325 s). But a process uses its start share until joinWait after its announcement was acknowledged, up to 1 s after the record's time, and that counts for another 1.025 s. A record dated after the new start (a clock set back) was not taken for a process before it. And an announcement that was just renewed cost the start share of a process that had run for long.

Records now tell when the process started. A start share is used for startTime at most, and one of the next process after that and the window.

Before, the three tests failed: "hasStartShare() is true: 5ms after, acknowledged after 0s"; "hasStartShare() is true" (clock set back); "expression is false" (long run). After, they pass; the package passes with -race. Shown on the membership only, not by processes.

--- a/internal/app/gateway/members.go
+++ b/internal/app/gateway/members.go
@@ -24,6 +24,9 @@
 	// joinWait is the time in which all others have heard of a new gateway, and what they
 	// sent before no longer counts.
 	joinWait = quota.AdmissionWindow + idleInterval
+	// startTime is the time from its start in which a gateway may use a share of those that
+	// start: it has announced itself, and joinWait has passed.
+	startTime = firstReadTimeout + storeTimeout + joinWait
 )
 
 // membership is the set of gateways among which common limits are divided. Unlike
@@ -35,7 +38,7 @@
 	announced  time.Time // when this gateway's first announcement ended; zero: not yet
 	written    bool      // the announcement is in the store
 	registered bool      // a process of this name has announced itself before this one, so the others know it
-	previous   time.Time // last sign of life of that process
+	previous   time.Time // start of that process
 	unread     bool      // the records could not be read before this gateway announced itself
 	listed     bool      // the records of the gateways have been read, from the store or a peer
 	known      map[string]member
@@ -54,11 +57,8 @@
 
 // add records a sign of life of a gateway.
 func (m *membership) add(name string, record peerRecord, at time.Time) {
-	if name == m.self && record.Revision < m.started.UnixNano() {
-		m.registered = true
-		if at.After(m.previous) {
-			m.previous = at
-		}
+	if name == m.self {
+		m.addOwn(record, at)
 	}
 	last, known := m.known[name]
 	if !known {
@@ -69,6 +69,21 @@
 	}
 }
 
+// addOwn records a sign of life of a process of this gateway's name.
+func (m *membership) addOwn(record peerRecord, at time.Time) {
+	previous := at // of an earlier version, which does not tell when it started
+	if record.Started != 0 {
+		previous = time.Unix(0, record.Started)
+	}
+	if record.Started == m.started.UnixNano() || record.Started == 0 && record.Revision >= m.started.UnixNano() {
+		return
+	}
+	m.registered = true
+	if previous.After(m.previous) {
+		m.previous = previous
+	}
+}
+
 // recordList records that all records of gateways have been added.
 func (m *membership) recordList(now time.Time) {
 	m.listed = true
@@ -106,11 +121,12 @@
 	return max(wait, 0)
 }
 
-// hasStartShare reports whether this gateway may use a share of those that start. The
-// process before it may have done so until joinWait after its announcement, and the one
-// after it must be able to tell.
-func (m *membership) hasStartShare() bool {
-	return m.written && !m.unread && m.started.Sub(m.previous) >= joinWait
+// hasStartShare reports whether this gateway may use a share of those that start. What the
+// process before it may have sent so no longer counts, and the one after it must be able to
+// tell.
+func (m *membership) hasStartShare(now time.Time) bool {
+	unused := m.started.Sub(m.previous) >= startTime+quota.AdmissionWindow
+	return m.written && !m.unread && unused && now.Sub(m.started) < startTime
 }
 
 func (p *peers) startWait(now time.Time) time.Duration {
@@ -125,7 +141,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	starting = p.members.startWait(now) > 0
-	if starting && !p.members.hasStartShare() {
+	if starting && !p.members.hasStartShare(now) {
 		return nil, true
 	}
 	return p.members.members(), starting
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -44,6 +44,7 @@
 	Control  string `json:"control"`  // where FleetState is served
 	Loads    string `json:"loads"`    // where NodeLoad datagrams are received
 	Revision int64  `json:"revision"` // time of writing, in Unix nanoseconds
+	Started  int64  `json:"started"`  // start of the process, in Unix nanoseconds
 }
 
 // maxClockAhead is how far the clock of another node may be ahead of this one's.
@@ -90,13 +91,14 @@
 }
 
 func newPeers(g *Gateway) *peers {
+	started := time.Now()
 	return &peers{
 		gateway: g,
 		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		started: time.Now(),
+		started: started,
 		nodes:   make(map[string]peerNode),
 		readers: make(map[string]readerState),
-		members: newMembership(g.node.Name, time.Now()),
+		members: newMembership(g.node.Name, started),
 	}
 }
 
@@ -154,6 +156,7 @@
 		Control:  p.gateway.node.ControlAddress,
 		Loads:    p.conn.LocalAddr().String(),
 		Revision: time.Now().UnixNano(),
+		Started:  p.started.UnixNano(),
 	}
 	value, err := json.Marshal(record)
 	if err == nil {
@@ -233,6 +236,7 @@
 	node, known := p.nodes[datagram.Node]
 	node.record.Control = datagram.ControlAddress
 	node.record.Loads = from.String()
+	node.record.Started = datagram.Incarnation
 	node.lastSeen, node.heard, node.lists = now, now, datagram.ListsGateways
 	p.nodes[datagram.Node] = node
 	p.members.add(datagram.Node, node.record, now)
