gateway: count an admission as pending until the socket has been written

What callers saw: nothing; found by review. net/http calls WroteRequest before it flushes its buffer, so a small request counted as sent before it left. A process that was stopped in between sent it beside the requests of the next second.

Before, TestAdmissionIsPendingUntilTheRequestIsWritten (its first form, which wrapped the dial) failed: "the next request may be sent before this one is written". After, it passes, as does that for bodies below and above net/http's buffer. Not run whole or with -race.

--- a/internal/app/gateway/sending.go
+++ b/internal/app/gateway/sending.go
@@ -20,7 +20,10 @@
 	loads     *loads
 	usable    func(now time.Time) bool // whether its lent admission may be used; nil: it counts in this gateway's share
 	connected atomic.Bool
-	expired   atomic.Bool // a lent admission could no longer be used, so nothing was sent
+	written   atomic.Bool  // net/http has handed on all of the request; some of it may be in its buffer
+	writes    atomic.Int64 // on the connection
+	headWrite int64        // writes when the head was handed on
+	expired   atomic.Bool  // a lent admission could no longer be used, so nothing was sent
 	settled   sync.Once
 }
 
@@ -44,10 +47,29 @@
 func (s *sending) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(context.WithValue(ctx, sendingKey{}, s), &httptrace.ClientTrace{
 		GotConn:      func(httptrace.GotConnInfo) { s.connected.Store(true) },
-		WroteRequest: func(httptrace.WroteRequestInfo) { s.settle(true) },
+		WroteHeaders: func() { s.headWrite = s.writes.Load() },
+		WroteRequest: func(httptrace.WroteRequestInfo) { s.recordHandedOn() },
 	})
 }
 
+// recordHandedOn records that net/http has handed on the request. A small request is still
+// in its buffer then. If a body has filled the buffer, net/http has written the rest of it
+// past the buffer.
+func (s *sending) recordHandedOn() {
+	s.written.Store(true)
+	if s.writes.Load() > s.headWrite {
+		s.settle(true)
+	}
+}
+
+// recordWrite records that a write on the connection has ended.
+func (s *sending) recordWrite() {
+	s.writes.Add(1)
+	if s.written.Load() {
+		s.settle(true)
+	}
+}
+
 // end must be called once the request will not be sent any more.
 func (s *sending) end() { s.settle(s.connected.Load()) }
 
@@ -74,19 +96,21 @@
 
 var errAdmissionExpired = errors.New("the lent admission has expired")
 
-// lentConn is a connection on which nothing may be sent once a lent admission has expired.
-type lentConn struct {
+// targetConn is a connection that tells the sending of its writes, and on which nothing may
+// be sent once a lent admission has expired.
+type targetConn struct {
 	net.Conn
 	sending *sending
 	started bool
 }
 
-func (c *lentConn) Write(data []byte) (int, error) {
-	if !c.started && !c.sending.usable(time.Now()) {
+func (c *targetConn) Write(data []byte) (int, error) {
+	if !c.started && c.sending.usable != nil && !c.sending.usable(time.Now()) {
 		c.sending.expired.Store(true)
 		return 0, errAdmissionExpired
 	}
 	c.started = true
+	defer c.sending.recordWrite()
 	return c.Conn.Write(data)
 }
 
@@ -95,9 +119,9 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		sent, _ := ctx.Value(sendingKey{}).(*sending)
-		if err != nil || sent == nil || sent.usable == nil {
+		if err != nil || sent == nil {
 			return conn, err
 		}
-		return &lentConn{Conn: conn, sending: sent}, nil
+		return &targetConn{Conn: conn, sending: sent}, nil
 	}
 }
