--- a/internal/app/gateway/members.go
+++ b/internal/app/gateway/members.go
@@ -24,6 +24,9 @@
 	// joinWait is the time in which all others have heard of a new gateway, and what they
 	// sent before no longer counts.
 	joinWait = quota.AdmissionWindow + idleInterval
+	// startTime is the time from its start in which a gateway may use a share of those that
+	// start: it has announced itself, and joinWait has passed.
+	startTime = firstReadTimeout + storeTimeout + joinWait
 )
 
 // membership is the set of gateways among which common limits are divided. Unlike
@@ -35,9 +38,10 @@
 	announced  time.Time // when this gateway's first announcement ended; zero: not yet
 	written    bool      // the announcement is in the store
 	registered bool      // a process of this name has announced itself before this one, so the others know it
-	previous   time.Time // last sign of life of that process
+	previous   time.Time // start of that process
 	unread     bool      // the records could not be read before this gateway announced itself
-	listed     bool      // the records of the gateways have been read, from the store or a peer
+	listed     bool      // the records of all gateways have been read, from the store or a peer
+	listedAt   time.Time // when that was first so
 	known      map[string]member
 	divided    *share.Members // of known and self; nil: to be made
 }
@@ -54,11 +58,8 @@
 
 // add records a sign of life of a gateway.
 func (m *membership) add(name string, record peerRecord, at time.Time) {
-	if name == m.self && record.Revision < m.started.UnixNano() {
-		m.registered = true
-		if at.After(m.previous) {
-			m.previous = at
-		}
+	if name == m.self {
+		m.addOwn(record, at)
 	}
 	last, known := m.known[name]
 	if !known {
@@ -69,9 +70,27 @@
 	}
 }
 
-// recordList records that all records of gateways have been added.
+// addOwn records a sign of life of a process of this gateway's name.
+func (m *membership) addOwn(record peerRecord, at time.Time) {
+	previous := at // of an earlier version, which does not tell when it started
+	if record.Started != 0 {
+		previous = time.Unix(0, record.Started)
+	}
+	if record.Started == m.started.UnixNano() || record.Started == 0 && record.Revision >= m.started.UnixNano() {
+		return
+	}
+	m.registered = true
+	if previous.After(m.previous) {
+		m.previous = previous
+	}
+}
+
+// recordList records that all records of gateways have been added. Until a new gateway has
+// announced itself, others that start with it may not be among them, nor know of it.
 func (m *membership) recordList(now time.Time) {
-	m.listed = true
+	if !m.listed && (m.registered || !m.announced.IsZero()) {
+		m.listed, m.listedAt = true, now
+	}
 	before := len(m.known)
 	maps.DeleteFunc(m.known, func(_ string, known member) bool { return now.Sub(known.lastSign) > memberLifetime })
 	if len(m.known) != before {
@@ -97,20 +116,28 @@
 // process before it has not sent within the window, and the others know that it is there.
 func (m *membership) startWait(now time.Time) time.Duration {
 	wait := m.started.Add(quota.AdmissionWindow).Sub(now)
-	if !m.registered && !m.announced.IsZero() {
-		wait = max(wait, m.announced.Add(joinWait).Sub(now))
-	}
-	if !m.registered && m.announced.IsZero() {
-		wait = max(wait, joinWait)
+	if !m.registered {
+		wait = max(wait, joinWait-m.sinceJoined(now))
 	}
 	return max(wait, 0)
 }
 
-// hasStartShare reports whether this gateway may use a share of those that start. The
-// process before it may have done so until joinWait after its announcement, and the one
-// after it must be able to tell.
-func (m *membership) hasStartShare() bool {
-	return m.written && !m.unread && m.started.Sub(m.previous) >= joinWait
+// sinceJoined returns the time since this gateway, whose name is new, has announced itself
+// and then has learned whom to send datagrams.
+func (m *membership) sinceJoined(now time.Time) time.Duration {
+	if !m.listed || m.announced.IsZero() {
+		return 0
+	}
+	return min(now.Sub(m.announced), now.Sub(m.listedAt))
+}
+
+// hasStartShare reports whether this gateway may use a share of those that start. What the
+// process before it may have sent so no longer counts, the one after it must be able to
+// tell, and others that join with it know of it.
+func (m *membership) hasStartShare(now time.Time) bool {
+	unused := m.started.Sub(m.previous) >= startTime+quota.AdmissionWindow
+	known := m.registered || m.sinceJoined(now) >= idleInterval
+	return m.written && !m.unread && unused && known && now.Sub(m.started) < startTime
 }
 
 func (p *peers) startWait(now time.Time) time.Duration {
@@ -125,7 +152,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	starting = p.members.startWait(now) > 0
-	if starting && !p.members.hasStartShare() {
+	if starting && !p.members.hasStartShare(now) {
 		return nil, true
 	}
 	return p.members.members(), starting
