--- a/scenarios/cold_link_test.go
+++ b/scenarios/cold_link_test.go
@@ -105,7 +105,7 @@
 		return c.TCPConn.Read(buffer)
 	}
 	c.begun = true
-	time.Sleep(c.times.drawLate())
+	<-time.After(c.times.drawLate())
 	count, sent, err := readTimed(c.TCPConn, buffer)
 	if err == nil && count > 0 {
 		c.times.record(buffer[:count], sent)
