gateway: three tests wait until the gateways are listed

Cause: since a new name takes the list only after its own announcement, and the test read the number as soon as the gateway was ready. It, and two others that read it alike, wait for the list now; the numbers expected are the same.

--- a/internal/app/gateway/cold_test.go
+++ b/internal/app/gateway/cold_test.go
@@ -170,6 +170,7 @@
 	g, _, _ := startGateway(t, "gateway-9", down.Address(), []string{beds[0].gateway.node.ControlAddress})
 	other := &testbed{t: t, store: down, gateway: g}
 	other.waitReady()
+	other.wait("the gateways are listed", g.peers.membersKnown)
 	assert.Assert(t, g.peers.gateways() >= len(beds)+gatewayHeadroom, "%d gateways", g.peers.gateways())
 }
 
@@ -216,6 +217,7 @@
 	g, _, _ := startGateway(t, "gateway-1", store.Address(), nil)
 	b := &testbed{t: t, store: store, gateway: g}
 	b.waitReady()
+	b.wait("the gateways are listed", g.peers.membersKnown)
 	assert.Equal(t, g.peers.gateways(), 1+gatewayHeadroom)
 	b.wait("the records are deleted", func() bool {
 		batch, err := g.store.Newest(t.Context(), platform.TopicNodes)
--- a/internal/app/gateway/fleet_test.go
+++ b/internal/app/gateway/fleet_test.go
@@ -113,6 +113,7 @@
 	assert.Equal(t, len(b.gateway.state.View().Targets["app"]), 2)
 	again := b.addGateway("gateway-2") // reads all records at once
 	assert.Equal(t, len(again.gateway.state.View().Targets["app"]), 2)
+	again.wait("the gateways are listed", again.gateway.peers.membersKnown)
 	assert.Equal(t, again.gateway.peers.gateways(), 2+gatewayHeadroom)
 	assert.Equal(t, again.get("/read/").status, http.StatusOK)
 }
