gateway: a dial function's name and two comments say what they do now

dialBounded ties every connection to its request since, not only those of lent admissions; the comment of learnMembers took two readings. No change of behaviour. Vet, linter and the tests of lent admissions, late requests and lists of gateways pass.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -75,7 +75,7 @@
 	// Each request uses a connection of its own: on a reused connection, a late
 	// or duplicate answer would be mistaken for the answer to the next request.
 	g.transport = &http.Transport{
-		DialContext:            dialBounded(dialer),
+		DialContext:            dialTarget(dialer),
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeadBytes,
--- a/internal/app/gateway/learn.go
+++ b/internal/app/gateway/learn.go
@@ -14,8 +14,8 @@
 	learnTimeout  = 400 * time.Millisecond
 )
 
-// learnMembers asks peers that know all gateways for their list until this one knows them,
-// too: from the store, it may not have them for as long as the store is away.
+// learnMembers asks peers that know all gateways for their list, until this gateway knows
+// them as well. The store also has the list, but may be away.
 func (p *peers) learnMembers(ctx context.Context) error {
 	for !p.membersKnown() && pause.For(ctx, learnInterval) {
 		address, found := p.listingPeer(time.Now())
--- a/internal/app/gateway/sending.go
+++ b/internal/app/gateway/sending.go
@@ -114,8 +114,9 @@
 	return c.Conn.Write(data)
 }
 
-// dialBounded returns a dial function for requests to targets.
-func dialBounded(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+// dialTarget returns the dial function for requests to targets. It ties each connection to
+// the sending of its request.
+func dialTarget(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		sent, _ := ctx.Value(sendingKey{}).(*sending)
