--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -59,7 +59,7 @@
 		started++
 		id := fmt.Sprintf("i-%08x", 0x3000+started)
 		mu.Unlock()
-		_, err := newStreamer(r.record, r.store, id, modelName, "z1", 0, func(*streamer) {
+		_, err := newStreamer(r.record, r.store, id, modelName, "z1", 0, false, func(*streamer) {
 			time.AfterFunc(backAfter, func() { _ = start() })
 		})
 		return err
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*run) (int, error){
 	"drain":  drainCase,
 	"poison": poisonCase,
+	"dark":   darkCase,
 	"crash":  crashCase,
 	"idle":   idleCase,
 }
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -16,6 +16,7 @@
 	maxRetries = 3
 	crashesFor = 45 * time.Second
 	crashAfter = 4 // events of the request
+	streamGap  = 2 * time.Second
 )
 
 // streamConfiguration has a route of streams that may be resumed, and one of streams that may
@@ -43,7 +44,13 @@
 
 // poisonCase: one request crashes each replica that runs it, after it has sent some events. It
 // comes again every second, at one machine or another.
-func poisonCase(r *run) (int, error) {
+func poisonCase(r *run) (int, error) { return r.poisoned(crashAfter, false) }
+
+// darkCase: the same, but the replicas go dark before they have sent an event, and the client
+// gives the stream up after two seconds.
+func darkCase(r *run) (int, error) { return r.poisoned(0, true) }
+
+func (r *run) poisoned(crashAfter int, dark bool) (int, error) {
 	r.store.put("keyed.op", "config", streamConfiguration())
 	var mu sync.Mutex
 	started := 0
@@ -53,7 +60,7 @@
 		started++
 		id := fmt.Sprintf("i-%08x", 0x2000+started)
 		mu.Unlock()
-		_, err := newStreamer(r.record, r.store, id, modelName, "z1", crashAfter, func(*streamer) {
+		_, err := newStreamer(r.record, r.store, id, modelName, "z1", crashAfter, dark, func(*streamer) {
 			time.AfterFunc(backAfter, func() { _ = start() })
 		})
 		return err
@@ -80,6 +87,9 @@
 		suspects.body = poison + " text"
 	}
 	suspects.number.Store(0x10000)
+	if dark {
+		suspects.client.Timeout = streamGap
+	}
 	var sending sync.WaitGroup
 	for _, m := range r.machines {
 		sending.Go(func() { others.send(m, chatPath+"a", 8, 8*time.Second, crashesFor) })
--- a/review/standin/stream.go
+++ b/review/standin/stream.go
@@ -13,12 +13,14 @@
 )
 
 // streamer stands in for a sound model replica that answers with a stream of events. A request
-// whose body says so crashes it while it runs: its listener and its connections are gone.
+// whose body says so crashes it while it runs: its listener and its connections are gone or, if it
+// goes dark, say nothing any more.
 type streamer struct {
 	id, service, zone string
 	events            int
 	gap               time.Duration
 	crashAfter        int // events of a request that crashes replicas, before the crash
+	dark              bool
 	record            *record
 	store             *store
 	born              int64
@@ -32,15 +34,18 @@
 	conns    map[net.Conn]bool
 }
 
-const poison = "poison"
+const (
+	poison  = "poison"
+	darkFor = 30 * time.Second // until the connections of a dark replica are closed
+)
 
-func newStreamer(rec *record, st *store, id, service, zone string, crashAfter int, crashed func(*streamer)) (*streamer, error) {
+func newStreamer(rec *record, st *store, id, service, zone string, crashAfter int, dark bool, crashed func(*streamer)) (*streamer, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	s := &streamer{
-		id: id, service: service, zone: zone, events: 26, gap: 20 * time.Millisecond, crashAfter: crashAfter, record: rec, store: st,
+		id: id, service: service, zone: zone, events: 26, gap: 20 * time.Millisecond, crashAfter: crashAfter, dark: dark, record: rec, store: st,
 		born: time.Now().UnixMilli(), listener: listener, crashed: crashed, conns: make(map[net.Conn]bool),
 	}
 	s.server = &http.Server{Handler: s, ConnState: s.watch}
@@ -93,11 +98,25 @@
 	}
 	s.mu.Unlock()
 	s.record.crash(s.id, by)
-	_ = s.server.Close()
+	if s.dark {
+		time.AfterFunc(darkFor, func() { _ = s.server.Close() })
+	} else {
+		_ = s.server.Close()
+	}
 	s.crashed(s)
 }
 
+func (s *streamer) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func (s *streamer) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if s.isDown() {
+		time.Sleep(darkFor)
+		return
+	}
 	id := request.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != s.id {
@@ -120,6 +139,11 @@
 	for sent, event := 0, last+1; event <= s.events; sent, event = sent+1, event+1 {
 		if crashes && sent == s.crashAfter {
 			s.crash(id)
+		}
+		if s.isDown() {
+			if s.dark {
+				time.Sleep(darkFor)
+			}
 			return
 		}
 		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", event, event)
