gateway: read the parts of prompts in the store before writing any

Cause: poisonStore.known is made by the first read of the store that succeeds. After a failed read the next one follows 2 s later; a part that became suspect in that time, with the store back, was written at once: assignment to entry in nil map. Even without the panic that write was wrong: it replaced the store's record, which may hold more evidence than this gateway has.

Change: a gateway that has not read the store reads it first, and then writes what it lacks.

--- a/internal/app/gateway/poisonstore.go
+++ b/internal/app/gateway/poisonstore.go
@@ -19,7 +19,7 @@
 	guard *poisonGuard
 	store *platform.Store
 	log   *eventlog.Log
-	known map[string]poison.Verdict // by part: verdict on what the store holds, when it was last read or written
+	known map[string]poison.Verdict // by part: verdict on what the store holds, when it was last read or written; nil: not yet read
 }
 
 // run reads the parts in the store repeatedly, and writes those that it lacks as soon as
@@ -43,7 +43,7 @@
 	for {
 		select {
 		case <-s.guard.barred:
-			s.write(ctx)
+			s.writeNew(ctx)
 		case <-newEra:
 			return
 		case <-timer.C:
@@ -54,6 +54,16 @@
 	}
 }
 
+// writeNew writes the parts that the store lacks. If the store has not been read yet, it is
+// read first: it may hold more evidence against a part than this gateway does.
+func (s *poisonStore) writeNew(ctx context.Context) {
+	if s.known == nil {
+		s.sync(ctx)
+		return
+	}
+	s.write(ctx)
+}
+
 // sync reads the parts in the store and writes those that it lacks. It reports whether
 // the store could be read.
 func (s *poisonStore) sync(ctx context.Context) bool {
@@ -92,7 +102,8 @@
 	return []*wire.PartCrashes{stored.GetEvidence()}
 }
 
-// write writes the parts that are not allowed and of which the store does not know so.
+// write writes the parts that are not allowed and of which the store does not know so. The
+// store must have been read before.
 func (s *poisonStore) write(ctx context.Context) {
 	now := time.Now()
 	for _, evidence := range poisonwire.Encode(s.guard.table.NotAllowed(now), now) {
