gateway: refuse a request whose service the settings have dropped

Cause: admissionWait read the service of a request that waits for an admission from the newest settings. If these have dropped the service, the handler panicked and the caller had no answer.

Test, failed before with a nil pointer: TestRequestToAServiceThatIsGoneIsRefused.

--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -334,6 +334,9 @@
 func (x *exchange) admissionWait() time.Duration {
 	view, now := x.gateway.state.View(), time.Now()
 	service := view.Settings.Services[x.service]
+	if service == nil {
+		return shortRetryAfter
+	}
 	wait := x.gateway.loads.admissionWait(service, view.Targets[x.service], x.gateway.gates(now).admission, now)
 	return max(wait, shortRetryAfter)
 }
--- a/internal/app/gateway/started_test.go
+++ b/internal/app/gateway/started_test.go
@@ -77,3 +77,15 @@
 	b.wait("the part is refused", func() bool { return g.poison.table.Verdict("p", time.Now()) == poison.Refused })
 	assert.Equal(t, storedVerdict(t, g.store, "p"), poison.Refused)
 }
+
+// Settings may drop a service whose requests wait for an admission. The refusal of such a
+// request read the service, and its handler panicked.
+func TestRequestToAServiceThatIsGoneIsRefused(t *testing.T) {
+	b := newTestbed(t, platformtest.NewTarget(t, "i-1"))
+	settings := testSettings(2)
+	settings["services"] = []object{}
+	b.store.PutJSON(t, "keyed.op", "config", settings)
+	b.wait("the service is gone", func() bool { return b.gateway.state.View().Settings.Services["app"] == nil })
+	x := &exchange{gateway: b.gateway, service: "app"}
+	assert.Equal(t, x.admissionWait(), shortRetryAfter)
+}
