Keep a panic of a background goroutine from ending the process

Nothing recovered from one: any fault of a loop that a request never touches cost every caller of the VM.

Change: internal/supervise. A leader of map changes that panics gives its leadership up first: what it knew of its orders is gone, and late ones carry its token, so it leads again only under a higher one. Handlers stay as they were: net/http recovers there.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/fleetsync"
 	"quetzalbend/internal/metrics"
+	"quetzalbend/internal/supervise"
 	"quetzalbend/platform"
 )
 
@@ -104,11 +105,10 @@
 	group.Go(func() error { return follower.Run(background) })
 	group.Go(func() error { return g.peers.run(background) })
 	group.Go(func() error { return g.lead(ctx, background) })
-	group.Go(func() error {
-		return (&poisonStore{guard: g.poison, store: g.store, log: g.log}).run(background)
-	})
-	group.Go(func() error { return g.logReloads(background) })
-	group.Go(func() error { return g.suspension.watch(background, g.log) })
+	parts := &poisonStore{guard: g.poison, store: g.store, log: g.log}
+	group.Go(func() error { return supervise.Loop(background, g.log, "parts in the store", parts.run, nil) })
+	group.Go(func() error { return supervise.Loop(background, g.log, "reloads", g.logReloads, nil) })
+	group.Go(func() error { return supervise.Loop(background, g.log, "suspensions", g.watchSuspensions, nil) })
 	group.Go(func() error {
 		defer stop()
 		return g.serve(ctx, background)
@@ -116,6 +116,8 @@
 	return group.Wait()
 }
 
+func (g *Gateway) watchSuspensions(ctx context.Context) error { return g.suspension.watch(ctx, g.log) }
+
 // lead takes part in the election of the leader of map changes until SIGTERM or
 // until another goroutine of run fails: a stopping gateway does not lead.
 func (g *Gateway) lead(ctx, background context.Context) error {
--- a/internal/app/gateway/peers.go
+++ b/internal/app/gateway/peers.go
@@ -20,6 +20,7 @@
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/fleetsync"
 	"quetzalbend/internal/pause"
+	"quetzalbend/internal/supervise"
 	"quetzalbend/internal/wire"
 	"quetzalbend/platform"
 )
@@ -113,11 +114,12 @@
 	_, read := p.readNodes(ctx, firstReadTimeout) // before the announcement: tells whether a process of this name ran before
 	written := p.announce(ctx)                    // before the next read: if two nodes start together, at least one finds the other
 	p.recordAnnounced(read, written, time.Now())
-	group.Go(func() error { return p.announceRepeatedly(ctx) })
-	group.Go(func() error { return p.list(ctx) })
-	group.Go(func() error { return p.learnMembers(ctx) })
-	group.Go(func() error { return p.send(ctx) })
-	group.Go(func() error { return p.receive(ctx) })
+	for name, loop := range map[string]func(context.Context) error{
+		"announcements": p.announceRepeatedly, "list of gateways": p.list, "members": p.learnMembers,
+		"datagrams to peers": p.send, "datagrams of peers": p.receive,
+	} {
+		group.Go(func() error { return supervise.Loop(ctx, p.gateway.log, name, loop, nil) })
+	}
 	group.Go(func() error {
 		<-ctx.Done()
 		return conn.Close()
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -15,6 +15,7 @@
 	"quetzalbend/internal/core/poison"
 	"quetzalbend/internal/core/registry"
 	"quetzalbend/internal/eventlog"
+	"quetzalbend/internal/supervise"
 	"quetzalbend/internal/wire"
 )
 
@@ -102,7 +103,7 @@
 		return
 	}
 	if check && g.beginCheck(incarnation) {
-		go g.check(target, incarnation)
+		go supervise.Task(g.log, "check of a target", func() { g.check(target, incarnation) })
 	}
 }
 
--- a/internal/app/gateway/watchdog.go
+++ b/internal/app/gateway/watchdog.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalbend/internal/core/fleet"
+	"quetzalbend/internal/supervise"
 )
 
 const (
@@ -39,7 +40,7 @@
 		limit := min(objectivesPerAttempt*x.route.LatencyObjective, time.Until(x.deadline)/2)
 		w.timer = time.AfterFunc(limit, w.fire)
 	case x.route.Kind == fleet.Stream && x.route.Resumable:
-		w.timer = time.AfterFunc(targetSilence, w.checkStream)
+		w.timer = time.AfterFunc(targetSilence, func() { supervise.Task(x.gateway.log, "watchdog", w.checkStream) })
 	}
 	return w
 }
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -10,6 +10,7 @@
 
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/pause"
+	"quetzalbend/internal/supervise"
 	"quetzalbend/internal/wire"
 	"quetzalbend/platform"
 )
@@ -77,10 +78,11 @@
 // Run keeps the state up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return f.followSettings(ctx) })
-	group.Go(func() error { return f.followTargets(ctx) })
-	group.Go(func() error { return f.followPeers(ctx) })
-	group.Go(func() error { return f.followReader(ctx) })
+	for name, loop := range map[string]func(context.Context) error{
+		"settings": f.followSettings, "registry": f.followTargets, "state of peers": f.followPeers, "state of the reader": f.followReader,
+	} {
+		group.Go(func() error { return supervise.Loop(ctx, f.Log, name, loop, nil) })
+	}
 	return group.Wait()
 }
 
--- a/internal/maplead/leader.go
+++ b/internal/maplead/leader.go
@@ -13,6 +13,7 @@
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/pause"
 	"quetzalbend/internal/ranklink"
+	"quetzalbend/internal/supervise"
 	"quetzalbend/platform"
 
 	"quetzalbend/internal/core/mapchange"
@@ -69,23 +70,36 @@
 func (l *Leader) Run(ctx context.Context) error {
 	l.forget(0)
 	work, ctx := errgroup.WithContext(ctx)
-	work.Go(func() error { return l.stayInElection(ctx) })
-	work.Go(func() error { return l.lead(ctx) })
+	work.Go(func() error { return supervise.Loop(ctx, l.Log, "map election", l.stayInElection, nil) })
+	work.Go(func() error { return supervise.Loop(ctx, l.Log, "map leader", l.lead, func() { l.abdicate(ctx) }) })
 	return work.Wait()
 }
 
+// abdicate gives up the leadership after a panic in the middle of a change. What this member
+// knew of its orders is lost, and those that are still on their way carry its token, so it
+// may lead again only under another one.
+func (l *Leader) abdicate(ctx context.Context) {
+	l.setFenced(l.leaderToken())
+	l.forget(0)
+	l.leave(ctx)
+}
+
 // stayInElection keeps this member in the election.
 func (l *Leader) stayInElection(ctx context.Context) error {
 	for ctx.Err() == nil {
 		l.join(ctx)
 		pause.For(ctx, joinInterval)
 	}
-	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), joinTimeout)
+	l.leave(ctx)
+	return nil
+}
+
+func (l *Leader) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), joinTimeout)
 	defer cancel()
-	if err := l.Election.Leave(leaveCtx, electionGroup, l.Member); err != nil {
+	if err := l.Election.Leave(ctx, electionGroup, l.Member); err != nil {
 		l.Log.Problem("cannot leave the election", err, nil)
 	}
-	return nil
 }
 
 func (l *Leader) join(ctx context.Context) {
--- a/internal/maplead/leader_test.go
+++ b/internal/maplead/leader_test.go
@@ -195,6 +195,12 @@
 func (e *fakeElection) Leave(context.Context, string, string) error { return nil }
 
 func startLeader(t *testing.T, group Ranks, ranks int) (*Leader, *fakeElection) {
+	t.Helper()
+	return startPreparedLeader(t, group, ranks, func(*Leader) {})
+}
+
+// startPreparedLeader starts a leader that prepare has changed before.
+func startPreparedLeader(t *testing.T, group Ranks, ranks int, prepare func(*Leader)) (*Leader, *fakeElection) {
 	t.Helper()
 	election := &fakeElection{generation: firstGeneration}
 	var targets []fleet.Target
@@ -208,6 +214,7 @@
 			return map[*fleet.Service][]fleet.Target{service: targets}
 		},
 	}
+	prepare(leader)
 	go leader.Run(t.Context()) //nolint:errcheck // ends with the test
 	return leader, election
 }
--- a/internal/maplead/orders.go
+++ b/internal/maplead/orders.go
@@ -8,6 +8,7 @@
 	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/core/mapchange"
 	"quetzalbend/internal/eventlog"
+	"quetzalbend/internal/supervise"
 	"quetzalbend/platform"
 )
 
@@ -95,7 +96,9 @@
 		case mapchange.Disarm:
 			g.abandoned[order.Version] = true
 		}
-		wait.Go(func() { answers[i] = g.send(ctx, send, orderTimeout) })
+		wait.Go(func() {
+			supervise.Task(g.leader.Log, "order", func() { answers[i] = g.send(ctx, send, orderTimeout) })
+		})
 	}
 	wait.Wait()
 	refused := false
@@ -134,17 +137,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.preparing[address] = version
-	go func() {
-		answer := g.send(ctx, s, prepareOrderTimeout)
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if answer == platform.OrderAccepted {
-			g.preparation[address] = preparation{s.session, version}
-		}
-		if g.preparing[address] == version {
-			delete(g.preparing, address)
-		}
-	}()
+	go supervise.Task(g.leader.Log, "preparation", func() { g.prepare(ctx, s, address, version) })
+}
+
+// prepare sends a prepare order and records its outcome.
+func (g *group) prepare(ctx context.Context, s sending, address string, version int64) {
+	answer := g.send(ctx, s, prepareOrderTimeout)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if answer == platform.OrderAccepted {
+		g.preparation[address] = preparation{s.session, version}
+	}
+	if g.preparing[address] == version {
+		delete(g.preparing, address)
+	}
 }
 
 // send sends one order and records its outcome.
--- a/internal/maplead/reports.go
+++ b/internal/maplead/reports.go
@@ -12,6 +12,7 @@
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/internal/pause"
 	"quetzalbend/internal/ranklink"
+	"quetzalbend/internal/supervise"
 )
 
 const (
@@ -77,7 +78,9 @@
 		}
 		targetOptions := options
 		targetOptions.Counts = options.Counts && counted[target.Address] && inProgress == 0
-		reads.Go(func() { r.read(ctx, target, targetOptions, now) })
+		reads.Go(func() {
+			supervise.Task(r.log, "report of a rank", func() { r.read(ctx, target, targetOptions, now) })
+		})
 	}
 	ended := make(chan struct{})
 	go func() {
