registry: tell a record that expired from one that was taken away

Cause: a failed read of the registry was taken for an outage of the store, whoever was cut off. Each target whose record was removed in the 2.2 s after the next read stayed usable, since it might have expired, and that time was handed to gateways that had read all along.

Change: a target stays usable only if its record may have expired in a time in which this gateway could not read. Such a time counts from two heartbeat intervals on. The store was away for all if the targets that wrote most have written 1.5 records less than that time asks for; otherwise the gateway was cut off, and a record expired only if a third of the others were written twice since its last one: a target that leaves was written within one interval. A record that was written less than 2.7 intervals ago has not expired at all. Peers tell which removals are of expired records (targets_expired); a gateway that has read all along drops them. Only an outage of the store is handed on. What is missing is dropped by time and before stabilityWindowMs is over, not with the next read.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/core/memory"
 	"quetzalbend/internal/core/quota"
+	"quetzalbend/internal/core/registry"
 	"quetzalbend/internal/core/schema"
 	"quetzalbend/internal/core/strike"
 	"quetzalbend/internal/drain"
@@ -63,7 +64,7 @@
 		node:    node,
 		log:     log,
 		store:   platform.NewStore(node.StoreAddress),
-		state:   fleetsync.NewState(log, time.Now),
+		state:   fleetsync.NewState(log, time.Now, registryTiming(node)),
 		loads:   newLoads(),
 		memory:  memory.NewBudget(node.MemoryBytes),
 		strikes: strike.NewTable(node.Name),
@@ -88,6 +89,20 @@
 	return g
 }
 
+// recoveryTime is the time from the end of a cut from the store until the registry has been
+// read again and what is still missing then has been dropped.
+const recoveryTime = 950 * time.Millisecond
+
+// registryTiming returns the times by which records of targets expire. What is missing after a
+// cut is dropped before the gateway counts as in touch with the store again.
+func registryTiming(node fleet.Node) registry.Timing {
+	timing := registry.Timing{Heartbeat: node.Heartbeat, Grace: registry.GracePeriod}
+	if node.Stability > recoveryTime {
+		timing.Grace = min(timing.Grace, node.Stability-recoveryTime)
+	}
+	return timing
+}
+
 // Run runs the gateway of this node until SIGTERM, followed by the drain.
 func Run(ctx context.Context) error {
 	return hosted.Run(ctx, func(ctx context.Context, node fleet.Node, log *eventlog.Log) error {
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -42,6 +42,7 @@
 	MemoryBytes    int64  // that a process on this VM may use; 0: unknown
 	Heartbeat      time.Duration
 	GracePeriod    time.Duration // between SIGTERM and SIGKILL
+	Stability      time.Duration // without a disturbance, after which a node counts as in touch with the store; 0: unknown
 	Stall          time.Duration // for which a group of targets stalls when one of them is down
 	Bounds         Bounds
 }
--- a/internal/core/registry/table.go
+++ b/internal/core/registry/table.go
@@ -7,11 +7,6 @@
 	"quetzalbend/internal/core/fleet"
 )
 
-// GracePeriod is how long a target whose record is missing stays usable after
-// the store has become available again: by then, live targets have rewritten the
-// records that expired during the outage.
-const GracePeriod = 2200 * time.Millisecond
-
 // maxLeaving is the number of leaving targets beyond which those without a record are
 // forgotten.
 const maxLeaving = 1000
@@ -19,45 +14,115 @@
 type entry struct {
 	target    fleet.Target
 	coldUntil time.Time
-	missing   bool // record removed during an outage of the store or the grace period after it
+	// Places of its two latest records among all that were read in the order of the log; 0:
+	// not read there.
+	lastRecord, previousRecord int64
+	readAt                     time.Time // when its latest record was read
+	writtenAfter               time.Time // when that was not yet written; zero: not known
+	missingUntil               time.Time // its record may have expired only since the store was away; zero: it has a record
 }
 
+func (e *entry) isMissing() bool { return !e.missingUntil.IsZero() }
+
 // Table holds the targets by id. It is not safe for concurrent use.
 type Table struct {
-	entries     map[string]*entry
-	leaving     map[string]int64 // start, by id, of the incarnations that have said that they leave
-	unavailable bool             // the last read failed
-	graceUntil  time.Time        // end of the grace period after an outage of the store
+	timing   Timing
+	entries  map[string]*entry
+	leaving  map[string]int64 // start, by id, of the incarnations that have said that they leave
+	records  int64            // read in the order of the log
+	lastRead time.Time        // latest read that succeeded; zero: none
+	priorEnd time.Time        // the one before
+	absence  absence
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{entries: make(map[string]*entry), leaving: make(map[string]int64)}
+func NewTable(timing Timing) *Table {
+	return &Table{timing: timing.withDefaults(), entries: make(map[string]*entry), leaving: make(map[string]int64)}
 }
 
-// Put adds or replaces a target.
+// Put adds or replaces a target. Its record follows those put before in the log.
 func (t *Table) Put(target fleet.Target, now time.Time) {
-	e := &entry{target: target}
+	t.records++
+	e := t.put(target, now)
+	e.lastRecord, e.writtenAfter = t.records, t.priorEnd
+}
+
+// PutUnordered adds or replaces a target whose record was not read in the order of the log:
+// in a whole registry, or at a peer.
+func (t *Table) PutUnordered(target fleet.Target, now time.Time) {
+	e := t.put(target, now)
+	e.lastRecord, e.previousRecord = 0, 0
+}
+
+func (t *Table) put(target fleet.Target, now time.Time) *entry {
+	e := &entry{target: target, readAt: now}
+	if known := t.entries[target.ID]; known != nil {
+		e.previousRecord = known.lastRecord
+	}
 	if target.ColdRemaining > 0 {
 		e.coldUntil = now.Add(target.ColdRemaining)
 	}
 	t.entries[target.ID] = e
+	return e
+}
+
+// Remove removes a target whose record is gone from the store. If the record may have only
+// expired since the store was away, the target stays usable until the end of the grace period.
+// Remove reports whether the record expired, by the order of the log: others were written
+// again and again since its last one.
+func (t *Table) Remove(id string, now time.Time) (expired bool) {
+	e := t.entries[id]
+	if e == nil || e.isMissing() {
+		return false
+	}
+	expired = t.isLongSilent(e)
+	t.removeOrKeep(e, now, t.absence.mayExplain(t, e, expired, now))
+	return expired
 }
 
-// Remove removes a target whose record is missing. During an outage of the store and
-// in the grace period after it, the record may be missing only because it expired. The
-// target therefore stays usable until the end of the grace period, unless it is
-// draining.
-func (t *Table) Remove(id string, now time.Time) {
+// RemoveAsTold is like Remove, for what a peer has read. expired is what it has told of the
+// record.
+func (t *Table) RemoveAsTold(id string, expired bool, now time.Time) {
 	e := t.entries[id]
-	if e == nil {
+	if e == nil || e.isMissing() {
 		return
 	}
-	if t.inGracePeriod(now) && !e.target.Draining && !t.isLeaving(e.target) {
-		e.missing = true
+	t.removeOrKeep(e, now, t.absence.mayExplainTold(e, expired, now))
+}
+
+func (t *Table) removeOrKeep(e *entry, now time.Time, keep bool) {
+	if !keep || e.target.Draining || t.isLeaving(e.target) {
+		delete(t.entries, e.target.ID)
 		return
 	}
-	delete(t.entries, id)
+	e.missingUntil = t.absence.graceEnd(now, t.timing.Grace)
+}
+
+// isLongSilent reports whether at least a third of the targets that were written since a
+// target's last record were written twice. A record expires after three heartbeat intervals,
+// and a target that leaves takes it away within one.
+func (t *Table) isLongSilent(e *entry) bool {
+	once, twice := 0, 0
+	for _, other := range t.entries {
+		if other == e || other.isMissing() || other.lastRecord <= e.lastRecord {
+			continue
+		}
+		once++
+		if other.previousRecord > e.lastRecord {
+			twice++
+		}
+	}
+	return once > 0 && silentFraction*twice >= once
+}
+
+// silentFraction is one over the fraction of the other targets that must have been written
+// twice.
+const silentFraction = 3
+
+// IsMissing reports whether a target without a record stays usable for the grace period.
+func (t *Table) IsMissing(id string) bool {
+	e := t.entries[id]
+	return e != nil && e.isMissing()
 }
 
 // MarkLeaving records that an incarnation of a target, which started at the given time,
@@ -78,48 +143,14 @@
 	return ok && born == target.Born
 }
 
-// ReadFailed records that the registry could not be read.
-func (t *Table) ReadFailed() { t.unavailable = true }
-
-// ReadSucceeded records that the registry was read. After the grace period it drops
-// the targets whose record is still missing, and reports whether there were any.
-func (t *Table) ReadSucceeded(now time.Time) bool {
-	if t.unavailable {
-		t.unavailable = false
-		t.graceUntil = now.Add(GracePeriod)
-	}
-	if t.inGracePeriod(now) {
-		return false
-	}
+// Expire drops the targets whose record is still missing at the end of the grace period, and
+// reports whether there were any.
+func (t *Table) Expire(now time.Time) bool {
 	before := len(t.entries)
-	maps.DeleteFunc(t.entries, func(_ string, e *entry) bool { return e.missing })
+	maps.DeleteFunc(t.entries, func(_ string, e *entry) bool { return e.isMissing() && !now.Before(e.missingUntil) })
 	return len(t.entries) < before
 }
 
-func (t *Table) inGracePeriod(now time.Time) bool { return t.GraceRemaining(now) > 0 }
-
-// GraceRemaining returns the rest of the grace period, in which a record may be
-// missing only because it expired in an outage of the store. While the store is
-// unavailable, that is the whole grace period.
-func (t *Table) GraceRemaining(now time.Time) time.Duration {
-	if t.unavailable {
-		return GracePeriod
-	}
-	return max(0, t.graceUntil.Sub(now))
-}
-
-// StoreRestored records that the store came back from an older copy, in which records
-// are missing that live targets will rewrite.
-func (t *Table) StoreRestored(now time.Time) { t.ExtendGrace(now.Add(GracePeriod)) }
-
-// ExtendGrace extends the grace period to the given time, for an outage of the store
-// that another gateway has seen.
-func (t *Table) ExtendGrace(until time.Time) {
-	if until.After(t.graceUntil) {
-		t.graceUntil = until
-	}
-}
-
 // Usable is a target that may get requests.
 type Usable struct {
 	fleet.Target
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -90,6 +90,7 @@
 // long as there is such a gateway and it answers.
 func (f *Follower) followReader(ctx context.Context) error {
 	for pause.For(ctx, readerInterval) {
+		f.State.Expire()
 		reader, found := f.Peers.Reader()
 		delegated := found && f.syncFrom(ctx, reader)
 		if f.delegated.Swap(delegated) != delegated {
--- a/internal/fleetsync/registry.go
+++ b/internal/fleetsync/registry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalbend/internal/core/fleet"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/platform"
 )
@@ -20,14 +21,33 @@
 		return false
 	}
 	now := s.now()
-	s.recordTargetsRead(batch.Position(), now, now)
+	s.recordTargetsAt(batch.Position(), now, now)
+	s.targets.ReadOn(now, countRecords(batch))
+	read := recordSource{put: s.targets.Put, remove: s.targets.Remove}
 	for _, record := range batch.Records {
-		s.applyTarget(record, now)
+		s.applyTarget(record, read, now)
 	}
 	s.publish()
 	return true
 }
 
+// countRecords returns the number of records of each target in a batch.
+func countRecords(batch platform.Batch) map[string]int {
+	counts := make(map[string]int)
+	for _, record := range batch.Records {
+		if len(record.Value) > 0 {
+			counts[record.Key]++
+		}
+	}
+	return counts
+}
+
+// recordSource applies records to the table of targets, by where they were read.
+type recordSource struct {
+	put    func(target fleet.Target, now time.Time)
+	remove func(id string, now time.Time) (expired bool)
+}
+
 // ReplaceTargets replaces the registry by the newest records of all targets.
 func (s *State) ReplaceTargets(batch platform.Batch) {
 	s.mu.Lock()
@@ -38,8 +58,9 @@
 	}
 	now := s.now()
 	s.beginComplete(batch.Next)
-	s.recordTargetsRead(batch.Position(), now, now)
-	s.replaceTargets(batch.Records, now)
+	s.recordTargetsAt(batch.Position(), now, now)
+	s.targets.ReadSucceeded(now)
+	s.replaceTargets(batch.Records, recordSource{put: s.targets.PutUnordered, remove: s.targets.Remove}, now)
 	s.publish()
 }
 
@@ -51,8 +72,8 @@
 	}
 }
 
-// recordTargetsRead records that the registry was read up to a place.
-func (s *State) recordTargetsRead(at platform.Position, now, asOf time.Time) {
+// recordTargetsAt records that the registry is known up to a place.
+func (s *State) recordTargetsAt(at platform.Position, now, asOf time.Time) {
 	if at.Era > s.targetsAt.Era && !s.targetsAsOf.IsZero() {
 		s.logNewEra("registry", at, s.targetsAt)
 		s.records.beginEra(at.Next)
@@ -60,26 +81,25 @@
 	}
 	s.targetsAt = at
 	s.targetsAsOf = later(s.targetsAsOf, asOf)
-	s.targets.ReadSucceeded(now)
 }
 
-func (s *State) replaceTargets(records []platform.Record, now time.Time) {
+func (s *State) replaceTargets(records []platform.Record, from recordSource, now time.Time) {
 	listed := make(map[string]bool, len(records))
 	for _, record := range records {
-		if s.applyTarget(record, now) {
+		if s.applyTarget(record, from, now) {
 			listed[record.Key] = true
 		}
 	}
 	for _, id := range s.records.missing(listed) {
-		s.removeTarget(id, now)
+		s.removeTarget(id, from, now)
 	}
 }
 
 // applyTarget applies one registry record. It reports false if the record removes a
 // target or cannot be decoded.
-func (s *State) applyTarget(record platform.Record, now time.Time) bool {
+func (s *State) applyTarget(record platform.Record, from recordSource, now time.Time) bool {
 	if len(record.Value) == 0 {
-		s.removeTarget(record.Key, now)
+		s.removeTarget(record.Key, from, now)
 		return false
 	}
 	target, err := platform.DecodeTarget(record.Key, record.Value)
@@ -92,13 +112,18 @@
 		return true
 	}
 	s.records.put(record.Value, target, s.targetsAt.Next)
-	s.targets.Put(target, now)
+	from.put(target, now)
 	return true
 }
 
-func (s *State) removeTarget(id string, now time.Time) {
-	s.records.remove(id, s.targetsAt.Next)
-	s.targets.Remove(id, now)
+func (s *State) removeTarget(id string, from recordSource, now time.Time) {
+	expired := from.remove(id, now)
+	s.records.remove(id, s.targetsAt.Next, expired)
+	if s.targets.IsMissing(id) {
+		s.log.State("record of a target is missing after an outage", eventlog.Fields{
+			"target": id, "expired": expired, "offset": s.targetsAt.Next, "grace_ms": s.targets.GraceRemaining(now).Milliseconds(),
+		})
+	}
 }
 
 // RecordLeaving records that an incarnation of a target has said in an answer that it
--- a/internal/fleetsync/state.go
+++ b/internal/fleetsync/state.go
@@ -44,11 +44,11 @@
 }
 
 // NewState returns a state without settings and targets.
-func NewState(log *eventlog.Log, now func() time.Time) *State {
+func NewState(log *eventlog.Log, now func() time.Time, timing registry.Timing) *State {
 	return &State{
 		log: log, now: now,
 		settingsRecords: make(map[string][]byte),
-		targets:         registry.NewTable(),
+		targets:         registry.NewTable(timing),
 		records:         newTargetRecords(),
 	}
 }
@@ -224,21 +224,40 @@
 		return // changes since a place in another era
 	}
 	s.beginComplete(at.Next)
-	s.targets.ExtendGrace(now.Add(time.Duration(shared.TargetsSettlingMs) * time.Millisecond))
-	s.recordTargetsRead(at, now, TimeFromAge(shared.GetRead().GetTargetsAgeMs(), now))
+	s.targets.ExtendGrace(now.Add(time.Duration(shared.TargetsSettlingMs)*time.Millisecond), now)
+	asOf := TimeFromAge(shared.GetRead().GetTargetsAgeMs(), now)
+	s.targets.Told(asOf)
+	s.recordTargetsAt(at, now, asOf)
+	expired := make(map[string]bool)
+	for _, id := range shared.TargetsExpired {
+		expired[id] = true
+	}
+	told := recordSource{put: s.targets.PutUnordered, remove: func(id string, now time.Time) bool {
+		s.targets.RemoveAsTold(id, expired[id], now)
+		return expired[id]
+	}}
 	if shared.TargetsWhole {
-		s.replaceTargets(Records(shared.Targets), now)
+		s.replaceTargets(Records(shared.Targets), told, now)
 	} else {
 		for _, record := range Records(shared.Targets) {
-			s.applyTarget(record, now)
+			s.applyTarget(record, told, now)
 		}
 		for _, id := range shared.TargetsGone {
-			s.removeTarget(id, now)
+			s.removeTarget(id, told, now)
 		}
 	}
 	s.publish()
 }
 
+// Expire drops the targets whose record is still missing at the end of the grace period.
+func (s *State) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.targets.Expire(s.now()) {
+		s.publish()
+	}
+}
+
 // RecordReaderProgress records how far and when the reader has read the store, without
 // fetching from the reader. The caller must have checked that this state has every
 // change that the reader has read.
@@ -251,7 +270,7 @@
 		s.targetsAt = reader.TargetsAt
 	}
 	now := s.now()
-	gone := s.targets.ReadSucceeded(now)
+	gone := s.targets.Followed(now)
 	if s.held.expire(now) || gone {
 		s.publish()
 	}
--- a/internal/fleetsync/targets.go
+++ b/internal/fleetsync/targets.go
@@ -20,6 +20,7 @@
 type goneTarget struct {
 	knownTarget
 	removedAt int64 // registry offset reached when the removal was read
+	expired   bool  // its record expired, by the order of the log
 }
 
 // targetRecords holds the registry's records, so that a peer can get just those that
@@ -73,8 +74,8 @@
 }
 
 // remove applies the removal of a target. offset is the registry offset reached when
-// the removal was read.
-func (t *targetRecords) remove(id string, offset int64) {
+// the removal was read, and expired tells whether its record expired.
+func (t *targetRecords) remove(id string, offset int64, expired bool) {
 	known, ok := t.known[id]
 	if !ok {
 		return
@@ -84,7 +85,7 @@
 		clear(t.gone)
 		t.completeSince = offset
 	}
-	t.gone[id] = goneTarget{known, offset}
+	t.gone[id] = goneTarget{known, offset, expired}
 	t.lastChange = offset
 }
 
@@ -112,5 +113,8 @@
 		if !shared.TargetsWhole && gone.removedAt > since {
 			shared.TargetsGone = append(shared.TargetsGone, id)
 		}
+		if gone.expired && (shared.TargetsWhole || gone.removedAt > since) {
+			shared.TargetsExpired = append(shared.TargetsExpired, id)
+		}
 	}
 }
