gateway: close idle connections after idleTimeoutMs, and before descriptors run out

Cause: idle connections were closed after a constant of two minutes, idleTimeoutMs was decoded and not used, and nothing bounded connections by limits.maxFds. Callers that leave a connection open after each request, 85 a second, used up 4,100 descriptors in 45 s.

Change: internal/callerconn. A read of the next request waits for the idle timeout in force at most. Beyond limits.maxFds less 200 reserved and 150 for other purposes, where a running request counts twice, the connection that has been idle for longest is told to end. A request that has come on it by then is served.

--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"quetzalbend/internal/adapter/unframed"
+	"quetzalbend/internal/callerconn"
 	"quetzalbend/internal/drain"
 	"quetzalbend/internal/eventlog"
 	"quetzalbend/platform"
@@ -21,7 +22,7 @@
 const (
 	maxHeaderBytes    = 64 << 10
 	headerTimeout     = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
+	idleTimeout       = 2 * time.Minute // of connections, unless the settings name a shorter one
 	healthPath        = "/v1/readiness"
 	peerStatePath     = "/fleet"
 	admissionPath     = "/admission"
@@ -59,15 +60,21 @@
 	group := &errgroup.Group{}
 	callers := g.server(g)
 	g.drain.Watch(callers)
-	if err := g.listen(group, callers, g.node.CallerAddress); err != nil {
+	bounds := g.callerBounds()
+	drained := callers.ConnState
+	callers.ConnState = func(conn net.Conn, state http.ConnState) {
+		bounds.RecordState(conn, state)
+		drained(conn, state)
+	}
+	if err := g.listen(group, callers, g.node.CallerAddress, bounds.Listen); err != nil {
 		return err
 	}
 	health := g.server(http.HandlerFunc(g.serveHealth))
-	if err := g.listen(group, health, g.node.HealthAddress); err != nil {
+	if err := g.listen(group, health, g.node.HealthAddress, unbounded); err != nil {
 		return err
 	}
 	control := g.server(g.controlHandler())
-	if err := g.listen(group, control, g.node.ControlAddress); err != nil {
+	if err := g.listen(group, control, g.node.ControlAddress, unbounded); err != nil {
 		return err
 	}
 	select {
@@ -96,11 +103,34 @@
 	}
 }
 
-func (g *Gateway) listen(group *errgroup.Group, server *http.Server, address string) error {
+// Descriptors that a gateway leaves to other things than callers and their requests.
+const (
+	reservedDescriptors = 200 // for files
+	ownDescriptors      = 150 // for the store, other gateways, ranks, checks and health
+)
+
+// callerBounds returns the bounds on callers' connections.
+func (g *Gateway) callerBounds() *callerconn.Bounds {
+	bounds := &callerconn.Bounds{IdleTimeout: func() time.Duration {
+		if view := g.state.View(); view != nil {
+			return view.Settings.Limits.IdleTimeout
+		}
+		return 0
+	}}
+	if g.node.MaxDescriptors > 0 {
+		bounds.Descriptors = max(g.node.MaxDescriptors-reservedDescriptors-ownDescriptors, 1)
+	}
+	return bounds
+}
+
+func unbounded(listener net.Listener) net.Listener { return listener }
+
+func (g *Gateway) listen(group *errgroup.Group, server *http.Server, address string, bound func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
+	listener = bound(listener)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrapf(err, "serve %s", address)
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -40,6 +40,7 @@
 	StoreAddress   string
 	EngineAddress  string // engine on this VM; empty: none
 	MemoryBytes    int64  // that a process on this VM may use; 0: unknown
+	MaxDescriptors int    // of a process on this VM; 0: unknown
 	Heartbeat      time.Duration
 	GracePeriod    time.Duration // between SIGTERM and SIGKILL
 	Stability      time.Duration // without a disturbance, after which a node counts as in touch with the store; 0: unknown
