--- a/internal/core/poison/requests_test.go
+++ b/internal/core/poison/requests_test.go
@@ -378,16 +378,18 @@
 	for _, dark := range []bool{false, true} {
 		for _, hot := range []bool{false, true} {
 			for _, domain := range []int{1, 5} {
-				d := dose{dark: dark, attempts: 2, sound: 24, hot: hot, chance: 3500 * time.Millisecond, domain: domain}
-				t.Run(fmt.Sprintf("%+v", d), func(t *testing.T) {
-					t.Parallel()
-					for seed := range uint64(seedsADay) {
-						s := newDoseSim(d, seed)
-						s.run(60 * time.Second)
-						assert.Equal(t, s.denied, 0, "%v", s.log)
-						assert.Assert(t, s.served > 1000)
-					}
-				})
+				for _, lockStep := range []bool{false, true} {
+					d := dose{dark: dark, attempts: 2, sound: 24, hot: hot, chance: 3500 * time.Millisecond, domain: domain, lockStep: lockStep}
+					t.Run(fmt.Sprintf("%+v", d), func(t *testing.T) {
+						t.Parallel()
+						for seed := range uint64(seedsADay) {
+							s := newDoseSim(d, seed)
+							s.run(60 * time.Second)
+							assert.Equal(t, s.denied, 0, "%v", s.log)
+							assert.Assert(t, s.served > 1000)
+						}
+					})
+				}
 			}
 		}
 	}
