gateway: an attempt whose caller has left is no broken connection

A caller who left before the first byte had its target checked at once, which is priced; the target is checked now only if it gives no sign of life.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -52,18 +52,15 @@
 // the target.
 func (o outcome) lost() bool { return o == unknown || o == cut || o == timedOut }
 
-// end returns what an outcome tells about the target. over reports whether this process ends:
-// it then gives up requests that run.
-func (o outcome) end(over bool) poison.End {
+// endOf returns what the outcome of an attempt tells about its target.
+func (x *exchange) endOf(o outcome) poison.End {
 	switch {
-	case over && o.lost():
-		return poison.Unknown
+	case o.lost() && x.gateway.drain.Over(), o == noMemory:
+		return poison.Unknown // this process has given the attempt up
+	case o == timedOut, o.lost() && x.request.Context().Err() != nil:
+		return poison.Lost
 	case o == unknown, o == cut, o == doubtful:
 		return poison.CutOff
-	case o == timedOut:
-		return poison.Lost
-	case o == noMemory:
-		return poison.Unknown
 	}
 	return poison.Whole
 }
@@ -113,9 +110,8 @@
 	if o != delivered {
 		x.logAttempt(o, target.ID, now)
 	}
-	over := x.gateway.drain.Over()
-	x.endRun(o.end(over), now)
-	if o.lost() && over { // it tells nothing of the target
+	x.endRun(x.endOf(o), now)
+	if o.lost() && x.gateway.drain.Over() { // it tells nothing of the target
 		x.attempts++
 		x.mayHaveRun = true
 		return false
--- a/internal/app/gateway/handler.go
+++ b/internal/app/gateway/handler.go
@@ -219,9 +219,8 @@
 	trialEnd = poison.Lost
 	defer func() { x.endRun(poison.Lost, time.Now()) }() // if the caller leaves in the middle of a stream
 	outcome := x.attempt(ctx, sent)
-	complete := x.recordAttempt(outcome, sent.target)
-	trialEnd = outcome.end(false)
-	return !complete
+	trialEnd = x.endOf(outcome)
+	return !x.recordAttempt(outcome, sent.target)
 }
 
 // detectDisconnect waits up to disconnectWait, if the request may have been pending
