--- a/internal/core/poison/requests_test.go
+++ b/internal/core/poison/requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +29,9 @@
 	attempts int           // of one caller's request
 	lockStep bool          // all targets stand still while one is down
 
+	lossy    float64       // share of the datagrams between gateways that are lost
+	restarts time.Duration // between times at which a gateway starts again, knowing what the store holds
+
 	sound  int           // sound requests per second
 	hot    bool          // all of them are copies of one
 	chance time.Duration // between times at which targets go down that no request is to blame for
@@ -90,6 +94,7 @@
 	random   *rand.Rand
 	now      time.Time
 	gateways []*doseGateway
+	stored   *Table // what the store holds
 	targets  []*doseTarget
 	runs     []*doseRun
 	hashes   uint64
@@ -101,7 +106,7 @@
 }
 
 func newDoseSim(d dose, seed uint64) *doseSim {
-	s := &doseSim{dose: d, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0)}
+	s := &doseSim{dose: d, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), stored: NewTable()}
 	for i := range doseGateways {
 		s.gateways = append(s.gateways, &doseGateway{name: fmt.Sprint("g", i), table: NewTable(), watch: NewWatch(stallOfGroup)})
 	}
@@ -145,6 +150,9 @@
 				s.goDown(s.targets[i])
 			}
 		}
+		if s.restarts > 0 && s.random.Float64() < float64(doseTick)/float64(s.restarts) {
+			s.restart(s.anyGateway())
+		}
 		s.work()
 		s.check()
 		if !s.now.Before(nextExchange) {
@@ -154,6 +162,13 @@
 	}
 }
 
+// restart starts a gateway again. What it ran is lost.
+func (s *doseSim) restart(g *doseGateway) {
+	s.runs = slices.DeleteFunc(s.runs, func(r *doseRun) bool { return r.gateway == g })
+	g.table, g.watch, g.checks = NewTable(), NewWatch(stallOfGroup), nil
+	g.table.Merge(s.stored.Kept(s.now), s.now)
+}
+
 func (s *doseSim) anyGateway() *doseGateway { return s.gateways[s.random.IntN(doseGateways)] }
 
 func (t *doseTarget) isDown() bool { return !t.upAt.IsZero() }
@@ -341,8 +356,9 @@
 func (s *doseSim) exchange() {
 	for _, from := range s.gateways {
 		evidence := append(from.table.Observed(s.now.Add(-300*time.Millisecond)), from.table.Kept(s.now)...)
+		s.stored.Merge(from.table.Kept(s.now), s.now)
 		for _, to := range s.gateways {
-			if to != from {
+			if to != from && s.random.Float64() >= s.lossy {
 				to.table.Merge(evidence, s.now)
 			}
 		}
@@ -372,6 +388,28 @@
 	}
 }
 
+// The same while datagrams are lost and gateways start again and again.
+func TestRequestThatNoTargetSurvivesIsSoonRefusedByGatewaysThatRestart(t *testing.T) {
+	for _, dark := range []bool{false, true} {
+		for _, gap := range []time.Duration{300 * time.Millisecond, time.Second, 5 * time.Second} {
+			for _, lossy := range []float64{0, 0.5} {
+				d := dose{
+					dark: dark, after: 60 * time.Millisecond, gap: gap, copies: 1, patience: 2 * time.Second, attempts: 2, sound: 24,
+					lossy: lossy, restarts: 6 * time.Second,
+				}
+				t.Run(fmt.Sprintf("%+v", d), func(t *testing.T) {
+					t.Parallel()
+					for seed := range uint64(seedsADay) {
+						s := newDoseSim(d, seed)
+						s.run(60 * time.Second)
+						assert.Assert(t, s.late <= lateRuns, "seed %d: %d runs later than %s after the third of %d crashes: %v", seed, s.late, knownAfter, len(s.crashes), s.log)
+					}
+				})
+			}
+		}
+	}
+}
+
 // Targets go down by chance, one by one or a whole failure domain at once, while all requests
 // are copies of one, or each is another one.
 func TestSoundRequestsAreNotRefusedForTargetsThatGoDownByChance(t *testing.T) {
