core/poison: a silent target keeps the time at which it went down, and is alive once heard twice

A target that fell silent before it had given any sign, and then ended, had its crash dated to 1970: the evidence expired at once. And one answer of its next incarnation under the same id, before the registry was read, took the evidence back. Tests of the watch, a fault each: TestSilentTargetThatHasEndedWentDownWhenItFellSilent, TestSilentTargetIsAliveOnceItHasAnsweredTwice.

--- a/internal/core/poison/checks.go
+++ b/internal/core/poison/checks.go
@@ -70,7 +70,7 @@
 	if since.IsZero() {
 		return false
 	}
-	quiet := now.Sub(t.wentDown(since))
+	quiet := now.Sub(t.quietSince(since))
 	return quiet >= w.stall+stallMargin || quiet >= quietPeriod && w.othersGiveSigns(t, now)
 }
 
@@ -134,7 +134,7 @@
 	}
 	at := now
 	if t.silent {
-		at = t.wentDown(t.lostStart)
+		at = t.downSince
 	}
 	t.silent, t.lostStart = false, time.Time{}
 	found := Finding{Losses: w.losses.Crashed(t.hash, now), At: at}
@@ -147,7 +147,7 @@
 }
 
 func (w *Watch) fellSilent(t *watched, now time.Time) (Finding, bool) {
-	t.nextCheck = now.Add(silentInterval)
+	t.heard, t.nextCheck = false, now.Add(silentInterval)
 	if t.silent {
 		return Finding{}, false
 	}
@@ -166,11 +166,18 @@
 			earliest = r.startedAt
 		}
 	}
-	found.At = t.wentDown(earliest)
+	t.downSince = t.quietSince(earliest)
+	found.At = t.downSince
 	return found, len(found.Losses) > 0
 }
 
+// alive records that a target answered. A silent one must do so twice: the first answer may
+// be that of its next incarnation under the same id, of which the registry does not know yet.
 func (w *Watch) alive(t *watched, at, now time.Time) (Finding, bool) {
+	if t.silent && !t.heard {
+		t.heard, t.nextCheck = true, now.Add(silentInterval)
+		return Finding{}, false
+	}
 	revived := t.silent
 	t.sign(at)
 	t.silent, t.nextCheck = false, now.Add(aliveInterval)
--- a/internal/core/poison/watch.go
+++ b/internal/core/poison/watch.go
@@ -71,7 +71,9 @@
 	lastSign  atomic.Int64 // latest sign of life in Unix nanoseconds; 0: none
 	ended     bool
 	silent    bool
+	heard     bool      // though silent, it has answered the last check
 	downAt    time.Time // when it was found ended or silent
+	downSince time.Time // of a silent one: when it went down
 	lostStart time.Time // earliest start of the requests lost of which it is not known whether it crashed; zero: none
 	checking  bool
 	brokenOff bool // a request broke off since the last check
@@ -184,7 +186,7 @@
 		t.lostStart = r.startedAt
 	}
 	if t.silent {
-		return Finding{Losses: []Loss{r.loss.OfRequest()}, At: t.wentDown(r.startedAt)}, true
+		return Finding{Losses: []Loss{r.loss.OfRequest()}, At: t.downSince}, true
 	}
 	if end == CutOff {
 		t.brokenOff = true
@@ -193,9 +195,9 @@
 	return Finding{}, false
 }
 
-// wentDown returns when a silent target has gone down, at the earliest: after its last sign
-// of life and after the start of a request.
-func (t *watched) wentDown(started time.Time) time.Time {
+// quietSince returns the later one of a target's last sign of life and the start of a request
+// that ran there.
+func (t *watched) quietSince(started time.Time) time.Time {
 	if last := time.Unix(0, t.lastSign.Load()); last.After(started) {
 		return last
 	}
