registry: a gateway in touch does not take over a grace period

Change: what a peer tells of an outage counts only for a gateway that has itself not known the registry for two heartbeat intervals, or not long ago.

Test, failed before: TestGracePeriodOfAPeerIsNotTakenByAGatewayInTouch.

--- a/internal/core/registry/absence.go
+++ b/internal/core/registry/absence.go
@@ -39,6 +39,9 @@
 	return t
 }
 
+// shortestAbsence is the time without the registry from which records can have expired in it.
+func (t Timing) shortestAbsence() time.Duration { return (expiryIntervals - 1) * t.Heartbeat }
+
 // absence is what this gateway knows of the latest time in which it could not read the
 // registry. Records expire if targets could not write: in an outage of the store, or if they
 // were cut off together with this gateway.
@@ -126,7 +129,7 @@
 		return
 	}
 	a.failing = false
-	if now.Sub(a.since) < (expiryIntervals-1)*timing.Heartbeat {
+	if now.Sub(a.since) < timing.shortestAbsence() {
 		return
 	}
 	a.ended, a.outage = now, outage || a.outage && now.Before(a.until)
@@ -190,10 +193,12 @@
 func (t *Table) StoreRestored(now time.Time) { t.absence.restored = now.Add(t.timing.Grace) }
 
 // ExtendGrace extends the grace period to the given time, for an outage of the store
-// that another gateway has seen.
+// that another gateway has seen. A gateway that has known the registry all along has seen that
+// there was none: the other one was cut off.
 func (t *Table) ExtendGrace(until, now time.Time) {
 	a := &t.absence
-	if !until.After(now) || a.outage && !until.After(a.until) {
+	inTouch := !a.failing && !a.inGrace(now) && now.Sub(t.lastRead) < t.timing.shortestAbsence()
+	if inTouch || !until.After(now) || a.outage && !until.After(a.until) {
 		return
 	}
 	if !a.outage || !a.inGrace(now) {
--- a/internal/fleetsync/state_test.go
+++ b/internal/fleetsync/state_test.go
@@ -182,3 +182,19 @@
 	cutOff.Expire()
 	assert.Equal(t, usable(cutOff), 1)
 }
+
+// Where heartbeats leave no records in the log, a gateway that was cut off takes that for an
+// outage of the store. One that has followed the registry all along knows better.
+func TestGracePeriodOfAPeerIsNotTakenByAGatewayInTouch(t *testing.T) {
+	c := &clock{start}
+	cutOff, inTouch := newTestState(c), newTestState(c)
+	cutOff.AddTargets(platform.Batch{Next: 5, Records: []platform.Record{target("a", 1), target("b", 1)}})
+	inTouch.Merge(cutOff.Share(at(1), at(0)))
+	cutOff.RecordTargetsReadFailure()
+	c.now = start.Add(4 * time.Second)
+	inTouch.RecordReaderProgress(Reader{SettingsAsOf: c.now, TargetsAsOf: c.now, TargetsAt: at(5)})
+	c.now = start.Add(5 * time.Second)
+	cutOff.AddTargets(platform.Batch{Next: 6, Records: []platform.Record{{Key: "a"}}})
+	inTouch.Merge(cutOff.Share(at(1), inTouch.TargetsAt()))
+	assert.Equal(t, usable(inTouch), 1)
+}
