--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -8,9 +8,10 @@
 )
 
 var cases = map[string]func(folder string, trouble bool) int{
-	"left":     leftStreams,
-	"latebeat": lateBeat,
-	"stopfull": stopFull,
+	"left":        leftStreams,
+	"latebeat":    lateBeat,
+	"earlierbeat": earlierBeat,
+	"stopfull":    stopFull,
 }
 
 func main() {
--- a/review/standin3/replica.go
+++ b/review/standin3/replica.go
@@ -32,17 +32,14 @@
 	events                     int           // of a stream; 0: the replica answers without a stream
 	sequence                   int64
 	engine                     *engine // nil: none
+	server                     *http.Server
 	mu                         sync.Mutex
 	draining, gone             bool
 }
 
-// serve serves the replica at an address and writes its record now and then.
+// serve serves the replica at a free port of an address and writes its record now and then.
 func (p *replica) serve(ip string) {
-	listener := listen(ip + ":0")
-	p.address, p.born = listener.Addr().String(), time.Now().UnixMilli()
-	server := &http.Server{Handler: p}
-	go func() { _ = server.Serve(listener) }()
-	p.write()
+	p.begin(ip + ":0")
 	go func() {
 		for range time.Tick(1200 * time.Millisecond) {
 			p.write()
@@ -50,6 +47,25 @@
 	}()
 }
 
+// begin begins an incarnation of the replica at an address.
+func (p *replica) begin(address string) {
+	listener := listen(address)
+	server := &http.Server{Handler: p}
+	p.mu.Lock()
+	p.address, p.born, p.sequence, p.gone, p.server = listener.Addr().String(), time.Now().UnixMilli(), 0, false, server
+	p.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	p.write()
+}
+
+// crash ends the running incarnation of the replica.
+func (p *replica) crash() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gone = true
+	_ = p.server.Close()
+}
+
 // write writes the replica's record, unless it is gone.
 func (p *replica) write() {
 	p.mu.Lock()
