--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0: the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/quetzalbend-gateway ] && [ -x target/review-3/standin3 ] || exit 2
-exec target/review-3/standin3 latebeat review/12/record.txt
+exec target/review-3/standin3 earlierbeat review/12/record.txt
--- a/review/standin3/latebeat.go
+++ b/review/standin3/latebeat.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Case 12: a heartbeat that the store carries out late, after its replica has gone.
+// Cases 12 and 13: a heartbeat that the store carries out late, after its replica has gone.
 const (
 	beatLate     = 6 * time.Second // as in the pages (platform_lost late: done 1 to 6 s later)
 	beatDrain    = 2 * time.Second // drainMs
@@ -156,7 +156,7 @@
 	return judgeBeat(f.leaves, f.runs, gone, sent, served)
 }
 
-// Case 14: the late heartbeat is one of an earlier incarnation.
+// Case 12: the late heartbeat is one of an earlier incarnation.
 const (
 	bornCrash = 300 * time.Millisecond  // from the lost answer to the crash of the replica
 	bornDown  = 1200 * time.Millisecond // until it starts again, under its id
--- a/review/standin3/left.go
+++ b/review/standin3/left.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Case 11: clients leave streams of a route without streamResume.
+// Case 14: clients leave streams of a route without streamResume.
 const (
 	leftClients  = 60
 	leftEvery    = 100 * time.Millisecond // between the starts of clients
--- a/review/standin3/stop.go
+++ b/review/standin3/stop.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// Case: a gateway is stopped as planned while its replicas are full and preempt streams.
+// Case 11: a gateway is stopped as planned while its replicas are full and preempt streams.
 const (
 	stopClients  = 48
 	stopReplicas = 6
