--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,17 +1,25 @@
 // Command standin3 plays the cases of review 3. It holds small stand-ins of the platform's
 // store, of replicas and of clients, and starts the project's own programs from target/.
+//
+// With KEEP set, the settings and logs of the programs are kept, and their folder is printed.
 package main
 
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxTime is the longest that a case may take.
+const maxTime = 110 * time.Second
+
 var cases = map[string]func(folder string, trouble bool) int{
-	"left":        leftStreams,
-	"latebeat":    lateBeat,
-	"earlierbeat": earlierBeat,
 	"stopfull":    stopFull,
+	"earlierbeat": earlierBeat,
+	"latebeat":    lateBeat,
+	"left":        leftStreams,
 }
 
 func main() {
@@ -29,6 +37,16 @@
 	if err != nil {
 		fail("%v", err)
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-stopped:
+			fail("stopped")
+		case <-time.After(maxTime):
+			fail("takes too long")
+		}
+	}()
 	result := cases[os.Args[1]](folder, os.Getenv("TROUBLE") != "0")
 	endAll()
 	if os.Getenv("KEEP") == "" {
